--- /dev/null
+++ b/mcobserve/log.go
@@ -0,0 +1,37 @@
+// Package mcobserve builds the logger, the metrics registry and the tracer of a
+// process and names its events and metrics.
+package mcobserve
+
+import (
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// NewLogger returns a logger that writes one line of key=value pairs for each event
+// to w. The event name is the message; unknown levels mean info.
+func NewLogger(w io.Writer, level string) zerolog.Logger {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil || level == "" {
+		parsed = zerolog.InfoLevel
+	}
+	console := zerolog.ConsoleWriter{
+		Out:             w,
+		NoColor:         true,
+		TimeFormat:      time.RFC3339Nano,
+		PartsOrder:      []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName},
+		FormatTimestamp: func(v any) string { return "time=" + text(v) },
+		FormatLevel:     func(v any) string { return "level=" + text(v) },
+		FormatMessage:   func(v any) string { return "event=" + text(v) },
+	}
+	return zerolog.New(console).Level(parsed).With().Timestamp().Logger()
+}
+
+func text(v any) string {
+	s, ok := v.(string)
+	if !ok {
+		return ""
+	}
+	return s
+}
--- /dev/null
+++ b/mcring/ring_test.go
@@ -0,0 +1,21 @@
+package mcring_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft/mcring"
+)
+
+// Guards against a full ring that blocks its producer or grows without bound.
+func TestFullRingRefusesOrDropsOldest(t *testing.T) {
+	r := mcring.New[int](2)
+	require.True(t, r.TryPut(1))
+	require.True(t, r.TryPut(2))
+	require.False(t, r.TryPut(3))
+	require.Equal(t, 1, r.PutNewest(4))
+	require.Equal(t, 2, <-r.Items())
+	require.Equal(t, 4, <-r.Items())
+	require.Zero(t, r.Len())
+}
--- /dev/null
+++ b/mcsetting/setting.go
@@ -0,0 +1,180 @@
+// Package mcsetting decodes and checks the settings file of an entry instance.
+package mcsetting
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+
+	"marigoldcroft"
+)
+
+// Kind is the kind of a settings error.
+type Kind string
+
+// Error is the error type of the package.
+type Error = marigoldcroft.Failure[Kind]
+
+// The kinds of settings errors.
+const (
+	KindRead    Kind = "cannot read settings"
+	KindDecode  Kind = "malformed settings"
+	KindInvalid Kind = "invalid settings"
+)
+
+// maxFileBytes bounds the settings file.
+const maxFileBytes = 1 << 20
+
+type (
+	// Settings is what an entry instance needs to start. Fields are exported because
+	// the YAML codec and the validator reach only exported fields.
+	Settings struct {
+		Deployment string `yaml:"deployment" validate:"required,max=64" doc:"id of the deployment; peers with another id are refused"`
+		Region     string `yaml:"region" validate:"required,max=64" doc:"region of the data centre"`
+		DataCentre string `yaml:"dataCentre" validate:"required,max=64" doc:"data centre of this instance"`
+		Instance   string `yaml:"instance" validate:"required,max=64" doc:"name of this instance, unique in the deployment"`
+
+		CallerAddress string `yaml:"callerAddress" validate:"required,hostname_port" doc:"IP and port that callers reach"`
+		PeerAddress   string `yaml:"peerAddress" validate:"required,hostname_port" doc:"IP and port that peers reach (gRPC)"`
+		AdminAddress  string `yaml:"adminAddress" validate:"required,hostname_port" doc:"IP and port for operators"`
+
+		ObjectStore  string `yaml:"objectStore" validate:"required,http_url" doc:"base URL of the platform's object store"`
+		InstanceList string `yaml:"instanceList" validate:"required,http_url" doc:"base URL of the platform's instance list"`
+
+		Scheduler string       `yaml:"scheduler" validate:"oneof=lengthAware roundRobin leastOutstanding lengthBlindFIFO" doc:"scheduling policy; the last three are baselines for comparison"`
+		Limits    Limits       `yaml:"limits" doc:"bounds on what callers may send"`
+		Stop      StopSettings `yaml:"stop" doc:"planned stop"`
+		TLS       TLSSettings  `yaml:"tls" doc:"mutual TLS between instances and to operators"`
+		Trace     Trace        `yaml:"trace" doc:"export of trace spans"`
+		Log       Log          `yaml:"log" doc:"log output"`
+		Store     StoreBudget  `yaml:"store" doc:"share of the object store's rates that the whole deployment may use"`
+	}
+
+	// Limits bounds callers' input.
+	Limits struct {
+		MaxBodyBytes    int64         `yaml:"maxBodyBytes" validate:"min=1024,max=67108864" doc:"largest request body in bytes"`
+		MaxHeaderBytes  int           `yaml:"maxHeaderBytes" validate:"min=1024,max=1048576" doc:"largest request header in bytes"`
+		BodyReadTimeout time.Duration `yaml:"bodyReadTimeout" validate:"min=100ms,max=10m" doc:"time in which a caller must send its whole request"`
+		MaxInFlight     int           `yaml:"maxInFlight" validate:"min=1,max=1000000" doc:"largest number of requests in this instance at once"`
+		QueueLength     int           `yaml:"queueLength" validate:"min=1,max=1000000" doc:"largest number of admitted requests that wait in this instance"`
+	}
+
+	// StopSettings bounds a planned stop.
+	StopSettings struct {
+		LameDuck time.Duration `yaml:"lameDuck" validate:"min=0,max=10m" doc:"time for which an unready instance keeps its listener open"`
+		Limit    time.Duration `yaml:"limit" validate:"min=0,max=24h" doc:"time after which a planned stop ends what still runs"`
+	}
+
+	// TLSSettings names the files of mutual TLS; all empty means no TLS.
+	TLSSettings struct {
+		CertificateFile string `yaml:"certificateFile" validate:"required_with=KeyFile,max=4096" doc:"certificate of this instance, PEM"`
+		KeyFile         string `yaml:"keyFile" validate:"required_with=AuthorityFile,max=4096" doc:"private key of this instance, PEM"`
+		AuthorityFile   string `yaml:"authorityFile" validate:"required_with=CertificateFile,max=4096" doc:"certificates that sign peers and operators, PEM"`
+	}
+
+	// Trace chooses the exporter of spans.
+	Trace struct {
+		Exporter string  `yaml:"exporter" validate:"oneof=none stdout otlp" doc:"where spans go"`
+		Endpoint string  `yaml:"endpoint" validate:"omitempty,hostname_port" doc:"IP and port of the OTLP collector (HTTP)"`
+		Ratio    float64 `yaml:"ratio" validate:"min=0,max=1" doc:"share of requests whose spans are exported"`
+	}
+
+	// Log chooses the level of log lines.
+	Log struct {
+		Level string `yaml:"level" validate:"oneof=debug info warn error" doc:"least severe level that is written"`
+	}
+
+	// StoreBudget is the deployment's share of the object store's rates.
+	StoreBudget struct {
+		WritesPerSecond float64       `yaml:"writesPerSecond" validate:"min=1,max=100000" doc:"writes a second of the whole deployment"`
+		ReadsPerSecond  float64       `yaml:"readsPerSecond" validate:"min=1,max=100000" doc:"reads and watches a second of the whole deployment"`
+		CallTimeout     time.Duration `yaml:"callTimeout" validate:"min=10ms,max=1m" doc:"time limit of one call"`
+	}
+)
+
+// Default returns the settings that a file changes.
+func Default() Settings {
+	return Settings{
+		Scheduler: "lengthAware",
+		Limits: Limits{
+			MaxBodyBytes: 16 << 20, MaxHeaderBytes: 64 << 10,
+			BodyReadTimeout: 30 * time.Second, MaxInFlight: 20000, QueueLength: 2000,
+		},
+		Stop:  StopSettings{LameDuck: 5 * time.Second, Limit: 5 * time.Minute},
+		Trace: Trace{Exporter: "none", Ratio: 0.01},
+		Log:   Log{Level: "info"},
+		Store: StoreBudget{WritesPerSecond: 300, ReadsPerSecond: 1500, CallTimeout: 2 * time.Second},
+	}
+}
+
+// Load reads and checks the settings file at path.
+func Load(path string) (Settings, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return Settings{}, marigoldcroft.NewFailure("load "+path, KindRead, err)
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
+	if err != nil {
+		return Settings{}, marigoldcroft.NewFailure("load "+path, KindRead, err)
+	}
+	return Decode(text)
+}
+
+// Decode decodes and checks settings in YAML. An unknown field is an error that
+// names its line.
+func Decode(text []byte) (Settings, error) {
+	if len(text) > maxFileBytes {
+		return Settings{}, marigoldcroft.NewFailure("decode", KindDecode,
+			errors.Newf("the file is larger than %d bytes", maxFileBytes))
+	}
+	s := Default()
+	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict())
+	if err := decoder.Decode(&s); err != nil && !errors.Is(err, io.EOF) {
+		return Settings{}, marigoldcroft.NewFailure("decode", KindDecode, errors.New(yaml.FormatError(err, false, true)))
+	}
+	if err := Check(&s); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// Check validates s and names each field that is out of its bounds.
+func Check(s *Settings) error {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		return name
+	})
+	err := v.Struct(s)
+	var fields validator.ValidationErrors
+	if errors.As(err, &fields) {
+		return marigoldcroft.NewFailure("check", KindInvalid, errors.New(describe(fields)))
+	}
+	if err != nil {
+		return marigoldcroft.NewFailure("check", KindInvalid, err)
+	}
+	return nil
+}
+
+// describe lists the fields and the limits that they break.
+func describe(fields validator.ValidationErrors) string {
+	lines := make([]string, 0, len(fields))
+	for _, f := range fields {
+		_, path, _ := strings.Cut(f.Namespace(), ".")
+		limit := f.Tag()
+		if f.Param() != "" {
+			limit += "=" + f.Param()
+		}
+		lines = append(lines, fmt.Sprintf("field %s: value %v breaks the limit %s", path, f.Value(), limit))
+	}
+	return strings.Join(lines, "; ")
+}
--- /dev/null
+++ b/store.go
@@ -0,0 +1,67 @@
+package marigoldcroft
+
+import (
+	"context"
+	"time"
+)
+
+// Version is the opaque version of a stored object; "" stands for "does not exist".
+type Version string
+
+// Object is a stored value with its version.
+type Object struct {
+	key     string
+	value   []byte
+	version Version
+	writeID string
+}
+
+// NewObject returns an object.
+func NewObject(key string, value []byte, version Version, writeID string) Object {
+	return Object{key: key, value: value, version: version, writeID: writeID}
+}
+
+// Key returns the object's key.
+func (o Object) Key() string { return o.key }
+
+// Value returns the stored bytes; the caller must not change them.
+func (o Object) Value() []byte { return o.value }
+
+// Version returns the version.
+func (o Object) Version() Version { return o.version }
+
+// WriteID returns the id of the write that made this version.
+func (o Object) WriteID() string { return o.writeID }
+
+// ObjectEntry is one row of a list: a key and its version, without the value.
+type ObjectEntry struct {
+	Key     string  `json:"key"`
+	Version Version `json:"version"`
+}
+
+// ObjectReader reads from the platform's object store. Errors of implementations
+// are told apart with the functions of package mcstore (IsNotFound and others).
+type ObjectReader interface {
+	Get(ctx context.Context, key string) (Object, error)
+	// List returns up to limit keys with the prefix that sort after the key after.
+	List(ctx context.Context, prefix, after string, limit int) ([]ObjectEntry, error)
+	// Watch returns the object as soon as its version differs from known, or the
+	// unchanged object when wait has passed. A deleted object is not found.
+	Watch(ctx context.Context, key string, known Version, wait time.Duration) (Object, error)
+}
+
+// ObjectWriter writes to the platform's object store. Each write carries writeID,
+// which must be unique to the attempt. A write whose answer was lost returns an
+// error of the kind unknown: it may have taken effect.
+type ObjectWriter interface {
+	// Put stores value if the current version is expected; "" creates only.
+	Put(ctx context.Context, key string, value []byte, expected Version, writeID string) (Version, error)
+	// Delete removes the object if the current version is expected.
+	Delete(ctx context.Context, key string, expected Version, writeID string) error
+}
+
+// ObjectStore reads and writes.
+type ObjectStore interface {
+	ObjectReader
+	ObjectWriter
+}
