Add an in-memory object store

Cause: the ledger, jobs and configuration need a store with versions and watches in their tests before the HTTP client exists.

--- /dev/null
+++ b/mcstore/memory.go
@@ -0,0 +1,161 @@
+package mcstore
+
+import (
+	"context"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldcroft"
+)
+
+const (
+	// maxValueBytes is the largest value that the platform's store holds.
+	maxValueBytes = 1 << 20
+	maxKeyBytes   = 512
+)
+
+// Memory is an object store in memory. The zero value is ready to use.
+type Memory struct {
+	mu      sync.Mutex
+	objects map[string]marigoldcroft.Object
+	// lastVersion only grows, so that a deleted and recreated object has a new version.
+	lastVersion uint64
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+// Get returns the object.
+func (m *Memory) Get(ctx context.Context, key string) (marigoldcroft.Object, error) {
+	if err := ctx.Err(); err != nil {
+		return marigoldcroft.Object{}, marigoldcroft.NewFailure("get "+key, KindUnavailable, err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.get("get", key)
+}
+
+// get needs mu.
+func (m *Memory) get(operation, key string) (marigoldcroft.Object, error) {
+	object, ok := m.objects[key]
+	if !ok {
+		return marigoldcroft.Object{}, marigoldcroft.NewFailure(operation+" "+key, KindNotFound, nil)
+	}
+	return object, nil
+}
+
+// List returns up to limit keys with the prefix that sort after the key after.
+func (m *Memory) List(ctx context.Context, prefix, after string, limit int) ([]marigoldcroft.ObjectEntry, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, marigoldcroft.NewFailure("list "+prefix, KindUnavailable, err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var entries []marigoldcroft.ObjectEntry
+	for key, object := range m.objects {
+		if strings.HasPrefix(key, prefix) && key > after {
+			entries = append(entries, marigoldcroft.ObjectEntry{Key: key, Version: object.Version()})
+		}
+	}
+	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
+	if len(entries) > limit {
+		entries = entries[:limit]
+	}
+	return entries, nil
+}
+
+// Watch returns the object as soon as its version differs from known, or after wait.
+func (m *Memory) Watch(ctx context.Context, key string, known marigoldcroft.Version, wait time.Duration) (marigoldcroft.Object, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		object, changed, err := m.current(key)
+		if object.Version() != known {
+			return object, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return object, err
+		case <-ctx.Done():
+			return marigoldcroft.Object{}, marigoldcroft.NewFailure("watch "+key, KindUnavailable, ctx.Err())
+		}
+	}
+}
+
+// current returns the object and the channel that the next change closes.
+func (m *Memory) current(key string) (marigoldcroft.Object, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.changed == nil {
+		m.changed = make(chan struct{})
+	}
+	object, err := m.get("watch", key)
+	return object, m.changed, err
+}
+
+// Put stores value if the current version is expected.
+func (m *Memory) Put(ctx context.Context, key string, value []byte, expected marigoldcroft.Version, writeID string) (marigoldcroft.Version, error) {
+	if err := checkWrite(ctx, key, value); err != nil {
+		return "", err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects[key].Version() != expected {
+		return "", marigoldcroft.NewFailure("put "+key, KindConflict, nil)
+	}
+	if m.objects == nil {
+		m.objects = make(map[string]marigoldcroft.Object)
+	}
+	m.lastVersion++
+	version := marigoldcroft.Version(strconv.FormatUint(m.lastVersion, 10))
+	m.objects[key] = marigoldcroft.NewObject(key, append([]byte(nil), value...), version, writeID)
+	m.notify()
+	return version, nil
+}
+
+// Delete removes the object if the current version is expected.
+func (m *Memory) Delete(ctx context.Context, key string, expected marigoldcroft.Version, _ string) error {
+	if err := checkWrite(ctx, key, nil); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	object, err := m.get("delete", key)
+	if err != nil {
+		return err
+	}
+	if object.Version() != expected {
+		return marigoldcroft.NewFailure("delete "+key, KindConflict, nil)
+	}
+	delete(m.objects, key)
+	m.notify()
+	return nil
+}
+
+// notify wakes all watches; it needs mu.
+func (m *Memory) notify() {
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
+}
+
+func checkWrite(ctx context.Context, key string, value []byte) error {
+	if err := ctx.Err(); err != nil {
+		return marigoldcroft.NewFailure("write "+key, KindUnavailable, err)
+	}
+	if key == "" || len(key) > maxKeyBytes {
+		return marigoldcroft.NewFailure("write", KindBadKey,
+			errors.Newf("the key has %d bytes; 1 to %d are allowed", len(key), maxKeyBytes))
+	}
+	if len(value) > maxValueBytes {
+		return marigoldcroft.NewFailure("write "+key, KindTooLarge,
+			errors.Newf("the value has %d bytes; at most %d are allowed", len(value), maxValueBytes))
+	}
+	return nil
+}
