Add engine client, gateway, engine stand-in and load generator

Cause: the thin path from caller to engine needs its parts before the programs can be put together. Change: mcengine binds each event to request, attempt and sequence; mcgateway decodes, authenticates, drives a scheduler and streams answers; mcstandin has an engine with continuous batching and faults and an instance list; mcload sends an open-loop mix with retrying callers. Result: compiles and lints clean; not run end to end yet.

--- /dev/null
+++ b/mcengine/stream.go
@@ -0,0 +1,122 @@
+package mcengine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldcroft"
+)
+
+const (
+	firstLineBytes = 4 << 10
+	// maxLineBytes bounds one event of a stream.
+	maxLineBytes = 1 << 20
+)
+
+var (
+	dataPrefix = []byte("data:")
+	endMarker  = []byte("[DONE]")
+)
+
+// stream reads server-sent events and binds each to the attempt and its place.
+type stream struct {
+	operation string
+	body      io.ReadCloser
+	lines     *bufio.Scanner
+	// id is request/attempt as each event must carry it.
+	id string
+	// next is the sequence that the next event must have.
+	next uint64
+	// finished is true once an event had a finish reason.
+	finished bool
+}
+
+// chunk is one event in the engine's form.
+type chunk struct {
+	ID       string   `json:"id"`
+	Sequence uint64   `json:"sequence"`
+	Choices  []choice `json:"choices"`
+	Usage    *usage   `json:"usage"`
+}
+
+type choice struct {
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+	FinishReason string `json:"finish_reason"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	CachedTokens     int `json:"cached_tokens"`
+}
+
+func newStream(operation string, body io.ReadCloser, id marigoldcroft.StreamID, from uint64) *stream {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, firstLineBytes), maxLineBytes)
+	return &stream{
+		operation: operation, body: body, lines: lines, next: from,
+		id: fmt.Sprintf("%s/%d", id.Request(), id.Attempt()),
+	}
+}
+
+// Next returns the next event. It returns io.EOF only after a finish reason and the
+// end marker; any other end is an error of the kind KindBroken.
+func (s *stream) Next() (marigoldcroft.TokenEvent, error) {
+	for s.lines.Scan() {
+		data, ok := bytes.CutPrefix(s.lines.Bytes(), dataPrefix)
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if bytes.Equal(data, endMarker) {
+			return marigoldcroft.TokenEvent{}, s.end()
+		}
+		return s.decode(data)
+	}
+	cause := s.lines.Err()
+	if cause == nil {
+		cause = io.ErrUnexpectedEOF
+	}
+	return marigoldcroft.TokenEvent{}, marigoldcroft.NewFailure(s.operation, KindBroken, cause)
+}
+
+func (s *stream) end() error {
+	if !s.finished {
+		return marigoldcroft.NewFailure(s.operation, KindBroken, errors.New("end marker without a finish reason"))
+	}
+	return io.EOF
+}
+
+func (s *stream) decode(data []byte) (marigoldcroft.TokenEvent, error) {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return marigoldcroft.TokenEvent{}, marigoldcroft.NewFailure(s.operation, KindBroken, err)
+	}
+	if c.ID != s.id || c.Sequence != s.next {
+		return marigoldcroft.TokenEvent{}, marigoldcroft.NewFailure(s.operation, KindMismatch,
+			errors.Newf("event %d of %q where event %d of %q was due", c.Sequence, c.ID, s.next, s.id))
+	}
+	s.next++
+	event := marigoldcroft.TokenEvent{Sequence: c.Sequence}
+	if len(c.Choices) > 0 {
+		event.Text = c.Choices[0].Delta.Content
+		event.Finish = c.Choices[0].FinishReason
+	}
+	if c.Usage != nil {
+		event.PromptTokens = c.Usage.PromptTokens
+		event.OutputTokens = c.Usage.CompletionTokens
+		event.CachedTokens = c.Usage.CachedTokens
+	}
+	s.finished = s.finished || event.Finish != ""
+	return event, nil
+}
+
+// Close ends the stream; the engine cancels what is left of it.
+func (s *stream) Close() error { return s.body.Close() }
--- /dev/null
+++ b/mcgateway/answer.go
@@ -0,0 +1,181 @@
+package mcgateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+type (
+	// wholeSink collects an answer that is sent in one piece.
+	wholeSink struct {
+		text      strings.Builder
+		firstSeen func()
+	}
+
+	// streamSink sends an answer as server-sent events as it comes.
+	streamSink struct {
+		w         http.ResponseWriter
+		id        string
+		model     string
+		begun     bool
+		flusher   http.Flusher
+		firstSeen func()
+	}
+
+	// answerChunk is one event in the callers' form.
+	answerChunk struct {
+		ID      string         `json:"id"`
+		Object  string         `json:"object"`
+		Model   string         `json:"model"`
+		Choices []answerChoice `json:"choices"`
+		Usage   *answerUsage   `json:"usage,omitempty"`
+	}
+
+	answerChoice struct {
+		Index        int            `json:"index"`
+		Delta        *answerMessage `json:"delta,omitempty"`
+		Message      *answerMessage `json:"message,omitempty"`
+		FinishReason *string        `json:"finish_reason"`
+	}
+
+	answerMessage struct {
+		Role    string `json:"role,omitempty"`
+		Content string `json:"content"`
+	}
+
+	answerUsage struct {
+		PromptTokens     int `json:"prompt_tokens"`
+		CompletionTokens int `json:"completion_tokens"`
+		TotalTokens      int `json:"total_tokens"`
+	}
+)
+
+func (s *wholeSink) token(text string) error {
+	if s.text.Len() == 0 {
+		s.firstSeen()
+	}
+	s.text.WriteString(text)
+	return nil
+}
+
+func (s *streamSink) token(text string) error {
+	if !s.begun {
+		s.begin()
+	}
+	chunk := answerChunk{
+		ID: s.id, Object: "chat.completion.chunk", Model: s.model,
+		Choices: []answerChoice{{Delta: &answerMessage{Content: text}}},
+	}
+	return s.event("", chunk)
+}
+
+func (s *streamSink) begin() {
+	s.begun = true
+	s.firstSeen()
+	header := s.w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	s.w.WriteHeader(http.StatusOK)
+}
+
+// event sends one event; name is "" for a plain one.
+func (s *streamSink) event(name string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	if name != "" {
+		name = "event: " + name + "\n"
+	}
+	if _, err := fmt.Fprintf(s.w, "%sdata: %s\n\n", name, text); err != nil {
+		return err
+	}
+	s.flusher.Flush()
+	return nil
+}
+
+// finish sends the last event and the end marker, which only a whole answer has.
+func (s *streamSink) finish(end answerEnd) {
+	if !s.begun {
+		s.begin()
+	}
+	chunk := answerChunk{
+		ID: s.id, Object: "chat.completion.chunk", Model: s.model,
+		Choices: []answerChoice{{Delta: &answerMessage{}, FinishReason: &end.finish}}, Usage: usageOf(end),
+	}
+	if s.event("", chunk) == nil {
+		// A caller that is gone cannot be told.
+		_, _ = fmt.Fprint(s.w, "data: [DONE]\n\n")
+		s.flusher.Flush()
+	}
+}
+
+func usageOf(end answerEnd) *answerUsage {
+	return &answerUsage{
+		PromptTokens: end.promptTokens, CompletionTokens: end.outputTokens,
+		TotalTokens: end.promptTokens + end.outputTokens,
+	}
+}
+
+// firstToken returns a function that records the time to first token once.
+func (g *Gateway) firstToken(x *exchange, request *modelRequest) func() {
+	return func() {
+		g.Metrics.FirstToken.WithLabelValues(lengthClass(request.promptTokens), request.template.Urgency().String()).
+			Observe(time.Since(x.start).Seconds())
+	}
+}
+
+// lengthClass is the metric label of a prompt's length.
+func lengthClass(tokens int64) string {
+	switch {
+	case tokens <= 4_000:
+		return "upTo4k"
+	case tokens <= 32_000:
+		return "upTo32k"
+	case tokens <= 100_000:
+		return "upTo100k"
+	}
+	return "over100k"
+}
+
+func (g *Gateway) answerWhole(ctx context.Context, x *exchange, request *modelRequest) *Problem {
+	out := &wholeSink{firstSeen: g.firstToken(x, request)}
+	end, problem := g.generate(ctx, x, request, out)
+	if problem != nil {
+		return problem
+	}
+	x.w.Header().Set("Content-Type", "application/json")
+	answer := answerChunk{
+		ID: request.id, Object: "chat.completion", Model: request.template.Model(),
+		Choices: []answerChoice{{Message: &answerMessage{Role: "assistant", Content: out.text.String()}, FinishReason: &end.finish}},
+		Usage:   usageOf(end),
+	}
+	// A caller that is gone cannot be told.
+	_ = json.NewEncoder(x.w).Encode(answer)
+	return nil
+}
+
+func (g *Gateway) answerStream(ctx context.Context, x *exchange, request *modelRequest) *Problem {
+	flusher, ok := x.w.(http.Flusher)
+	if !ok {
+		return notRun(CodeInternal, "streaming is not possible on this connection")
+	}
+	out := &streamSink{w: x.w, id: request.id, model: request.template.Model(), flusher: flusher, firstSeen: g.firstToken(x, request)}
+	end, problem := g.generate(ctx, x, request, out)
+	if problem == nil {
+		out.finish(end)
+		return nil
+	}
+	if !out.begun {
+		return problem
+	}
+	problem.RequestID = x.id
+	x.streamed = true
+	// A caller that is gone cannot be told.
+	_ = out.event("error", map[string]*Problem{"error": problem})
+	return problem
+}
--- /dev/null
+++ b/mcgateway/gateway.go
@@ -0,0 +1,167 @@
+// Package mcgateway is the callers' interface: it decodes requests, applies limits,
+// drives the scheduler and streams whole answers back.
+package mcgateway
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"marigoldcroft"
+	"marigoldcroft/mcobserve"
+	"marigoldcroft/mcsetting"
+)
+
+const (
+	headerRequestID   = "X-Request-Id"
+	headerTemplate    = "X-Template"
+	headerDeadline    = "X-Deadline-Ms"
+	headerKey         = "Idempotency-Key"
+	headerRevision    = "X-Config-Revision"
+	headerConfigStale = "X-Config-Stale"
+)
+
+// Gateway serves callers. Its exported fields are set before Handler is called.
+type Gateway struct {
+	Identity   marigoldcroft.Identity
+	Config     marigoldcroft.ConfigSource
+	Engine     marigoldcroft.Engine
+	Dispatcher *Dispatcher
+	// Endpoint returns the endpoint with the name, as the instance list shows it.
+	Endpoint func(name string) (marigoldcroft.Endpoint, bool)
+	Limits   mcsetting.Limits
+	Metrics  *mcobserve.Metrics
+	Tracer   trace.Tracer
+	Logger   zerolog.Logger
+
+	// draining is true from the start of a planned stop.
+	draining atomic.Bool
+	inFlight atomic.Int64
+	active   sync.WaitGroup
+	tokens   tokenEstimator
+}
+
+// Handler returns the callers' HTTP interface.
+func (g *Gateway) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", g.entry("model", g.serveChat))
+	mux.HandleFunc("GET /healthz", g.serveHealth)
+	mux.HandleFunc("GET /readyz", g.serveReady)
+	mux.Handle("GET /metrics", g.Metrics.Handler())
+	return mux
+}
+
+// Drain makes the instance unready; requests that still arrive are served.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// Draining tells whether a planned stop has begun.
+func (g *Gateway) Draining() bool { return g.draining.Load() }
+
+// InFlight returns the number of requests in this instance.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// Wait returns when no request is in this instance.
+func (g *Gateway) Wait() { g.active.Wait() }
+
+// exchange is one request of a caller with what all handlers need.
+type exchange struct {
+	w      http.ResponseWriter
+	r      *http.Request
+	id     string
+	start  time.Time
+	config marigoldcroft.ConfigSnapshot
+	team   marigoldcroft.Team
+	logger zerolog.Logger
+	// class is the metric label of the work, once it is known.
+	class string
+	// streamed is true when the answer began and its problem was sent as an event.
+	streamed bool
+}
+
+// handler serves one exchange; a problem is sent unless the answer has begun.
+type handler func(x *exchange) *Problem
+
+// entry wraps a handler with what each request needs: id, limits, team, span, log line.
+func (g *Gateway) entry(kind string, serve handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		g.active.Add(1)
+		defer g.active.Done()
+		g.Metrics.InFlight.Inc()
+		defer g.Metrics.InFlight.Dec()
+		ctx := mcobserve.Propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := g.Tracer.Start(ctx, "entry "+kind, trace.WithSpanKind(trace.SpanKindServer))
+		defer span.End()
+		x := &exchange{w: w, r: r.WithContext(ctx), id: uuid.NewString(), start: time.Now()}
+		span.SetAttributes(attribute.String("request.id", x.id))
+		w.Header().Set(headerRequestID, x.id)
+		n := g.inFlight.Add(1)
+		defer g.inFlight.Add(-1)
+		var problem *Problem
+		if n > int64(g.Limits.MaxInFlight) {
+			problem = notRun(CodeOverloaded, "this instance has its largest number of requests").after(time.Second)
+		} else {
+			problem = g.serve(x, serve)
+		}
+		g.end(x, kind, problem)
+	}
+}
+
+func (g *Gateway) serve(x *exchange, serve handler) *Problem {
+	x.config = g.Config.Current()
+	x.logger = g.Logger.With().Str("requestId", x.id).Logger()
+	g.setConfigHeaders(x)
+	if problem := g.authenticate(x); problem != nil {
+		return problem
+	}
+	return serve(x)
+}
+
+func (g *Gateway) setConfigHeaders(x *exchange) {
+	header := x.w.Header()
+	header.Set(headerRevision, formatUint(x.config.Revision()))
+	if g.Config.Stale() {
+		header.Set(headerConfigStale, "true")
+	}
+}
+
+// end sends the problem, if any, and writes the request's metrics and log line.
+func (g *Gateway) end(x *exchange, kind string, problem *Problem) {
+	code := "ok"
+	if problem != nil {
+		problem.RequestID = x.id
+		code = string(problem.Code)
+		if !x.streamed {
+			problem.write(x.w)
+		}
+	}
+	g.Metrics.Requests.WithLabelValues(kind, x.class, code).Inc()
+	event := g.Logger.Info().Str("requestId", x.id).Str("kind", kind).Str("team", x.team.Name()).
+		Str("class", x.class).Str("code", code).Dur("elapsedMs", time.Since(x.start))
+	if problem != nil {
+		event = event.Bool("notRun", problem.NotRun)
+	}
+	event.Msg("requestEnded")
+}
+
+func (g *Gateway) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if g.Draining() {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	if g.Config.Current().Revision() == 0 {
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/mcgateway/problem.go
@@ -0,0 +1,113 @@
+package mcgateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Code is the code of an error that a caller gets.
+type Code string
+
+// The codes, with the HTTP status of each in statusOf.
+const (
+	CodeBadRequest       Code = "badRequest"
+	CodeUnauthorized     Code = "unauthorized"
+	CodeUnknownTemplate  Code = "unknownTemplate"
+	CodeNotFound         Code = "notFound"
+	CodeConflict         Code = "conflict"
+	CodeTooLarge         Code = "tooLarge"
+	CodeKeyReused        Code = "keyReused"
+	CodeQuarantined      Code = "quarantined"
+	CodeOverloaded       Code = "overloaded"
+	CodeTeamLimit        Code = "teamLimit"
+	CodeDeadline         Code = "deadline"
+	CodeUpstreamFailed   Code = "upstreamFailed"
+	CodeStoreUnavailable Code = "storeUnavailable"
+	CodeOutcomeUnknown   Code = "outcomeUnknown"
+	CodeInFlight         Code = "inFlight"
+	CodeStopping         Code = "stopping"
+	CodeInternal         Code = "internal"
+)
+
+// Outcome tells a caller what became of the work.
+type Outcome string
+
+// The outcomes.
+const (
+	OutcomeNotRun  Outcome = "notRun"
+	OutcomeFailed  Outcome = "failed"
+	OutcomeUnknown Outcome = "unknown"
+)
+
+var statusOf = map[Code]int{
+	CodeBadRequest:       http.StatusBadRequest,
+	CodeUnauthorized:     http.StatusUnauthorized,
+	CodeUnknownTemplate:  http.StatusNotFound,
+	CodeNotFound:         http.StatusNotFound,
+	CodeConflict:         http.StatusConflict,
+	CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	CodeKeyReused:        http.StatusUnprocessableEntity,
+	CodeQuarantined:      http.StatusUnprocessableEntity,
+	CodeOverloaded:       http.StatusServiceUnavailable,
+	CodeTeamLimit:        http.StatusTooManyRequests,
+	CodeDeadline:         http.StatusGatewayTimeout,
+	CodeUpstreamFailed:   http.StatusBadGateway,
+	CodeStoreUnavailable: http.StatusServiceUnavailable,
+	CodeOutcomeUnknown:   http.StatusBadGateway,
+	CodeInFlight:         http.StatusConflict,
+	CodeStopping:         http.StatusServiceUnavailable,
+	CodeInternal:         http.StatusInternalServerError,
+}
+
+// Problem is the error that a caller gets, in JSON. Its fields are exported for the codec.
+type Problem struct {
+	Code      Code   `json:"code"`
+	Message   string `json:"message"`
+	RequestID string `json:"requestId"`
+	// NotRun is true only where the work did not and will not happen.
+	NotRun       bool    `json:"notRun"`
+	RetryAfterMs int64   `json:"retryAfterMs,omitempty"`
+	Outcome      Outcome `json:"outcome"`
+}
+
+// notRun returns a problem of work that did not and will not happen.
+func notRun(code Code, message string) *Problem {
+	return &Problem{Code: code, Message: message, NotRun: true, Outcome: OutcomeNotRun}
+}
+
+// failed returns a problem of work that may have run in part.
+func failed(code Code, message string) *Problem {
+	return &Problem{Code: code, Message: message, Outcome: OutcomeFailed}
+}
+
+// after sets the time after which a retry makes sense.
+func (p *Problem) after(d time.Duration) *Problem {
+	p.RetryAfterMs = d.Milliseconds()
+	return p
+}
+
+// Error returns the code and the message.
+func (p *Problem) Error() string { return string(p.Code) + ": " + p.Message }
+
+// Status returns the HTTP status of the problem.
+func (p *Problem) Status() int {
+	if status, ok := statusOf[p.Code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// write sends the problem as the whole response.
+func (p *Problem) write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	if p.RetryAfterMs > 0 {
+		const millisecondsPerSecond = 1000
+		header.Set("Retry-After", strconv.FormatInt((p.RetryAfterMs+millisecondsPerSecond-1)/millisecondsPerSecond, 10))
+	}
+	w.WriteHeader(p.Status())
+	// A caller that is gone cannot be told; the request's log line has the problem.
+	_ = json.NewEncoder(w).Encode(p)
+}
--- /dev/null
+++ b/mcgateway/token.go
@@ -0,0 +1,62 @@
+package mcgateway
+
+import (
+	"sync"
+
+	"marigoldcroft"
+)
+
+const (
+	// bytesPerToken is the estimate before an engine has counted; texts differ from
+	// it by up to 35%.
+	bytesPerToken = 4.0
+	// correctionGain is the weight of one count in the learned ratio.
+	correctionGain = 0.05
+	// minCountedTokens keeps short prompts, whose fixed parts dominate, from teaching.
+	minCountedTokens = 500
+)
+
+// tokenEstimator estimates prompt tokens from bytes and learns each model's ratio.
+type tokenEstimator struct {
+	mu sync.Mutex
+	// ratio is bytes a token by model.
+	ratio map[string]float64
+}
+
+func (e *tokenEstimator) estimate(model string, messages []marigoldcroft.Message) int64 {
+	return int64(float64(promptBytes(messages))/e.bytesPerToken(model)) + 1
+}
+
+func (e *tokenEstimator) bytesPerToken(model string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if ratio, ok := e.ratio[model]; ok {
+		return ratio
+	}
+	return bytesPerToken
+}
+
+// learn corrects the model's ratio by an engine's count.
+func (e *tokenEstimator) learn(model string, bytes int, counted int) {
+	if counted < minCountedTokens {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ratio == nil {
+		e.ratio = make(map[string]float64)
+	}
+	old, ok := e.ratio[model]
+	if !ok {
+		old = bytesPerToken
+	}
+	e.ratio[model] = old + correctionGain*(float64(bytes)/float64(counted)-old)
+}
+
+func promptBytes(messages []marigoldcroft.Message) int {
+	n := 0
+	for _, m := range messages {
+		n += len(m.Role) + len(m.Content)
+	}
+	return n
+}
--- /dev/null
+++ b/mcload/report.go
@@ -0,0 +1,174 @@
+package mcload
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// histogramMax is the longest time that a histogram holds, in microseconds.
+	histogramMax    = int64(3_600_000_000)
+	histogramDigits = 3
+)
+
+type (
+	// Report is what came of a run.
+	Report struct {
+		mu sync.Mutex
+		// rows is by class name and part of the run.
+		rows    map[rowKey]*row
+		skipped int
+	}
+
+	rowKey struct {
+		class string
+		crest bool
+	}
+
+	row struct {
+		outcomes   map[Outcome]int
+		codes      map[string]int
+		tries      int
+		firstToken *hdrhistogram.Histogram
+		gap        *hdrhistogram.Histogram
+	}
+
+	// Row is one class in one part of the run, with times in milliseconds.
+	Row struct {
+		Class       string          `json:"class"`
+		Crest       bool            `json:"crest"`
+		Callers     int             `json:"callers"`
+		Tries       int             `json:"tries"`
+		Outcomes    map[Outcome]int `json:"outcomes"`
+		Codes       map[string]int  `json:"codes"`
+		FirstToken  Quantiles       `json:"firstTokenMs"`
+		BetweenToks Quantiles       `json:"betweenTokensMs"`
+	}
+
+	// Quantiles are in milliseconds.
+	Quantiles struct {
+		P50 float64 `json:"p50"`
+		P95 float64 `json:"p95"`
+		P99 float64 `json:"p99"`
+	}
+)
+
+func newReport() *Report { return &Report{rows: make(map[rowKey]*row)} }
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramMax, histogramDigits)
+}
+
+func (r *Report) notSent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.skipped++
+}
+
+func (r *Report) add(class string, crest bool, result try, tries int, _ time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := rowKey{class: class, crest: crest}
+	into, ok := r.rows[key]
+	if !ok {
+		into = &row{outcomes: make(map[Outcome]int), codes: make(map[string]int), firstToken: newHistogram(), gap: newHistogram()}
+		r.rows[key] = into
+	}
+	into.outcomes[result.outcome]++
+	into.tries += tries
+	if result.code != "" {
+		into.codes[result.code]++
+	}
+	if result.outcome == OutcomeWhole {
+		record(into.firstToken, result.firstToken)
+		for _, gap := range result.gaps {
+			record(into.gap, gap)
+		}
+	}
+}
+
+// record adds a time; one over the histogram's end counts as the end.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	if h.RecordValue(d.Microseconds()) != nil {
+		// The clamped value always fits.
+		_ = h.RecordValue(histogramMax)
+	}
+}
+
+// Rows returns the rows, sorted by class, the crest after the rest.
+func (r *Report) Rows() []Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rows := make([]Row, 0, len(r.rows))
+	for key, from := range r.rows {
+		out := Row{
+			Class: key.class, Crest: key.crest, Tries: from.tries, Outcomes: from.outcomes, Codes: from.codes,
+			FirstToken: quantiles(from.firstToken), BetweenToks: quantiles(from.gap),
+		}
+		for _, n := range from.outcomes {
+			out.Callers += n
+		}
+		rows = append(rows, out)
+	}
+	sort.Slice(rows, func(i, j int) bool {
+		if rows[i].Class != rows[j].Class {
+			return rows[i].Class < rows[j].Class
+		}
+		return !rows[i].Crest
+	})
+	return rows
+}
+
+// Row returns one row; a class without callers has a zero row.
+func (r *Report) Row(class string, crest bool) Row {
+	for _, row := range r.Rows() {
+		if row.Class == class && row.Crest == crest {
+			return row
+		}
+	}
+	return Row{Class: class, Crest: crest}
+}
+
+// Skipped returns the number of callers that were not sent because too many were at work.
+func (r *Report) Skipped() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.skipped
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	const microsecondsPerMs = 1000.0
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / microsecondsPerMs }
+	return Quantiles{P50: at(50), P95: at(95), P99: at(99)}
+}
+
+// WriteTable writes the rows as a table.
+func (r *Report) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "class\tpart\tcallers\ttries\twhole\trefused\tfailed\tbroken promises\tfirst token p50 ms\tp95\tp99\t")
+	for _, row := range r.Rows() {
+		part := "calm"
+		if row.Crest {
+			part = "crest"
+		}
+		broken := row.Outcomes[OutcomeForeign] + row.Outcomes[OutcomeTruncated] + row.Outcomes[OutcomeNone]
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n", row.Class, part, row.Callers, row.Tries,
+			row.Outcomes[OutcomeWhole], row.Outcomes[OutcomeRefused], row.Outcomes[OutcomeFailed], broken,
+			row.FirstToken.P50, row.FirstToken.P95, row.FirstToken.P99)
+	}
+	return table.Flush()
+}
+
+// WriteJSON writes the rows as JSON.
+func (r *Report) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(map[string]any{"rows": r.Rows(), "skipped": r.Skipped()})
+}
--- /dev/null
+++ b/mcload/run.go
@@ -0,0 +1,106 @@
+package mcload
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const maxIdleConnections = 4096
+
+// Run sends the load that settings describe and returns what came of it. It ends
+// when each caller has an outcome or ctx ends.
+func Run(ctx context.Context, settings Settings) *Report {
+	if settings.MaxTries == 0 {
+		settings.MaxTries = 1 << 20
+	}
+	if settings.MaxCallers == 0 {
+		settings.MaxCallers = 10000
+	}
+	g := &generator{
+		settings: &settings,
+		report:   newReport(),
+		rng:      rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
+		slots:    make(chan struct{}, settings.MaxCallers),
+		client: &http.Client{Transport: &http.Transport{
+			MaxIdleConns: maxIdleConnections, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true,
+		}},
+	}
+	g.filler = newFiller(g.rng)
+	g.run(ctx)
+	g.client.CloseIdleConnections()
+	return g.report
+}
+
+// generator starts callers at the times of an open-loop arrival process.
+type generator struct {
+	settings *Settings
+	report   *Report
+	rng      *rand.Rand
+	filler   string
+	client   *http.Client
+	// slots holds one token for each caller at work.
+	slots   chan struct{}
+	callers sync.WaitGroup
+}
+
+func (g *generator) run(ctx context.Context) {
+	start := time.Now()
+	residents, stop := context.WithCancel(ctx)
+	for range g.settings.Resident {
+		seed := g.rng.Uint64()
+		g.callers.Go(func() { g.keepResident(residents, seed) })
+	}
+	for due := time.Duration(0); due < g.settings.Duration; {
+		if !pause(ctx, due-time.Since(start)) {
+			break
+		}
+		g.start(ctx, due)
+		rate := g.settings.Rate * g.settings.Swing.factor(due)
+		due += time.Duration(g.rng.ExpFloat64() / rate * float64(time.Second))
+	}
+	stop()
+	g.callers.Wait()
+}
+
+// start begins one caller, or counts it as not sent when too many are at work.
+func (g *generator) start(ctx context.Context, due time.Duration) {
+	c := g.caller(pick(g.rng, g.settings.Classes), g.rng)
+	select {
+	case g.slots <- struct{}{}:
+	default:
+		g.report.notSent()
+		return
+	}
+	crest := g.settings.Swing.crest(due)
+	g.callers.Go(func() {
+		defer func() { <-g.slots }()
+		result, tries, total := c.run(ctx)
+		g.report.add(c.class.Name, crest, result, tries, total)
+	})
+}
+
+func (g *generator) caller(class Class, rng *rand.Rand) *caller {
+	return &caller{
+		settings: g.settings, client: g.client, class: class,
+		prompt: newPrompt(rng, g.filler, class), seed: rng.Uint64(),
+	}
+}
+
+// keepResident sends requests of the resident class one after another.
+func (g *generator) keepResident(ctx context.Context, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	for ctx.Err() == nil {
+		c := g.caller(g.settings.ResidentClass, rng)
+		result, tries, total := c.run(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		g.report.add(c.class.Name, false, result, tries, total)
+		if result.outcome != OutcomeWhole && !pause(ctx, minRetryPause) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/mcobserve/metrics.go
@@ -0,0 +1,95 @@
+package mcobserve
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// latencyBuckets spans a fast first token to a long job, in seconds.
+var latencyBuckets = []float64{.005, .01, .025, .05, .1, .2, .42, .75, 1.5, 3, 6, 12, 30, 60, 120, 300, 900}
+
+// Metrics holds the collectors of one process. All are safe for use from many goroutines.
+type Metrics struct {
+	registry *prometheus.Registry
+
+	// Requests counts ended requests by kind (model, service, job), class and code.
+	Requests *prometheus.CounterVec
+	// InFlight is the number of requests in this instance.
+	InFlight prometheus.Gauge
+	// FirstToken is the time to first token in seconds, by class and urgency.
+	FirstToken *prometheus.HistogramVec
+	// QueueWait is the time in the scheduler's queue in seconds, by class.
+	QueueWait *prometheus.HistogramVec
+	// HeadOfLine is the wait of short work in seconds while long work was dispatched.
+	HeadOfLine prometheus.Histogram
+	// Refusals counts refusals by reason.
+	Refusals *prometheus.CounterVec
+	// Attempts counts attempts on endpoints by result.
+	Attempts *prometheus.CounterVec
+	// Mismatches counts discarded events of other requests or attempts.
+	Mismatches prometheus.Counter
+	// Joined counts requests that joined a running twin.
+	Joined prometheus.Counter
+	// StoreCalls counts calls of the object store by kind and result.
+	StoreCalls *prometheus.CounterVec
+	// ConfigRevision is the configuration revision in force.
+	ConfigRevision prometheus.Gauge
+	// ConfigStale is 1 when the configuration was not confirmed within the bound.
+	ConfigStale prometheus.Gauge
+	// ControlBytes counts bytes of the peer exchange by direction.
+	ControlBytes *prometheus.CounterVec
+	// Actions counts at-most-once actions by result.
+	Actions *prometheus.CounterVec
+}
+
+// NewMetrics returns the collectors, registered in a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{registry: prometheus.NewRegistry()}
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.Requests = m.counters("requests_total", "Ended requests.", "kind", "class", "code")
+	m.InFlight = m.gauge("requests_in_flight", "Requests in this instance.")
+	m.FirstToken = m.histograms("first_token_seconds", "Time to first token.", "class", "urgency")
+	m.QueueWait = m.histograms("queue_wait_seconds", "Time in the scheduler's queue.", "class")
+	m.HeadOfLine = m.histograms("head_of_line_seconds", "Queue wait of short work while long work was dispatched.").WithLabelValues().(prometheus.Histogram)
+	m.Refusals = m.counters("refusals_total", "Refused requests.", "reason")
+	m.Attempts = m.counters("attempts_total", "Attempts on endpoints.", "result")
+	m.Mismatches = m.counters("stream_mismatches_total", "Discarded events of other requests or attempts.").WithLabelValues()
+	m.Joined = m.counters("joined_requests_total", "Requests that joined a running twin.").WithLabelValues()
+	m.StoreCalls = m.counters("store_calls_total", "Calls of the object store.", "kind", "result")
+	m.ConfigRevision = m.gauge("config_revision", "Configuration revision in force.")
+	m.ConfigStale = m.gauge("config_stale", "1 when the configuration was not confirmed within the bound.")
+	m.ControlBytes = m.counters("control_bytes_total", "Bytes of the peer exchange.", "direction")
+	m.Actions = m.counters("actions_total", "At-most-once actions.", "result")
+	return m
+}
+
+// Registry returns the registry, for collectors that other packages add.
+func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func (m *Metrics) counters(name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "marigoldcroft", Name: name, Help: help}, labels)
+	m.registry.MustRegister(c)
+	return c
+}
+
+func (m *Metrics) histograms(name, help string, labels ...string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: "marigoldcroft", Name: name, Help: help, Buckets: latencyBuckets,
+	}, labels)
+	m.registry.MustRegister(h)
+	return h
+}
+
+func (m *Metrics) gauge(name, help string) prometheus.Gauge {
+	g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "marigoldcroft", Name: name, Help: help})
+	m.registry.MustRegister(g)
+	return g
+}
--- /dev/null
+++ b/mcstandin/instancelist.go
@@ -0,0 +1,90 @@
+package mcstandin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"marigoldcroft"
+)
+
+type (
+	// InstanceListFaults are set at run time by POST /control/faults.
+	InstanceListFaults struct {
+		// Outage answers 503.
+		Outage bool `json:"outage"`
+		// Stale keeps answering the listing of the time it was set.
+		Stale bool `json:"stale"`
+	}
+
+	// InstanceList is a stand-in of the platform's instance list. A change shows after Lag.
+	InstanceList struct {
+		Lag time.Duration
+
+		mu     sync.Mutex
+		faults InstanceListFaults
+		// shown is what callers get; pending replaces it at the time due.
+		shown   marigoldcroft.InstanceListing
+		pending *marigoldcroft.InstanceListing
+		due     time.Time
+	}
+)
+
+// Set replaces the listing; callers see it after Lag.
+func (l *InstanceList) Set(listing marigoldcroft.InstanceListing) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending, l.due = &listing, time.Now().Add(l.Lag)
+}
+
+// Show replaces the listing at once.
+func (l *InstanceList) Show(listing marigoldcroft.InstanceListing) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shown, l.pending = listing, nil
+}
+
+func (l *InstanceList) current() (marigoldcroft.InstanceListing, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pending != nil && !l.faults.Stale && !time.Now().Before(l.due) {
+		l.shown, l.pending = *l.pending, nil
+	}
+	return l.shown, !l.faults.Outage
+}
+
+// Handler returns the HTTP interface with the controls.
+func (l *InstanceList) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, _ *http.Request) {
+		listing, up := l.current()
+		if !up {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		writeJSON(w, listing)
+	})
+	mux.HandleFunc("POST /control/listing", func(w http.ResponseWriter, r *http.Request) {
+		var listing marigoldcroft.InstanceListing
+		if err := json.NewDecoder(io.LimitReader(r.Body, maxEngineBody)).Decode(&listing); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		l.Set(listing)
+		writeJSON(w, listing)
+	})
+	mux.HandleFunc("POST /control/faults", func(w http.ResponseWriter, r *http.Request) {
+		var faults InstanceListFaults
+		if err := json.NewDecoder(io.LimitReader(r.Body, maxEngineBody)).Decode(&faults); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		l.mu.Lock()
+		l.faults = faults
+		l.mu.Unlock()
+		writeJSON(w, faults)
+	})
+	return mux
+}
--- /dev/null
+++ b/mcstandin/prefixcache.go
@@ -0,0 +1,90 @@
+package mcstandin
+
+import "github.com/cespare/xxhash/v2"
+
+// maxCacheEvents bounds the events that a poller can still read.
+const maxCacheEvents = 1000
+
+type (
+	// CacheEvent says that a prefix was added to or dropped from the cache.
+	CacheEvent struct {
+		Sequence uint64 `json:"sequence"`
+		Prefix   uint64 `json:"prefix"`
+		Tokens   int64  `json:"tokens"`
+		Dropped  bool   `json:"dropped"`
+	}
+
+	// prefixCache remembers prompt prefixes in blocks, least recently used dropped first.
+	prefixCache struct {
+		// capacity is in tokens.
+		capacity int64
+		used     map[uint64]uint64
+		clock    uint64
+		events   []CacheEvent
+		sequence uint64
+	}
+)
+
+// use returns the number of cached tokens of the prompt and adds its blocks.
+func (c *prefixCache) use(text string) int64 {
+	if c.used == nil {
+		c.used = make(map[uint64]uint64)
+	}
+	h := xxhash.New()
+	var cached int64
+	hit := true
+	for len(text) > cacheBlockBytes {
+		h.WriteString(text[:cacheBlockBytes])
+		text = text[cacheBlockBytes:]
+		block := h.Sum64()
+		_, known := c.used[block]
+		hit = hit && known
+		if hit {
+			cached += cacheBlockBytes / bytesPerToken
+		}
+		c.add(block, known)
+	}
+	return cached
+}
+
+func (c *prefixCache) add(block uint64, known bool) {
+	c.clock++
+	if !known {
+		c.publish(CacheEvent{Prefix: block, Tokens: cacheBlockBytes / bytesPerToken})
+	}
+	c.used[block] = c.clock
+	if int64(len(c.used))*cacheBlockBytes/bytesPerToken > c.capacity {
+		c.dropOldest()
+	}
+}
+
+func (c *prefixCache) dropOldest() {
+	var oldest uint64
+	age := c.clock + 1
+	for block, used := range c.used {
+		if used < age {
+			oldest, age = block, used
+		}
+	}
+	delete(c.used, oldest)
+	c.publish(CacheEvent{Prefix: oldest, Dropped: true})
+}
+
+func (c *prefixCache) publish(event CacheEvent) {
+	c.sequence++
+	event.Sequence = c.sequence
+	c.events = append(c.events, event)
+	if len(c.events) > maxCacheEvents {
+		c.events = c.events[1:]
+	}
+}
+
+func (c *prefixCache) eventsAfter(sequence uint64) []CacheEvent {
+	events := []CacheEvent{}
+	for _, event := range c.events {
+		if event.Sequence > sequence {
+			events = append(events, event)
+		}
+	}
+	return events
+}
