--- /dev/null
+++ b/mcstandin/doc.go
@@ -0,0 +1,2 @@
+// Package mcstandin holds small stand-ins of the outside systems, with fault injection.
+package mcstandin
--- /dev/null
+++ b/mcstore/contract.go
@@ -0,0 +1,228 @@
+package mcstore
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"marigoldcroft"
+)
+
+// contractWait is how long contract cases wait for an event that must come; it only
+// bounds a failing run.
+const contractWait = 20 * time.Second
+
+// contractCase is one case of the contract suite.
+type contractCase struct {
+	name string
+	run  func(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore)
+}
+
+var contractCases = []contractCase{
+	{"a missing object is not found", contractMissing},
+	{"a read returns value, version and write id of the last write", contractRead},
+	{"a write with an old version has no effect", contractConflict},
+	{"a deleted object's versions are not used again", contractDelete},
+	{"keys may hold slashes, dots and spaces", contractKeys},
+	{"values up to 1 MB are stored and larger ones refused", contractSize},
+	{"a list is sorted and continues after a key", contractList},
+	{"a watch returns at a change, at a deletion and at its end", contractWatch},
+	{"of many writers on one version one wins", contractRace},
+	{"a call with an ended context has no effect", contractCancelled},
+}
+
+// RunContract checks what marigoldcroft relies on in an object store. newStore
+// returns an empty store.
+func RunContract(t *testing.T, newStore func(t *testing.T) marigoldcroft.ObjectStore) {
+	for _, c := range contractCases {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), contractWait)
+			defer cancel()
+			c.run(ctx, t, newStore(t))
+		})
+	}
+}
+
+func contractMissing(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
+	_, err := store.Get(ctx, "none")
+	expectKind(t, err, KindNotFound)
+	_, err = store.Watch(ctx, "none", "", 10*time.Millisecond)
+	expectKind(t, err, KindNotFound)
+	expectKind(t, store.Delete(ctx, "none", "1", "w1"), KindNotFound)
+	_, err = store.Put(ctx, "none", nil, "1", "w2")
+	expectKind(t, err, KindConflict)
+}
+
+func contractRead(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
+	first := mustPut(ctx, t, store, "k", "one", "")
+	second := mustPut(ctx, t, store, "k", "two", first)
+	object, err := store.Get(ctx, "k")
+	expectKind(t, err, "")
+	if string(object.Value()) != "two" || object.Version() != second || object.WriteID() != "two" || first == second {
+		t.Fatalf("got %q at version %q by write %q, want the second write at %q", object.Value(), object.Version(), object.WriteID(), second)
+	}
+}
+
+func contractConflict(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
+	first := mustPut(ctx, t, store, "k", "one", "")
+	second := mustPut(ctx, t, store, "k", "two", first)
+	for _, expected := range []marigoldcroft.Version{"", first} {
+		_, err := store.Put(ctx, "k", []byte("late"), expected, "late")
+		expectKind(t, err, KindConflict)
+	}
+	expectKind(t, store.Delete(ctx, "k", first, "late"), KindConflict)
+	object, err := store.Get(ctx, "k")
+	expectKind(t, err, "")
+	if object.Version() != second || string(object.Value()) != "two" {
+		t.Fatalf("a refused write changed the object to %q", object.Value())
+	}
+}
+
+func contractDelete(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
+	first := mustPut(ctx, t, store, "k", "one", "")
+	expectKind(t, store.Delete(ctx, "k", first, "d"), "")
+	_, err := store.Get(ctx, "k")
+	expectKind(t, err, KindNotFound)
+	second := mustPut(ctx, t, store, "k", "one", "")
+	if first == second {
+		t.Fatalf("version %q was used twice", first)
+	}
+}
+
+func contractKeys(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
+	for _, key := range []string{"a/b/../c", "a//b", "a b%2F?x=1", "ä/ö", strings.Repeat("k", maxKeyBytes)} {
+		mustPut(ctx, t, store, key, "v "+key[:1], "")
+		object, err := store.Get(ctx, key)
+		expectKind(t, err, "")
+		if object.Key() != key {
+			t.Fatalf("got key %q, want %q", object.Key(), key)
+		}
+		_, err = store.Watch(ctx, key, "other", time.Millisecond)
+		expectKind(t, err, "")
+	}
+	_, err := store.Put(ctx, strings.Repeat("k", maxKeyBytes+1), nil, "", "w")
+	expectKind(t, err, KindBadKey)
+}
+
+func contractSize(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
+	large := make([]byte, maxValueBytes)
+	_, err := store.Put(ctx, "k", large, "", "w")
+	expectKind(t, err, "")
+	object, err := store.Get(ctx, "k")
+	expectKind(t, err, "")
+	if len(object.Value()) != maxValueBytes {
+		t.Fatalf("got %d bytes, want %d", len(object.Value()), maxValueBytes)
+	}
+	_, err = store.Put(ctx, "k2", append(large, 0), "", "w")
+	expectKind(t, err, KindTooLarge)
+}
+
+func contractList(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
+	for _, key := range []string{"p/3", "q/1", "p/1", "p/2"} {
+		mustPut(ctx, t, store, key, "v", "")
+	}
+	for _, c := range []struct {
+		after string
+		limit int
+		want  string
+	}{{"", 10, "p/1 p/2 p/3"}, {"", 2, "p/1 p/2"}, {"p/1", 1, "p/2"}, {"p/3", 5, ""}} {
+		entries, err := store.List(ctx, "p/", c.after, c.limit)
+		expectKind(t, err, "")
+		var keys []string
+		for _, entry := range entries {
+			if entry.Version == "" {
+				t.Fatalf("the entry of %q has no version", entry.Key)
+			}
+			keys = append(keys, entry.Key)
+		}
+		if got := strings.Join(keys, " "); got != c.want {
+			t.Fatalf("list after %q with limit %d: got %q, want %q", c.after, c.limit, got, c.want)
+		}
+	}
+}
+
+func contractWatch(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
+	first := mustPut(ctx, t, store, "k", "one", "")
+	object, err := store.Watch(ctx, "k", first, time.Millisecond)
+	expectKind(t, err, "")
+	if object.Version() != first {
+		t.Fatalf("an unchanged object came back at version %q, want %q", object.Version(), first)
+	}
+	type result struct {
+		object marigoldcroft.Object
+		err    error
+	}
+	watch := func(known marigoldcroft.Version) <-chan result {
+		results := make(chan result, 1)
+		go func() {
+			object, err := store.Watch(ctx, "k", known, contractWait)
+			results <- result{object, err}
+		}()
+		return results
+	}
+	changed := watch(first)
+	second := mustPut(ctx, t, store, "k", "two", first)
+	got := <-changed
+	expectKind(t, got.err, "")
+	if got.object.Version() != second {
+		t.Fatalf("the watch returned version %q, want %q", got.object.Version(), second)
+	}
+	deleted := watch(second)
+	expectKind(t, store.Delete(ctx, "k", second, "d"), "")
+	expectKind(t, (<-deleted).err, KindNotFound)
+	created := watch("")
+	third := mustPut(ctx, t, store, "k", "three", "")
+	if got := <-created; got.err != nil || got.object.Version() != third {
+		t.Fatalf("the watch returned version %q and %v, want version %q", got.object.Version(), got.err, third)
+	}
+}
+
+func contractRace(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
+	const writers = 16
+	version := mustPut(ctx, t, store, "k", "one", "")
+	errs := make(chan error, writers)
+	for i := range writers {
+		go func() {
+			_, err := store.Put(ctx, "k", []byte{byte(i)}, version, strconv.Itoa(i))
+			errs <- err
+		}()
+	}
+	won := 0
+	for range writers {
+		if err := <-errs; err == nil {
+			won++
+		} else {
+			expectKind(t, err, KindConflict)
+		}
+	}
+	if won != 1 {
+		t.Fatalf("%d writers succeeded on one version, want 1", won)
+	}
+}
+
+func contractCancelled(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
+	ended, cancel := context.WithCancel(ctx)
+	cancel()
+	_, err := store.Put(ended, "k", []byte("v"), "", "w")
+	expectKind(t, err, KindUnavailable)
+	_, err = store.Get(ended, "k")
+	expectKind(t, err, KindUnavailable)
+	_, err = store.Get(ctx, "k")
+	expectKind(t, err, KindNotFound)
+}
+
+func mustPut(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore, key, value string, expected marigoldcroft.Version) marigoldcroft.Version {
+	t.Helper()
+	version, err := store.Put(ctx, key, []byte(value), expected, value)
+	expectKind(t, err, "")
+	return version
+}
+
+func expectKind(t *testing.T, err error, want Kind) {
+	t.Helper()
+	if got := marigoldcroft.FailureKind[Kind](err); got != want || (err == nil) != (want == "") {
+		t.Fatalf("got error %v, want kind %q", err, want)
+	}
+}
--- /dev/null
+++ b/mcstore/contract_test.go
@@ -0,0 +1,31 @@
+package mcstore_test
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"marigoldcroft"
+	"marigoldcroft/mcstandin"
+	"marigoldcroft/mcstore"
+)
+
+// Guards against stores that differ in what the ledger, jobs and configuration rely on.
+func TestContract(t *testing.T) {
+	for name, newStore := range map[string]func(t *testing.T) marigoldcroft.ObjectStore{
+		"memory": func(*testing.T) marigoldcroft.ObjectStore { return &mcstore.Memory{} },
+		"http": func(t *testing.T) marigoldcroft.ObjectStore {
+			store, _ := newHTTP(t)
+			return store
+		},
+	} {
+		t.Run(name, func(t *testing.T) { mcstore.RunContract(t, newStore) })
+	}
+}
+
+// newHTTP returns an adapter and the stand-in behind it; seed 1 drives its faults.
+func newHTTP(t *testing.T) (*mcstore.HTTP, *mcstandin.ObjectStore) {
+	standin := mcstandin.NewObjectStore(1)
+	server := httptest.NewServer(standin)
+	t.Cleanup(server.Close)
+	return &mcstore.HTTP{BaseURL: server.URL, Client: server.Client()}, standin
+}
--- a/mcstore/memory.go
+++ b/mcstore/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strconv"
 	"strings"
@@ -159,3 +160,19 @@
 	}
 	return nil
 }
+
+// Snapshot returns the stored objects, to be given to Restore.
+func (m *Memory) Snapshot() map[string]marigoldcroft.Object {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.objects)
+}
+
+// Restore replaces the stored objects, as a store does that comes back from a
+// backup. Versions given out since the snapshot are not used again.
+func (m *Memory) Restore(objects map[string]marigoldcroft.Object) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.objects = maps.Clone(objects)
+	m.notify()
+}
