--- /dev/null
+++ b/cmd/marigoldcroft-standin/serve.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"marigoldcroft/mcverb"
+)
+
+const headerTimeout = 5 * time.Second
+
+// serve answers HTTP at address until a signal, while work runs beside it.
+func serve(address string, h http.Handler, work func(context.Context), stdout, stderr io.Writer) int {
+	ctx, cancel := mcverb.UntilSignal()
+	defer cancel()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: listen on %s: %v\n", program, address, err)
+		return mcverb.ExitFailed
+	}
+	fmt.Fprintf(stdout, "event=listening address=%s\n", listener.Addr())
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	go work(ctx)
+	go func() {
+		<-ctx.Done()
+		// The listener is closed at the end in any case.
+		_ = server.Close()
+	}()
+	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		fmt.Fprintf(stderr, "%s: serve: %v\n", program, err)
+		return mcverb.ExitFailed
+	}
+	return mcverb.ExitDone
+}
+
+// noWork is for stand-ins that only answer.
+func noWork(context.Context) {}
