Add the object store client: budget, deadlines, breaker, lost answers

Cause: the store's rates are shared by the deployment, it has outages, and an answer can be lost after the write took effect. Change: mcstore.Client wraps any ObjectStore. A lost write is resolved by its write id; while the object is unchanged the write is sent again with the same id, because the first copy may still arrive.

--- /dev/null
+++ b/mcstore/client_test.go
@@ -0,0 +1,202 @@
+package mcstore_test
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcstandin"
+	"marigoldcroft/mcstore"
+)
+
+// scripted is a store whose next calls fail as listed; it then works.
+type scripted struct {
+	*mcstore.Memory
+	// puts and gets hold the faults of the next calls; "" is a call without a fault.
+	puts, gets []string
+	late       func()
+}
+
+func (s *scripted) Put(ctx context.Context, key string, value []byte, expected marigoldcroft.Version, writeID string) (marigoldcroft.Version, error) {
+	fault := next(&s.puts)
+	unknown := marigoldcroft.NewFailure("put", mcstore.KindUnknown, nil)
+	switch fault {
+	case "lost after":
+		_, _ = s.Memory.Put(ctx, key, value, expected, writeID)
+		return "", unknown
+	case "lost before":
+		return "", unknown
+	case "delayed":
+		s.late = func() {
+			_, _ = s.Memory.Put(context.Background(), key, value, expected, writeID)
+		}
+		return "", unknown
+	case "replaced":
+		version, _ := s.Memory.Put(ctx, key, value, expected, writeID)
+		_, _ = s.Memory.Put(ctx, key, []byte("rival"), version, "rival")
+		return "", unknown
+	case "hang":
+		<-ctx.Done()
+		return "", unknown
+	case "down":
+		return "", marigoldcroft.NewFailure("put", mcstore.KindUnavailable, nil)
+	}
+	return s.Memory.Put(ctx, key, value, expected, writeID)
+}
+
+func (s *scripted) Get(ctx context.Context, key string) (marigoldcroft.Object, error) {
+	switch next(&s.gets) {
+	case "down":
+		return marigoldcroft.Object{}, marigoldcroft.NewFailure("get", mcstore.KindUnavailable, nil)
+	case "hang":
+		<-ctx.Done()
+		return marigoldcroft.Object{}, marigoldcroft.NewFailure("get", mcstore.KindUnavailable, ctx.Err())
+	}
+	return s.Memory.Get(ctx, key)
+}
+
+func next(faults *[]string) string {
+	if len(*faults) == 0 {
+		return ""
+	}
+	fault := (*faults)[0]
+	*faults = (*faults)[1:]
+	return fault
+}
+
+func repeat(fault string, n int) []string {
+	faults := make([]string, n)
+	for i := range faults {
+		faults[i] = fault
+	}
+	return faults
+}
+
+// Guards against a write whose answer was lost being reported as failed although it
+// took effect, or as done although it did not, or taking effect twice.
+func TestLostAnswerIsResolved(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		puts, gets []string
+		kind       mcstore.Kind
+		value      string
+		versions   int
+	}{
+		{"no fault", nil, nil, "", "v", 1},
+		{"took effect", []string{"lost after"}, nil, "", "v", 1},
+		{"took no effect", []string{"lost before"}, nil, "", "v", 1},
+		{"arrives after the read-back", []string{"delayed"}, nil, "", "v", 1},
+		{"lost twice", []string{"lost before", "lost after"}, nil, "", "v", 1},
+		{"reads fail for a while", []string{"lost after"}, repeat("down", 3), "", "v", 1},
+		{"replaced by another writer", []string{"replaced"}, nil, mcstore.KindUnknown, "rival", 2},
+		{"timed out", []string{"hang"}, nil, "", "v", 1},
+		{"refused", []string{"down"}, nil, mcstore.KindUnavailable, "", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &scripted{Memory: &mcstore.Memory{}, puts: c.puts, gets: c.gets}
+				client := mcstore.NewClient(mcstore.ClientConfig{Store: store})
+				version, err := client.Put(t.Context(), "k", []byte("v"), "", "w")
+				require.Equal(t, c.kind, marigoldcroft.FailureKind[mcstore.Kind](err))
+				if store.late != nil {
+					store.late()
+				}
+				object, _ := store.Memory.Get(t.Context(), "k")
+				require.Equal(t, c.value, string(object.Value()))
+				if c.kind == "" {
+					require.Equal(t, object.Version(), version)
+				}
+				if c.versions > 0 {
+					require.Equal(t, strconv.Itoa(c.versions), string(object.Version()))
+				}
+			})
+		})
+	}
+}
+
+// Guards against calls without an end, a breaker that never opens or never closes
+// again, and more than one probe at a time.
+func TestBreaker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scripted{Memory: &mcstore.Memory{}, puts: repeat("down", 5)}
+		client := mcstore.NewClient(mcstore.ClientConfig{Store: store, CallTimeout: time.Second})
+		put := func() mcstore.Kind {
+			_, err := client.Put(t.Context(), "k", nil, "", "w")
+			return marigoldcroft.FailureKind[mcstore.Kind](err)
+		}
+		for range 5 {
+			require.Equal(t, mcstore.BreakerClosed, client.Breaker())
+			require.Equal(t, mcstore.KindUnavailable, put())
+		}
+		require.Equal(t, mcstore.BreakerOpen, client.Breaker())
+		require.Equal(t, mcstore.KindUnavailable, put())
+		require.Equal(t, uint64(5), client.Counts().Put)
+
+		time.Sleep(time.Second)
+		store.gets = []string{"hang"}
+		go func() { _, _ = client.Get(t.Context(), "k") }()
+		synctest.Wait()
+		require.Equal(t, mcstore.BreakerHalfOpen, client.Breaker())
+		require.Equal(t, mcstore.KindUnavailable, put())
+		require.Equal(t, uint64(5), client.Counts().Put)
+
+		// The probe times out after its deadline, and the next one finds the store up.
+		time.Sleep(1001 * time.Millisecond)
+		require.Equal(t, mcstore.BreakerOpen, client.Breaker())
+		time.Sleep(time.Second)
+		require.Equal(t, mcstore.Kind(""), put())
+		require.Equal(t, mcstore.BreakerClosed, client.Breaker())
+	})
+}
+
+// Guards against an instance that uses more than its share of the store's rates, and
+// against a share that does not follow the number of instances.
+func TestBudgetIsShared(t *testing.T) {
+	for _, c := range []struct {
+		instances int
+		want      uint64
+	}{{1, 100}, {10, 10}, {100, 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			client := mcstore.NewClient(mcstore.ClientConfig{
+				Store: &mcstore.Memory{}, WritesPerSecond: 100, ReadsPerSecond: 100, CallTimeout: time.Millisecond,
+			})
+			client.SetInstances(c.instances)
+			start := time.Now()
+			for time.Since(start) < 10*time.Second {
+				_, err := client.Get(t.Context(), "k")
+				_, _ = client.Put(t.Context(), "k", nil, "never", "w")
+				if marigoldcroft.FailureKind[mcstore.Kind](err) == mcstore.KindBudget {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			counts := client.Counts()
+			for _, calls := range []uint64{counts.Get, counts.Put} {
+				require.LessOrEqual(t, calls, 11*c.want+1, "a burst of one second's share is allowed")
+				require.GreaterOrEqual(t, calls, 9*c.want)
+			}
+		})
+	}
+}
+
+// Guards against updates lost or applied twice over HTTP while half of the answers
+// to writes are lost.
+func TestLostAnswersOverHTTP(t *testing.T) {
+	store, standin := newHTTP(t)
+	standin.SetFaults(mcstandin.ObjectStoreFaults{LostAnswers: 0.5})
+	client := mcstore.NewClient(mcstore.ClientConfig{Store: store})
+	version := marigoldcroft.Version("")
+	const writes = 50
+	for i := range writes {
+		var err error
+		version, err = client.Put(t.Context(), "k", []byte(strconv.Itoa(i)), version, "w"+strconv.Itoa(i))
+		require.NoError(t, err)
+	}
+	require.Equal(t, strconv.Itoa(writes), string(version), "one version for each write")
+	require.NotZero(t, standin.Counts()["lost"])
+	require.Equal(t, client.Counts().Unknown, client.Counts().Resolved)
+}
--- a/mcstore/contract_test.go
+++ b/mcstore/contract_test.go
@@ -13,6 +13,9 @@
 func TestContract(t *testing.T) {
 	for name, newStore := range map[string]func(t *testing.T) marigoldcroft.ObjectStore{
 		"memory": func(*testing.T) marigoldcroft.ObjectStore { return &mcstore.Memory{} },
+		"client": func(*testing.T) marigoldcroft.ObjectStore {
+			return mcstore.NewClient(mcstore.ClientConfig{Store: &mcstore.Memory{}})
+		},
 		"http": func(t *testing.T) marigoldcroft.ObjectStore {
 			store, _ := newHTTP(t)
 			return store
