Add the configuration follower and editor

Cause: instances need templates and teams in force, from peers or the store. Change: pages, head, follower, editor, repair, query and peer server; the head request names the known revision so that an unchanged head is not sent. Result: a change reaches two followers in the synctest case; go test -race ./mcconfig passes.

--- /dev/null
+++ b/mcconfig/diff.go
@@ -0,0 +1,95 @@
+package mcconfig
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+type (
+	// FieldDiff is one field whose value differs.
+	FieldDiff struct {
+		Field  string `json:"field"`
+		Before string `json:"before"`
+		After  string `json:"after"`
+	}
+
+	// Conflict is one object that another change reached first.
+	Conflict struct {
+		ObjectName
+		// Expected is the revision that the loser started from; 0 means no object.
+		Expected uint64 `json:"expected"`
+		Found    uint64 `json:"found"`
+		// Diff leads from the stored content to the content that the loser wanted.
+		Diff []FieldDiff `json:"diff"`
+	}
+
+	// ConflictError names the objects that another change reached first.
+	ConflictError struct {
+		conflicts []Conflict
+	}
+)
+
+// NewConflictError returns an error for the conflicts.
+func NewConflictError(conflicts []Conflict) *ConflictError {
+	return &ConflictError{conflicts: conflicts}
+}
+
+// Conflicts returns the objects in conflict.
+func (e *ConflictError) Conflicts() []Conflict { return e.conflicts }
+
+// Error lists the conflicts with their diffs.
+func (e *ConflictError) Error() string {
+	lines := make([]string, 0, len(e.conflicts))
+	for _, c := range e.conflicts {
+		line := fmt.Sprintf("%s is at revision %d, expected %d", c.ObjectName, c.Found, c.Expected)
+		for _, d := range c.Diff {
+			line += fmt.Sprintf("; field %s: %s stored, %s wanted", d.Field, d.Before, d.After)
+		}
+		lines = append(lines, line)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// diff returns the fields that differ, in the order of their names. An object
+// without content has no fields.
+func diff(before, after Object) []FieldDiff {
+	b, a := fieldsOf(before), fieldsOf(after)
+	var diffs []FieldDiff
+	for name, value := range b {
+		if a[name] != value {
+			diffs = append(diffs, FieldDiff{Field: name, Before: value, After: orNone(a[name])})
+		}
+	}
+	for name, value := range a {
+		if _, ok := b[name]; !ok {
+			diffs = append(diffs, FieldDiff{Field: name, Before: orNone(""), After: value})
+		}
+	}
+	slices.SortFunc(diffs, func(x, y FieldDiff) int { return strings.Compare(x.Field, y.Field) })
+	return diffs
+}
+
+func orNone(value string) string {
+	if value == "" {
+		return "(none)"
+	}
+	return value
+}
+
+// fieldsOf returns the value of each field in JSON.
+func fieldsOf(o Object) map[string]string {
+	if o.Template == nil && o.Team == nil {
+		return nil
+	}
+	var raw map[string]json.RawMessage
+	if err := json.Unmarshal(mustEncode(o.spec()), &raw); err != nil {
+		panic(err)
+	}
+	fields := make(map[string]string, len(raw))
+	for name, value := range raw {
+		fields[name] = string(value)
+	}
+	return fields
+}
--- /dev/null
+++ b/mcconfig/follower_test.go
@@ -0,0 +1,195 @@
+package mcconfig_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	"marigoldcroft"
+	"marigoldcroft/mcconfig"
+	"marigoldcroft/mcmessage"
+	"marigoldcroft/mcstore"
+)
+
+// faultyStore puts faults in front of a store.
+type faultyStore struct {
+	marigoldcroft.ObjectStore
+	mu sync.Mutex
+	// down refuses all calls.
+	down  bool
+	delay time.Duration
+	// loseAnswers is the number of writes whose answer is lost; dropWrites that of
+	// writes that are lost as well.
+	loseAnswers, dropWrites int
+	// deafWatch makes watches miss all changes.
+	deafWatch bool
+	// beforePut runs before a write, without the lock.
+	beforePut func(key string)
+	writes    int
+	reads     int
+}
+
+func (s *faultyStore) enter(ctx context.Context, write bool) (lose, drop bool, err error) {
+	s.mu.Lock()
+	delay, down := s.delay, s.down
+	if write {
+		s.writes++
+		drop = s.dropWrites > 0
+		lose = !drop && s.loseAnswers > 0
+		if drop {
+			s.dropWrites--
+		}
+		if lose {
+			s.loseAnswers--
+		}
+	} else {
+		s.reads++
+	}
+	s.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return false, false, marigoldcroft.NewFailure("call", mcstore.KindUnavailable, ctx.Err())
+		}
+	}
+	if down {
+		return false, false, marigoldcroft.NewFailure("call", mcstore.KindUnavailable, errors.New("the store is down"))
+	}
+	return lose, drop, nil
+}
+
+func (s *faultyStore) set(change func(*faultyStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+func (s *faultyStore) Get(ctx context.Context, key string) (marigoldcroft.Object, error) {
+	if _, _, err := s.enter(ctx, false); err != nil {
+		return marigoldcroft.Object{}, err
+	}
+	return s.ObjectStore.Get(ctx, key)
+}
+
+func (s *faultyStore) Watch(ctx context.Context, key string, known marigoldcroft.Version, wait time.Duration) (marigoldcroft.Object, error) {
+	if _, _, err := s.enter(ctx, false); err != nil {
+		return marigoldcroft.Object{}, err
+	}
+	s.mu.Lock()
+	deaf := s.deafWatch
+	s.mu.Unlock()
+	if deaf && known != "" {
+		<-ctx.Done()
+		return marigoldcroft.Object{}, marigoldcroft.NewFailure("watch", mcstore.KindUnavailable, ctx.Err())
+	}
+	return s.ObjectStore.Watch(ctx, key, known, wait)
+}
+
+func (s *faultyStore) Put(ctx context.Context, key string, value []byte, expected marigoldcroft.Version, writeID string) (marigoldcroft.Version, error) {
+	if s.beforePut != nil {
+		s.beforePut(key)
+	}
+	lose, drop, err := s.enter(ctx, true)
+	if err != nil {
+		return "", err
+	}
+	unknown := marigoldcroft.NewFailure("put", mcstore.KindUnknown, errors.New("the answer was lost"))
+	if drop {
+		return "", unknown
+	}
+	version, err := s.ObjectStore.Put(ctx, key, value, expected, writeID)
+	if lose {
+		return "", unknown
+	}
+	return version, err
+}
+
+// directPeers reaches the servers of other followers without a network.
+type directPeers []*mcconfig.Server
+
+func (p directPeers) ConfigPeers() []mcmessage.ConfigServiceClient {
+	clients := make([]mcmessage.ConfigServiceClient, 0, len(p))
+	for _, s := range p {
+		clients = append(clients, directPeer{s})
+	}
+	return clients
+}
+
+type directPeer struct{ server *mcconfig.Server }
+
+func (p directPeer) FetchHead(ctx context.Context, r *mcmessage.FetchHeadRequest, _ ...grpc.CallOption) (*mcmessage.FetchHeadResponse, error) {
+	return p.server.FetchHead(ctx, r)
+}
+
+func (p directPeer) FetchPage(ctx context.Context, r *mcmessage.FetchPageRequest, _ ...grpc.CallOption) (*mcmessage.FetchPageResponse, error) {
+	return p.server.FetchPage(ctx, r)
+}
+
+func template(name string, deadlineMs int64) mcconfig.Change {
+	return mcconfig.Change{
+		Name: mcconfig.ObjectName{Kind: mcconfig.ObjectTemplate, Name: name},
+		Object: mcconfig.Object{Template: &marigoldcroft.TemplateSpec{
+			Name: name, Model: "m", Urgency: "normal", Repeat: marigoldcroft.RepeatIdempotent, DeadlineMs: deadlineMs,
+		}},
+	}
+}
+
+func team(name string, key int, templates ...string) mcconfig.Change {
+	return mcconfig.Change{
+		Name: mcconfig.ObjectName{Kind: mcconfig.ObjectTeam, Name: name},
+		Object: mcconfig.Object{Team: &marigoldcroft.TeamSpec{
+			Name: name, KeyHashes: []string{keyHash(key)}, Templates: templates,
+		}},
+	}
+}
+
+func keyHash(key int) string { return fmt.Sprintf("%064x", key) }
+
+// run starts a follower and returns a function that stops it.
+func run(t *testing.T, f *mcconfig.Follower) func() {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// Guards against a change that does not reach every follower within the bound, and
+// against a team that is not found by its key.
+func TestChangeReachesFollowers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &faultyStore{ObjectStore: &mcstore.Memory{}, delay: 3 * time.Millisecond}
+		a := &mcconfig.Follower{Store: store, Deployment: "d"}
+		b := &mcconfig.Follower{Store: store, Deployment: "d", Peers: directPeers{{Follower: a}}}
+		defer run(t, a)()
+		defer run(t, b)()
+		<-a.Ready()
+		<-b.Ready()
+		editor := &mcconfig.Editor{Store: store, Follower: a}
+		result, err := editor.Apply(t.Context(), []mcconfig.Change{template("caption", 2000), team("copo", 7, "caption")}, false)
+		require.NoError(t, err)
+		time.Sleep(17 * time.Second)
+		synctest.Wait()
+		for _, f := range []*mcconfig.Follower{a, b} {
+			require.Equal(t, result.Revision, f.Current().Revision())
+			found, ok := f.Current().TeamByKeyHash(keyHash(7))
+			require.True(t, ok)
+			require.Equal(t, "copo", found.Name())
+			require.False(t, f.Stale())
+		}
+	})
+}
--- /dev/null
+++ b/mcconfig/head.go
@@ -0,0 +1,220 @@
+package mcconfig
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldcroft"
+)
+
+const (
+	headKey = "config/head"
+	// formatVersion is the version of the head and page formats.
+	formatVersion = 1
+	// maxRecent bounds the list of accepted changes in the head. A writer that lost
+	// an answer finds its write id there unless this many changes came later.
+	maxRecent = 64
+	// maxPageBytes is the store's limit for a value.
+	maxPageBytes = 1 << 20
+	// hashBytes is the part of a page's SHA-256 that the head carries.
+	hashBytes = 8
+)
+
+type (
+	// Head names the page revisions that make up one configuration revision.
+	Head struct {
+		Version  int       `json:"version"`
+		Revision uint64    `json:"revision"`
+		Pages    []PageRef `json:"pages"`
+		// Recent holds the latest accepted changes, oldest first.
+		Recent []Accepted `json:"recent"`
+	}
+
+	// PageRef names the content of one page.
+	PageRef struct {
+		Page     int    `json:"page"`
+		Revision uint64 `json:"revision"`
+		// Hash is the start of the SHA-256 of the page object, in hex.
+		Hash string `json:"hash"`
+	}
+
+	// Accepted is one accepted change.
+	Accepted struct {
+		Revision uint64 `json:"revision"`
+		WriteID  string `json:"writeId"`
+	}
+
+	// Page is the stored content of one page.
+	Page struct {
+		Version  int     `json:"version"`
+		Page     int     `json:"page"`
+		Revision uint64  `json:"revision"`
+		Entries  []Entry `json:"entries"`
+	}
+)
+
+func pageKey(page int, revision uint64) string {
+	return fmt.Sprintf("config/page/%d/%d", page, revision)
+}
+
+// hashOf returns the hash that a head carries for the page object raw.
+func hashOf(raw []byte) string {
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:hashBytes])
+}
+
+// DecodeHead decodes and checks a head object.
+func DecodeHead(raw []byte) (Head, error) {
+	var h Head
+	if err := decodeStrict(raw, &h); err != nil {
+		return Head{}, marigoldcroft.NewFailure("decode head", KindCorrupt, err)
+	}
+	if err := h.check(); err != nil {
+		return Head{}, marigoldcroft.NewFailure("decode head", KindCorrupt, err)
+	}
+	return h, nil
+}
+
+func (h Head) check() error {
+	if h.Version != formatVersion {
+		return errors.Newf("format version %d is not %d", h.Version, formatVersion)
+	}
+	if len(h.Recent) > maxRecent {
+		return errors.Newf("%d recent changes are listed; at most %d are allowed", len(h.Recent), maxRecent)
+	}
+	last := -1
+	for _, ref := range h.Pages {
+		if ref.Page <= last || ref.Page >= PageCount {
+			return errors.Newf("page %d is out of order or range", ref.Page)
+		}
+		if ref.Revision == 0 || ref.Revision > h.Revision {
+			return errors.Newf("page %d has revision %d in a head of revision %d", ref.Page, ref.Revision, h.Revision)
+		}
+		last = ref.Page
+	}
+	return nil
+}
+
+// encode returns the stored form.
+func (h Head) encode() []byte { return mustEncode(h) }
+
+// accepted returns the revision of the change with the write id, if it is listed.
+func (h Head) accepted(writeID string) (uint64, bool) {
+	for _, a := range h.Recent {
+		if a.WriteID == writeID {
+			return a.Revision, true
+		}
+	}
+	return 0, false
+}
+
+// next returns a head of a higher revision with the given pages replaced.
+func (h Head) next(revision uint64, refs []PageRef, writeID string) Head {
+	byPage := make(map[int]PageRef, len(h.Pages)+len(refs))
+	for _, ref := range slices.Concat(h.Pages, refs) {
+		byPage[ref.Page] = ref
+	}
+	pages := make([]PageRef, 0, len(byPage))
+	for _, ref := range byPage {
+		pages = append(pages, ref)
+	}
+	slices.SortFunc(pages, func(a, b PageRef) int { return a.Page - b.Page })
+	recent := append(slices.Clone(h.Recent), Accepted{Revision: revision, WriteID: writeID})
+	if len(recent) > maxRecent {
+		recent = recent[len(recent)-maxRecent:]
+	}
+	return Head{Version: formatVersion, Revision: revision, Pages: pages, Recent: recent}
+}
+
+// DecodePage decodes a page object and checks each of its entries.
+func DecodePage(raw []byte) (Page, error) {
+	var p Page
+	if len(raw) > maxPageBytes {
+		return Page{}, marigoldcroft.NewFailure("decode page", KindCorrupt,
+			errors.Newf("the page has %d bytes; at most %d are allowed", len(raw), maxPageBytes))
+	}
+	if err := decodeStrict(raw, &p); err != nil {
+		return Page{}, marigoldcroft.NewFailure("decode page", KindCorrupt, err)
+	}
+	if err := p.check(); err != nil {
+		return Page{}, marigoldcroft.NewFailure(fmt.Sprintf("decode page %d", p.Page), KindCorrupt, err)
+	}
+	return p, nil
+}
+
+func (p Page) check() error {
+	if p.Version != formatVersion {
+		return errors.Newf("format version %d is not %d", p.Version, formatVersion)
+	}
+	seen := make(map[ObjectName]bool, len(p.Entries))
+	for _, e := range p.Entries {
+		if e.page() != p.Page || seen[e.ObjectName] {
+			return errors.Newf("%s does not belong here or stands here twice", e.ObjectName)
+		}
+		seen[e.ObjectName] = true
+		if e.Revision == 0 || e.Revision > p.Revision || e.Previous >= e.Revision {
+			return errors.Newf("%s has revision %d and previous %d in page revision %d", e.ObjectName, e.Revision, e.Previous, p.Revision)
+		}
+		if err := e.check(); err != nil {
+			return errors.Wrap(err, e.ObjectName.String())
+		}
+	}
+	return nil
+}
+
+// check validates the content against the name.
+func (e Entry) check() error {
+	if e.Deleted {
+		if e.Template != nil || e.Team != nil {
+			return errors.New("a deleted object has content")
+		}
+		return nil
+	}
+	if err := e.Object.check(); err != nil {
+		return err
+	}
+	if e.Object.ID() != e.ObjectName {
+		return errors.Newf("the content is of %s", e.Object.ID())
+	}
+	return nil
+}
+
+// find returns the entry of the object, also when it is deleted.
+func (p Page) find(name ObjectName) (Entry, bool) {
+	for _, e := range p.Entries {
+		if e.ObjectName == name {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
+
+// decodeStrict decodes one JSON value and refuses unknown fields: an older program
+// that ignored them would drop them when it writes the object again.
+func decodeStrict(raw []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data follows the object")
+	}
+	return nil
+}
+
+// mustEncode encodes a type of this package, which cannot fail.
+func mustEncode(v any) []byte {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
--- /dev/null
+++ b/mcconfig/server.go
@@ -0,0 +1,65 @@
+package mcconfig
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"marigoldcroft/mcmessage"
+)
+
+// Server serves the configuration in force to peers.
+type Server struct {
+	mcmessage.UnimplementedConfigServiceServer
+	Follower *Follower
+}
+
+var _ mcmessage.ConfigServiceServer = (*Server)(nil)
+
+// FetchHead returns the head in force.
+func (s *Server) FetchHead(_ context.Context, r *mcmessage.FetchHeadRequest) (*mcmessage.FetchHeadResponse, error) {
+	if err := s.admit(r.GetDeployment()); err != nil {
+		return nil, err
+	}
+	// The age is read before the head, so that it is not younger than the head.
+	age := s.Follower.confirmedAge()
+	head := s.Follower.inForce().head
+	answer := &mcmessage.FetchHeadResponse{ConfirmedAgeMs: -1, Unchanged: head.Revision == r.GetKnownRevision()}
+	if !answer.Unchanged {
+		answer.Head = head.encode()
+	}
+	if age >= 0 {
+		answer.ConfirmedAgeMs = age.Milliseconds()
+	}
+	return answer, nil
+}
+
+// FetchPage returns a page in force; an older or newer revision is not found.
+func (s *Server) FetchPage(_ context.Context, r *mcmessage.FetchPageRequest) (*mcmessage.FetchPageResponse, error) {
+	if err := s.admit(r.GetDeployment()); err != nil {
+		return nil, err
+	}
+	if r.GetPage() >= PageCount {
+		return nil, status.Errorf(codes.InvalidArgument, "page %d is out of range", r.GetPage())
+	}
+	page := s.Follower.inForce().pages[r.GetPage()]
+	if page == nil || page.ref.Revision != r.GetRevision() {
+		return &mcmessage.FetchPageResponse{}, nil
+	}
+	return &mcmessage.FetchPageResponse{Found: true, Page: page.raw}, nil
+}
+
+// admit refuses peers of other deployments, and all while nothing was read yet: the
+// empty configuration must not pass for the deployment's.
+func (s *Server) admit(deployment string) error {
+	if deployment != s.Follower.Deployment {
+		return status.Errorf(codes.PermissionDenied, "deployment %q is not %q", deployment, s.Follower.Deployment)
+	}
+	select {
+	case <-s.Follower.Ready():
+		return nil
+	default:
+		return status.Error(codes.Unavailable, "no configuration was read yet")
+	}
+}
--- /dev/null
+++ b/mcconfig/snapshot.go
@@ -0,0 +1,258 @@
+package mcconfig
+
+import (
+	"iter"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldcroft"
+)
+
+type (
+	// Snapshot is the whole configuration of one revision. It is immutable; two
+	// snapshots share the pages that did not change.
+	Snapshot struct {
+		head  Head
+		pages [PageCount]*loadedPage
+		// teamsByKey is split by the first byte of the hash, so that a change copies
+		// only the parts that it touches.
+		teamsByKey [256]map[keyHash]*marigoldcroft.Team
+	}
+
+	// loadedPage is a page with its stored form, which is kept for peers.
+	loadedPage struct {
+		ref       PageRef
+		raw       []byte
+		teams     map[string]*marigoldcroft.Team
+		templates map[string]*marigoldcroft.Template
+	}
+)
+
+var _ marigoldcroft.ConfigSnapshot = (*Snapshot)(nil)
+
+// emptySnapshot is the configuration before the first change.
+func emptySnapshot() *Snapshot { return &Snapshot{head: Head{Version: formatVersion}} }
+
+// Revision returns the configuration revision.
+func (s *Snapshot) Revision() uint64 { return s.head.Revision }
+
+// TeamByKeyHash returns the team that owns the key with the SHA-256 hash in hex.
+func (s *Snapshot) TeamByKeyHash(hash string) (marigoldcroft.Team, bool) {
+	h, ok := parseKeyHash(hash)
+	if !ok {
+		return marigoldcroft.Team{}, false
+	}
+	team, ok := s.teamsByKey[h[0]][h]
+	if !ok {
+		return marigoldcroft.Team{}, false
+	}
+	return *team, true
+}
+
+// Team returns the team with the name.
+func (s *Snapshot) Team(name string) (marigoldcroft.Team, bool) {
+	page := s.pages[ObjectName{ObjectTeam, name}.page()]
+	if page == nil {
+		return marigoldcroft.Team{}, false
+	}
+	team, ok := page.teams[name]
+	if !ok {
+		return marigoldcroft.Team{}, false
+	}
+	return *team, true
+}
+
+// Template returns the template with the name.
+func (s *Snapshot) Template(name string) (marigoldcroft.Template, bool) {
+	page := s.pages[ObjectName{ObjectTemplate, name}.page()]
+	if page == nil {
+		return marigoldcroft.Template{}, false
+	}
+	template, ok := page.templates[name]
+	if !ok {
+		return marigoldcroft.Template{}, false
+	}
+	return *template, true
+}
+
+// teams iterates over all teams.
+func (s *Snapshot) teams() iter.Seq[*marigoldcroft.Team] {
+	return func(yield func(*marigoldcroft.Team) bool) {
+		for _, page := range s.pages {
+			if page == nil {
+				continue
+			}
+			for _, team := range page.teams {
+				if !yield(team) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// names returns the sorted names of the objects of a kind.
+func (s *Snapshot) names(kind ObjectKind) []string {
+	var names []string
+	for _, page := range s.pages {
+		if page == nil {
+			continue
+		}
+		if kind == ObjectTeam {
+			for name := range page.teams {
+				names = append(names, name)
+			}
+			continue
+		}
+		for name := range page.templates {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// entry returns the stored entry of the object, also when it is deleted.
+func (s *Snapshot) entry(name ObjectName) (Entry, bool) {
+	page := s.pages[name.page()]
+	if page == nil {
+		return Entry{}, false
+	}
+	return page.decode().find(name)
+}
+
+// decode returns the stored content, which was checked when it was loaded.
+func (p *loadedPage) decode() Page {
+	page, err := DecodePage(p.raw)
+	if err != nil {
+		panic(err)
+	}
+	return page
+}
+
+// loadPage decodes and checks the page object raw against its reference. Template
+// names of teams are taken from interned, as thousands of teams name the same few.
+func loadPage(ref PageRef, raw []byte, interned map[string]string) (*loadedPage, error) {
+	if hashOf(raw) != ref.Hash {
+		return nil, marigoldcroft.NewFailure(pageKey(ref.Page, ref.Revision), KindCorrupt, errors.New("the hash differs from the head's"))
+	}
+	content, err := DecodePage(raw)
+	if err != nil {
+		return nil, err
+	}
+	if content.Page != ref.Page || content.Revision != ref.Revision {
+		return nil, marigoldcroft.NewFailure(pageKey(ref.Page, ref.Revision), KindCorrupt,
+			errors.Newf("the content is of page %d revision %d", content.Page, content.Revision))
+	}
+	page := &loadedPage{
+		ref: ref, raw: raw,
+		teams: map[string]*marigoldcroft.Team{}, templates: map[string]*marigoldcroft.Template{},
+	}
+	for _, e := range content.Entries {
+		switch {
+		case e.Deleted:
+		case e.Template != nil:
+			template := marigoldcroft.NewTemplate(*e.Template)
+			page.templates[e.Name] = &template
+		default:
+			intern(e.Team.Templates, interned)
+			team := marigoldcroft.NewTeam(*e.Team)
+			page.teams[e.Team.Name] = &team
+		}
+	}
+	return page, nil
+}
+
+func intern(names []string, interned map[string]string) {
+	for i, name := range names {
+		if kept, ok := interned[name]; ok {
+			names[i] = kept
+			continue
+		}
+		interned[name] = name
+	}
+}
+
+// with returns the snapshot of head, in which the pages of changed replace those of
+// s. It fails when a cross check fails.
+func (s *Snapshot) with(head Head, changed []*loadedPage) (*Snapshot, error) {
+	next := &Snapshot{head: head, pages: s.pages, teamsByKey: s.teamsByKey}
+	copied := [256]bool{}
+	bucket := func(h keyHash) map[keyHash]*marigoldcroft.Team {
+		if !copied[h[0]] {
+			m := make(map[keyHash]*marigoldcroft.Team, len(s.teamsByKey[h[0]])+1)
+			for k, v := range s.teamsByKey[h[0]] {
+				m[k] = v
+			}
+			next.teamsByKey[h[0]], copied[h[0]] = m, true
+		}
+		return next.teamsByKey[h[0]]
+	}
+	templateRemoved := false
+	for _, page := range changed {
+		old := s.pages[page.ref.Page]
+		next.pages[page.ref.Page] = page
+		if old == nil {
+			continue
+		}
+		for _, team := range old.teams {
+			for _, hash := range team.KeyHashes() {
+				h, _ := parseKeyHash(hash)
+				delete(bucket(h), h)
+			}
+		}
+		for name := range old.templates {
+			if _, ok := page.templates[name]; !ok {
+				templateRemoved = true
+			}
+		}
+	}
+	var problems []string
+	for _, page := range changed {
+		for _, team := range page.teams {
+			problems = append(problems, next.checkTemplates(team)...)
+			for _, hash := range team.KeyHashes() {
+				h, _ := parseKeyHash(hash)
+				m := bucket(h)
+				if other, ok := m[h]; ok {
+					first, second := min(other.Name(), team.Name()), max(other.Name(), team.Name())
+					problems = append(problems, "field keyHashes: key hash "+hash+" stands in team/"+first+" and team/"+second)
+				}
+				m[h] = team
+			}
+		}
+	}
+	if templateRemoved {
+		for team := range next.teams() {
+			problems = append(problems, next.checkTemplates(team)...)
+		}
+	}
+	if len(problems) > 0 {
+		slices.Sort(problems)
+		return nil, marigoldcroft.NewFailure("cross check", KindInvalid, errors.New(joinFew(slices.Compact(problems))))
+	}
+	return next, nil
+}
+
+// checkTemplates names the templates that the team lists and that do not exist.
+func (s *Snapshot) checkTemplates(team *marigoldcroft.Team) []string {
+	var problems []string
+	for _, name := range team.Spec().Templates {
+		page := s.pages[ObjectName{ObjectTemplate, name}.page()]
+		if page == nil || page.templates[name] == nil {
+			problems = append(problems, "team/"+team.Name()+": field templates: template "+name+" does not exist")
+		}
+	}
+	return problems
+}
+
+// joinFew joins the first few of the lines.
+func joinFew(lines []string) string {
+	const few = 10
+	if len(lines) > few {
+		return strings.Join(lines[:few], "; ") + "; and more"
+	}
+	return strings.Join(lines, "; ")
+}
