--- /dev/null
+++ b/mcscheduler/admission.go
@@ -0,0 +1,105 @@
+package mcscheduler
+
+import (
+	"time"
+
+	"marigoldcroft"
+)
+
+const (
+	// deadlineMargin is the share by which a prediction may fall short before an
+	// admitted request misses its deadline.
+	deadlineMargin = 0.10
+	// maxRetryAfter bounds the time that refused callers are told to stay away.
+	maxRetryAfter = time.Minute
+)
+
+// shedShare is the share of the queue that work of each urgency may fill, so that
+// there is room left for more urgent work.
+var shedShare = [urgencyLevels]float64{1, 0.75, 0.5}
+
+// admit refuses work that would start too late, miss its deadline or crowd out more
+// urgent work. Nothing that was admitted is shed later.
+func (r *lengthAware) admit(now time.Duration, it *item, at placement, why blocked) (marigoldcroft.Reason, float64, float64) {
+	p, c := it.pool, &r.s.settings
+	service := it.prefillSeconds
+	start, memory := at.wait, 0.0
+	if why == placed {
+		service = float64(at.prefill) / at.endpoint.rate()
+	} else {
+		start, memory = r.queueWait(now, it)
+		if float64(p.queued()) >= shedShare[it.urgency()]*float64(c.QueueLength) && it.urgency() > 0 {
+			return marigoldcroft.ReasonShed, start, start
+		}
+	}
+	if it.class == marigoldcroft.ClassShort && it.urgency() == int(marigoldcroft.UrgencyInteractive) &&
+		start > c.UrgentStartLimit.Seconds() {
+		return marigoldcroft.ReasonShed, start, start
+	}
+	service += p.decodeSeconds(it.work.OutputTokens)
+	if !p.serviceTrusted(now) {
+		service = 0
+	}
+	left := (it.deadline - now).Seconds() / (1 + deadlineMargin)
+	switch {
+	case start+service <= left:
+		return marigoldcroft.ReasonNone, start, start
+	case service > left || why == placed:
+		return marigoldcroft.ReasonDeadline, start, start
+	case memory >= start:
+		return marigoldcroft.ReasonMemory, start, start
+	case it.class == marigoldcroft.ClassLong:
+		return marigoldcroft.ReasonLongSaturated, start, start
+	}
+	return marigoldcroft.ReasonDeadline, start, start
+}
+
+// queueWait predicts the seconds until new work of the queue starts, and the part of it
+// that is due to memory alone: the larger of the time to prefill what is ahead and the
+// time until enough memory is released.
+func (r *lengthAware) queueWait(now time.Duration, it *item) (wait, memory float64) {
+	p := it.pool
+	ahead, kv := 0.0, it.kv
+	for level := range it.level + 1 {
+		ahead += p.lanes[it.lane].seconds[level]
+		kv += p.lanes[it.lane].kv[level]
+	}
+	if it.class == marigoldcroft.ClassShort {
+		least := -1.0
+		for _, e := range p.live {
+			rate := e.rate()
+			if w := e.ahead(now, r.s.priority(it), rate) / rate; least < 0 || w < least {
+				least = w
+			}
+		}
+		wait = least + ahead/float64(len(p.live))
+	} else {
+		set := p.live[:min(p.longSet.size, len(p.live))]
+		for _, e := range set {
+			rate := e.rate()
+			ahead += e.longAhead(now, rate) / rate
+		}
+		wait = ahead / float64(len(set))
+	}
+	memory = max(p.memoryWait(now, kv), r.fitWait(now, it))
+	return max(wait, memory), memory
+}
+
+// fitWait predicts the seconds until one endpoint has released enough memory.
+func (r *lengthAware) fitWait(now time.Duration, it *item) float64 {
+	p, least := it.pool, -1.0
+	for _, e := range p.live {
+		if e.capacity < it.kv || it.excludes(e) {
+			continue
+		}
+		free := e.free(now)
+		w := 0.0
+		if used := e.capacity - free; free < it.kv && used > 0 {
+			w = float64(it.kv-free) * p.residence.value / float64(used)
+		}
+		if least < 0 || w < least {
+			least = w
+		}
+	}
+	return max(0, least)
+}
--- /dev/null
+++ b/mcscheduler/lend.go
@@ -0,0 +1,122 @@
+package mcscheduler
+
+import (
+	"time"
+
+	"marigoldcroft"
+)
+
+const (
+	// lendPause keeps an endpoint from being lent again right after a recall.
+	lendPause = time.Second
+	// lendKVShare is the share of an endpoint's memory that stays free for short work
+	// when the endpoint is lent.
+	lendKVShare = 0.25
+	// maxRecalls bounds how often work is recalled; then it waits for the long set.
+	maxRecalls = 3
+	// holdLimit ends a hold that did not free enough memory, and is the pause before
+	// the same work may hold again.
+	holdLimit = 30 * time.Second
+)
+
+// lendable returns an idle endpoint outside the long set that may take the long item,
+// or nil.
+func (r *lengthAware) lendable(now time.Duration, it *item) *endpoint {
+	p, c := it.pool, &r.s.settings
+	outside := len(p.live) - p.longSet.size
+	if outside <= 0 || p.lanes[laneShort].count > 0 || it.recalls >= maxRecalls ||
+		p.longSet.lent >= int(c.LendShare*float64(outside)) {
+		return nil
+	}
+	var best *endpoint
+	for _, e := range p.live[p.longSet.size:] {
+		if e.lent != nil || e.held != nil || now < e.noLendUntil || it.excludes(e) ||
+			it.work.Alone && e.suspects > 0 {
+			continue
+		}
+		if float64(e.free(now)-it.kv) < lendKVShare*float64(e.capacity) {
+			continue
+		}
+		rate := e.rate()
+		if e.ahead(now, shortPriorities, rate) > 0 || e.longAhead(now, rate) > 0 || e.longPrefills > 0 {
+			continue
+		}
+		if best == nil || e.requests(now) < best.requests(now) {
+			best = e
+		}
+	}
+	return best
+}
+
+// stuck recalls lent work when that frees the memory that short work lacks, and lets
+// work that has waited long keep an endpoint for itself.
+func (r *lengthAware) stuck(now time.Duration, it *item, why blocked) *item {
+	short := it.class == marigoldcroft.ClassShort
+	if short && why == blockedMemory {
+		if lent := r.recallable(now, it); lent != nil {
+			return lent
+		}
+	}
+	if why == blockedMemory || !short && !it.work.Alone {
+		r.hold(now, it, why)
+	}
+	return nil
+}
+
+// recallable returns the lent work that was dispatched last among those whose memory
+// suffices for the item and that can still meet their own deadline afterwards.
+func (r *lengthAware) recallable(now time.Duration, it *item) *item {
+	p := it.pool
+	if p.longSet.lent == 0 {
+		return nil
+	}
+	var latest *item
+	for _, e := range p.live {
+		lent := e.lent
+		if lent == nil || it.excludes(e) || e.capacity < it.kv || e.free(now)+lent.kv < it.kv {
+			continue
+		}
+		again := seconds(lent.prefillSeconds + p.decodeSeconds(lent.work.OutputTokens))
+		if lent.deadline-now < 2*again {
+			continue
+		}
+		if latest == nil || lent.heldAt > latest.heldAt {
+			latest = lent
+		}
+	}
+	return latest
+}
+
+// hold keeps an endpoint free of other work until the item fits there. It prevents
+// small work, which always fits first, from starving large work. A hold for want of
+// prefill room keeps only long work away.
+func (r *lengthAware) hold(now time.Duration, it *item, why blocked) {
+	p := it.pool
+	if p.hold == it && now >= it.holdUntil {
+		p.release(it)
+	}
+	if p.hold != nil || now-it.submitted < r.s.settings.AgingStep ||
+		it.holdUntil > 0 && now < it.holdUntil+holdLimit {
+		return
+	}
+	first := len(p.live)
+	if it.class != marigoldcroft.ClassShort {
+		first = p.longSet.size
+	}
+	var best *endpoint
+	for _, e := range p.live {
+		if e.capacity < it.kv || it.excludes(e) {
+			continue
+		}
+		if first--; first < 0 {
+			break
+		}
+		if best == nil || e.free(now) > best.free(now) {
+			best = e
+		}
+	}
+	if best != nil {
+		best.held, best.heldMemory, p.hold = it, why == blockedMemory, it
+		it.holdUntil = now + holdLimit
+	}
+}
--- /dev/null
+++ b/mcscheduler/pool.go
@@ -0,0 +1,155 @@
+package mcscheduler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"marigoldcroft"
+)
+
+// The lanes of a pool. Suspects have their own, so that work that waits for an endpoint
+// without a suspect holds up nothing else.
+const (
+	laneShort = iota
+	laneSuspect
+	laneLong
+	laneCount
+)
+
+// pool is all that the scheduler knows of one model.
+type pool struct {
+	name string
+	// endpoints is in rendezvous order for the model; live are the usable ones of it.
+	endpoints []*endpoint
+	live      []*endpoint
+	lanes     [laneCount]lane
+	parked    []*item
+	cost      modelCost
+	shortTime time.Duration
+	longSet   longSet
+	prefixes  prefixTable
+	// hold is the queued item that an endpoint is kept for until its memory suffices.
+	hold *item
+	// dirty is set by each change that may let waiting work run.
+	dirty bool
+	// tryAt is the time of the next attempt without such a change.
+	tryAt time.Duration
+	// residence is the mean time in seconds for which work holds its memory.
+	residence ewma
+	// next is the position of the round robin.
+	next   int
+	scores []float64
+	near   []int32
+}
+
+// queued returns the number of waiting pieces of work.
+func (p *pool) queued() int {
+	n := len(p.parked)
+	for i := range p.lanes {
+		n += p.lanes[i].count
+	}
+	return n
+}
+
+// shortTokens returns the largest prompt of short work on an average endpoint.
+func (p *pool) shortTokens() float64 { return p.cost.prefill.value * p.shortTime.Seconds() }
+
+// largestCapacity returns the KV capacity of the largest endpoint, usable or not.
+func (p *pool) largestCapacity() int64 {
+	largest := int64(0)
+	for _, e := range p.endpoints {
+		largest = max(largest, e.capacity)
+	}
+	return largest
+}
+
+// refresh rebuilds the list of usable endpoints.
+func (p *pool) refresh() {
+	p.live = p.live[:0]
+	for _, e := range p.endpoints {
+		if e.usable() {
+			p.live = append(p.live, e)
+		} else if e.held != nil {
+			p.release(e.held)
+		}
+	}
+	p.scores = slices.Grow(p.scores[:0], len(p.live))[:len(p.live)]
+	p.near = slices.Grow(p.near[:0], len(p.live))
+	p.longSet.bound(len(p.live))
+	p.dirty = true
+}
+
+// rank sorts the endpoints by the rendezvous hash of model and name, so that the long
+// sets of all instances are nested in each other.
+func (p *pool) rank() {
+	slices.SortFunc(p.endpoints, func(a, b *endpoint) int {
+		if c := cmp.Compare(p.weight(a), p.weight(b)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.name, b.name)
+	})
+	p.refresh()
+}
+
+func (p *pool) weight(e *endpoint) uint64 {
+	return xxhash.Sum64String(p.name + "\x00" + e.name)
+}
+
+// release ends the hold of the item, if it has one.
+func (p *pool) release(it *item) {
+	if p.hold != it {
+		return
+	}
+	p.hold = nil
+	for _, e := range p.endpoints {
+		if e.held == it {
+			e.held = nil
+		}
+	}
+}
+
+// couldRun tells whether a usable endpoint exists that could run the item once idle.
+func (p *pool) couldRun(it *item) bool {
+	for _, e := range p.live {
+		if e.capacity >= it.kv && !it.excludes(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// class returns the class of work by its predicted prefill and its memory.
+func (p *pool) class(work *marigoldcroft.Work) marigoldcroft.Class {
+	switch {
+	case work.PromptTokens+work.OutputTokens > p.largestCapacity():
+		return marigoldcroft.ClassHuge
+	case p.prefillSeconds(work.PromptTokens) > p.shortTime.Seconds():
+		return marigoldcroft.ClassLong
+	}
+	return marigoldcroft.ClassShort
+}
+
+// memoryWait predicts when the memory for the tokens will be free, by Little's law:
+// memory in use divided by the mean time for which it is held is the rate of release.
+func (p *pool) memoryWait(now time.Duration, tokens int64) float64 {
+	free, used := int64(0), int64(0)
+	for _, e := range p.live {
+		f := e.free(now)
+		free += max(0, f)
+		used += e.capacity - f
+	}
+	if tokens <= free || used <= 0 {
+		return 0
+	}
+	return float64(tokens-free) * p.residence.value / float64(used)
+}
+
+// seconds converts to a duration without overflow.
+func seconds(s float64) time.Duration {
+	const limit = float64(math.MaxInt64) / float64(time.Second) / 4
+	return time.Duration(min(s, limit) * float64(time.Second))
+}
--- /dev/null
+++ b/mcscheduler/queue.go
@@ -0,0 +1,173 @@
+package mcscheduler
+
+import "time"
+
+const (
+	// urgencyLevels is the number of urgencies.
+	urgencyLevels = 3
+	// fairnessSlackTokens lets the earliest deadline decide between teams whose service
+	// differs by no more than about one short request.
+	fairnessSlackTokens = 4096
+	// teamLifetime is the idle time after which a team's service is forgotten.
+	teamLifetime = 60 * time.Second
+)
+
+type (
+	// team is one team's waiting work of one lane, by level, and the service it got.
+	team struct {
+		name string
+		// served is the virtual time: tokens of service over weight.
+		served float64
+		usedAt time.Duration
+		levels [urgencyLevels]indexedHeap
+		queued int
+	}
+
+	// lane is a queue of one class of one model. Levels go before each other; within a
+	// level the teams with the least service come first, and among those the earliest
+	// deadline.
+	lane struct {
+		teams  map[string]*team
+		active [urgencyLevels][]*team
+		// virtual is the virtual time at the last dispatch.
+		virtual float64
+		count   int
+		// seconds and kv sum the predicted prefill and the memory of waiting work.
+		seconds [urgencyLevels]float64
+		kv      [urgencyLevels]int64
+	}
+)
+
+// team returns the lane's record of a team.
+func (l *lane) team(now time.Duration, name string) *team {
+	t := l.teams[name]
+	if t == nil {
+		t = &team{name: name, served: l.virtual}
+		for i := range t.levels {
+			t.levels[i] = indexedHeap{less: beforeInTeam, place: placeInQueue}
+		}
+		if l.teams == nil {
+			l.teams = make(map[string]*team)
+		}
+		l.teams[name] = t
+	}
+	t.usedAt = now
+	return t
+}
+
+func beforeInTeam(a, b *item) bool {
+	if a.order != b.order {
+		return a.order < b.order
+	}
+	return a.sequence < b.sequence
+}
+
+func placeInQueue(it *item) *int { return &it.queueIndex }
+
+// push adds the item at its level.
+func (l *lane) push(it *item) {
+	t := it.team
+	if t.queued == 0 {
+		// A team that had nothing waiting saves up no credit while idle.
+		t.served = max(t.served, l.virtual)
+	}
+	if t.levels[it.level].len() == 0 {
+		l.active[it.level] = append(l.active[it.level], t)
+	}
+	t.levels[it.level].push(it)
+	t.queued++
+	l.count++
+	l.seconds[it.level] += it.prefillSeconds
+	l.kv[it.level] += it.kv
+}
+
+// remove takes the item out of the lane.
+func (l *lane) remove(it *item) {
+	t := it.team
+	t.levels[it.level].remove(it)
+	t.queued--
+	l.count--
+	l.seconds[it.level] -= it.prefillSeconds
+	l.kv[it.level] -= it.kv
+	if t.levels[it.level].len() > 0 {
+		return
+	}
+	active := l.active[it.level]
+	for i, other := range active {
+		if other == t {
+			last := len(active) - 1
+			active[i] = active[last]
+			active[last] = nil
+			l.active[it.level] = active[:last]
+			break
+		}
+	}
+	if len(l.active[it.level]) == 0 {
+		l.seconds[it.level] = 0 // drops what rounding left over
+	}
+}
+
+// first returns the item whose turn it is, or nil.
+func (l *lane) first() *item {
+	if l.count == 0 {
+		return nil
+	}
+	for level := range l.active {
+		if len(l.active[level]) > 0 {
+			return l.firstAt(level)
+		}
+	}
+	return nil
+}
+
+func (l *lane) firstAt(level int) *item {
+	least := l.active[level][0].served
+	for _, t := range l.active[level][1:] {
+		least = min(least, t.served)
+	}
+	var best *item
+	for _, t := range l.active[level] {
+		if t.served > least+fairnessSlackTokens {
+			continue
+		}
+		if it := t.levels[level].top(); best == nil || beforeInTeam(it, best) {
+			best = it
+		}
+	}
+	return best
+}
+
+// waitsAhead tells whether work waits that goes before new work of the level.
+func (l *lane) waitsAhead(level int) bool {
+	if l.count == 0 {
+		return false
+	}
+	for i := range level + 1 {
+		if len(l.active[i]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// charge accounts for the dispatch of the item.
+func (l *lane) charge(now time.Duration, it *item, tokens float64) {
+	if it.team == nil {
+		it.team = l.team(now, it.work.Team)
+		it.team.served = max(it.team.served, l.virtual)
+	}
+	t := it.team
+	t.usedAt = now
+	l.virtual = max(l.virtual, t.served)
+	it.charged = tokens / it.weight()
+	t.served += it.charged
+}
+
+// forget drops teams that had nothing to do for a while.
+func (l *lane) forget(now time.Duration) {
+	for name, t := range l.teams {
+		if t.queued == 0 && now-t.usedAt > teamLifetime {
+			delete(l.teams, name)
+		}
+	}
+}
--- /dev/null
+++ b/mcscheduler/scheduler_command.go
@@ -0,0 +1,354 @@
+package mcscheduler
+
+import (
+	"time"
+
+	"marigoldcroft"
+)
+
+// Submit admits and dispatches, admits and queues, or refuses the work. Work whose id
+// is already held is not taken a second time: the answer is ActionWait, and the first
+// submission goes on.
+func (s *scheduler) Submit(t time.Time, work marigoldcroft.Work) marigoldcroft.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.enter(t)
+	if it := s.items[work.ID]; it != nil {
+		return marigoldcroft.Decision{ID: work.ID, Action: marigoldcroft.ActionWait, Class: it.class}
+	}
+	it, at, d := s.consider(now, work)
+	if it == nil {
+		return d
+	}
+	if d.Action == marigoldcroft.ActionRefuse {
+		s.recycle(it)
+		return d
+	}
+	s.sequence++
+	s.items[work.ID] = it
+	if d.Action == marigoldcroft.ActionDispatch {
+		return s.dispatch(now, it, at)
+	}
+	if p := it.pool; p.serviceTrusted(now) {
+		it.expiry = it.deadline - seconds(it.prefillSeconds+p.decodeSeconds(work.OutputTokens))
+	}
+	s.enqueue(now, it)
+	return d
+}
+
+// consider decides about new work without keeping it. The item is nil when the work
+// was refused without one.
+func (s *scheduler) consider(now time.Duration, work marigoldcroft.Work) (*item, placement, marigoldcroft.Decision) {
+	p := s.pools[work.Model]
+	if p == nil || len(p.live) == 0 {
+		return nil, placement{}, marigoldcroft.Decision{
+			ID: work.ID, Action: marigoldcroft.ActionRefuse,
+			Reason: marigoldcroft.ReasonNoEndpoint, RetryAfter: s.retryAfter(0),
+		}
+	}
+	it := s.newItem(now, p, work)
+	switch {
+	case it.class == marigoldcroft.ClassHuge:
+		return it, placement{}, it.decision(marigoldcroft.ActionRefuse, marigoldcroft.ReasonTooLarge)
+	case it.deadline <= now:
+		return it, placement{}, s.refusal(it, marigoldcroft.ReasonDeadline, 0)
+	case !p.couldRun(it):
+		return it, placement{}, s.refusal(it, marigoldcroft.ReasonNoEndpoint, 0)
+	}
+	var at placement
+	why := blockedBusy
+	if !p.lanes[it.lane].waitsAhead(it.level) {
+		at, why = s.rules.place(now, it)
+	}
+	reason, start, drain := s.rules.admit(now, it, at, why)
+	if reason == marigoldcroft.ReasonNone && why != placed && p.queued() >= s.settings.QueueLength {
+		reason = marigoldcroft.ReasonQueueFull
+	}
+	if reason != marigoldcroft.ReasonNone {
+		return it, at, s.refusal(it, reason, drain)
+	}
+	action := marigoldcroft.ActionDispatch
+	if why != placed {
+		action = marigoldcroft.ActionWait
+	}
+	d := it.decision(action, marigoldcroft.ReasonNone)
+	d.PredictedStart = seconds(start)
+	d.PredictedFirstToken = seconds(start + it.prefillSeconds)
+	return it, at, d
+}
+
+// refusal returns a refusal with a random time to retry after.
+func (s *scheduler) refusal(it *item, reason marigoldcroft.Reason, drain float64) marigoldcroft.Decision {
+	d := it.decision(marigoldcroft.ActionRefuse, reason)
+	d.RetryAfter = s.retryAfter(drain)
+	return d
+}
+
+// retryAfter returns a time with full jitter up to the predicted drain time in seconds,
+// so that refused callers do not come back together.
+func (s *scheduler) retryAfter(drain float64) time.Duration {
+	limit := min(max(seconds(drain), s.settings.RetryBase), maxRetryAfter)
+	return 1 + time.Duration(s.random.Int64N(int64(limit)))
+}
+
+// Poll appends the decisions that are due: expired work first, then recalled and
+// dispatched work. It costs next to nothing when nothing has changed.
+func (s *scheduler) Poll(t time.Time, decisions []marigoldcroft.Decision) []marigoldcroft.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.enter(t)
+	for it := s.timers.top(); it != nil && it.due <= now; it = s.timers.top() {
+		if it.expiry <= now {
+			decisions = append(decisions, s.expire(it))
+			continue
+		}
+		s.age(now, it)
+	}
+	for _, p := range s.order {
+		s.rules.tick(now, p)
+		if s.queued > 0 && (p.dirty || p.tryAt <= now) {
+			decisions = s.attempt(now, p, decisions)
+		}
+	}
+	if now >= s.forgetAt {
+		s.forgetAt = now + teamLifetime
+		for _, p := range s.order {
+			for i := range p.lanes {
+				p.lanes[i].forget(now)
+			}
+		}
+	}
+	return decisions
+}
+
+// expire ends waiting work that cannot meet its deadline.
+func (s *scheduler) expire(it *item) marigoldcroft.Decision {
+	s.dequeue(it)
+	delete(s.items, it.work.ID)
+	reason := marigoldcroft.ReasonDeadline
+	if it.state == stateParked {
+		reason = marigoldcroft.ReasonEndpointGone
+	}
+	d := it.decision(marigoldcroft.ActionExpire, reason)
+	s.recycle(it)
+	return d
+}
+
+// age raises waiting work by the steps that are due.
+func (s *scheduler) age(now time.Duration, it *item) {
+	level := s.agedLevel(now, it)
+	if it.state == stateParked {
+		it.level = level
+	} else {
+		l := &it.pool.lanes[it.lane]
+		l.remove(it)
+		it.level = level
+		l.push(it)
+		it.pool.dirty = true
+	}
+	s.schedule(it)
+}
+
+// attempt places waiting work of the pool until nothing more fits.
+func (s *scheduler) attempt(now time.Duration, p *pool, decisions []marigoldcroft.Decision) []marigoldcroft.Decision {
+	p.dirty, p.tryAt = false, now+retryInterval
+	for i := range p.lanes {
+		l := &p.lanes[i]
+		s.stash = s.stash[:0]
+		for it := l.first(); it != nil; it = l.first() {
+			at, why := s.rules.place(now, it)
+			if why != placed && why != blockedGone {
+				if recalled := s.rules.stuck(now, it, why); recalled != nil {
+					decisions = append(decisions, s.recall(now, recalled))
+					continue
+				}
+			}
+			switch {
+			case why == placed:
+				s.dequeue(it)
+				decisions = append(decisions, s.dispatch(now, it, at))
+				continue
+			case why == blockedGone:
+				s.park(it)
+				continue
+			}
+			if len(s.stash) >= s.rules.skipped() {
+				break
+			}
+			l.remove(it)
+			s.stash = append(s.stash, it)
+		}
+		for _, it := range s.stash {
+			l.push(it)
+		}
+	}
+	return decisions
+}
+
+// recall takes lent work back before its first token and queues it again.
+func (s *scheduler) recall(now time.Duration, it *item) marigoldcroft.Decision {
+	d := it.decision(marigoldcroft.ActionRecall, marigoldcroft.ReasonLentRecalled)
+	it.endpoint.noLendUntil = now + lendPause
+	s.undispatch(now, it)
+	it.endpoint, it.lent = nil, false
+	it.team.served -= it.charged
+	it.recalls++
+	s.enqueue(now, it)
+	return d
+}
+
+// FirstToken ends the prefill of the attempt; unknown ids are ignored.
+func (s *scheduler) FirstToken(t time.Time, id marigoldcroft.StreamID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.enter(t)
+	if it := s.items[id]; it != nil && it.state == stateDispatched {
+		s.answered(now, it)
+	}
+}
+
+// Finish releases what the attempt holds; unknown ids are ignored.
+func (s *scheduler) Finish(t time.Time, id marigoldcroft.StreamID, done marigoldcroft.Completion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.enter(t)
+	it := s.items[id]
+	if it == nil {
+		return
+	}
+	switch it.state {
+	case stateQueued, stateParked:
+		s.dequeue(it)
+	case stateDispatched:
+		s.undispatch(now, it)
+		held := (now - it.heldAt).Seconds()
+		it.pool.residence.observe(held, held, 1)
+		it.pool.learn(now, it, done)
+	}
+	delete(s.items, id)
+	s.recycle(it)
+}
+
+// Observe takes a load report. Reports of unknown endpoints and reports older than the
+// last one are ignored.
+func (s *scheduler) Observe(asked time.Time, report marigoldcroft.LoadReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.endpoints[report.Endpoint]
+	if e == nil {
+		return
+	}
+	usable, capacity := e.usable(), e.capacity
+	if !e.observe(s.since(asked), report) {
+		return
+	}
+	e.pool.dirty = true
+	if e.usable() != usable {
+		e.pool.refresh()
+	}
+	if e.usable() != usable || e.capacity != capacity {
+		s.unpark(e.pool)
+	}
+}
+
+// ObservePeer replaces what a peer has in flight on an endpoint. The caller reports
+// zero for work that ended and for peers that are gone.
+func (s *scheduler) ObservePeer(t time.Time, peer, name string, in marigoldcroft.InFlight) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.enter(t)
+	if e := s.endpoints[name]; e != nil {
+		e.observePeer(now, peer, in)
+		e.pool.dirty = true
+	}
+}
+
+// EndpointDown marks the endpoint as dead until a report asked for later is observed.
+// Reservations there are released; the attempts still await Finish.
+func (s *scheduler) EndpointDown(t time.Time, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.enter(t)
+	e := s.endpoints[name]
+	if e == nil {
+		return
+	}
+	e.down, e.downAt = true, now
+	s.orphan(now, e)
+	e.peers, e.others = nil, load{}
+	e.sumPeers()
+	e.pool.refresh()
+}
+
+// orphan releases all that own work holds on the endpoint.
+func (s *scheduler) orphan(now time.Duration, e *endpoint) {
+	for it := e.flights; it != nil; it = e.flights {
+		s.undispatch(now, it)
+		it.state, it.endpoint = stateOrphaned, nil
+	}
+}
+
+// SetEndpoints replaces the set of endpoints. Work on an endpoint that is no longer
+// listed loses its reservation and still awaits Finish; work on a leaving one runs on.
+func (s *scheduler) SetEndpoints(t time.Time, list []marigoldcroft.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.enter(t)
+	kept := make(map[string]*endpoint, len(list))
+	for _, listed := range list {
+		e := s.endpoints[listed.Name()]
+		if e == nil || e.pool.name != listed.Pool() {
+			e = &endpoint{
+				name: listed.Name(), pool: s.pool(listed.Pool()),
+				capacity: s.settings.KVCapacityTokens, settledAt: now,
+			}
+		}
+		e.leaving = listed.Leaving()
+		kept[e.name] = e
+	}
+	for name, e := range s.endpoints {
+		if kept[name] != e {
+			s.orphan(now, e)
+			if e.held != nil {
+				e.pool.release(e.held)
+			}
+		}
+	}
+	s.endpoints = kept
+	for _, p := range s.order {
+		p.endpoints = p.endpoints[:0]
+	}
+	for _, e := range kept {
+		e.pool.endpoints = append(e.pool.endpoints, e)
+	}
+	s.dropPools()
+	for _, p := range s.order {
+		p.rank()
+		s.unpark(p)
+	}
+}
+
+// pool returns the pool of a model, which is made when it is new.
+func (s *scheduler) pool(name string) *pool {
+	p := s.pools[name]
+	if p == nil {
+		p = &pool{name: name, cost: newModelCost(s.settings), shortTime: s.settings.ShortLimit}
+		s.pools[name] = p
+		s.order = append(s.order, p)
+	}
+	return p
+}
+
+// dropPools forgets the models that have neither endpoints nor waiting work.
+func (s *scheduler) dropPools() {
+	order := s.order[:0]
+	for _, p := range s.order {
+		if len(p.endpoints) == 0 && p.queued() == 0 {
+			delete(s.pools, p.name)
+			continue
+		}
+		order = append(order, p)
+	}
+	clear(s.order[len(order):])
+	s.order = order
+}
--- /dev/null
+++ b/mcscheduler/scheduler_query.go
@@ -0,0 +1,49 @@
+package mcscheduler
+
+import (
+	"time"
+
+	"marigoldcroft"
+)
+
+// Explain returns what Submit would decide. It leaves the random source as it was, so
+// that it does not change later decisions.
+func (s *scheduler) Explain(t time.Time, work marigoldcroft.Work) marigoldcroft.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.enter(t)
+	source := *s.source
+	defer func() { *s.source = source }()
+	it, at, d := s.consider(now, work)
+	if it == nil {
+		return d
+	}
+	if d.Action == marigoldcroft.ActionDispatch {
+		d.Endpoint = at.endpoint.name
+		d.Priority = s.priority(it)
+	}
+	s.recycle(it)
+	return d
+}
+
+// InFlight returns this instance's own work on each endpoint that has any.
+func (s *scheduler) InFlight() map[string]marigoldcroft.InFlight {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	result := make(map[string]marigoldcroft.InFlight)
+	for name, e := range s.endpoints {
+		if e.own.count > 0 {
+			result[name] = marigoldcroft.InFlight{
+				Short: e.shorts, Long: e.longs, PrefillTokens: e.own.prefill, KVTokens: e.own.kv,
+			}
+		}
+	}
+	return result
+}
+
+// Queued returns the number of waiting pieces of work.
+func (s *scheduler) Queued() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queued
+}
--- /dev/null
+++ b/mcscheduler/view.go
@@ -0,0 +1,340 @@
+package mcscheduler
+
+import (
+	"time"
+
+	"marigoldcroft"
+)
+
+const (
+	// reportLifetime is the age at which what a report says of others' work no longer
+	// counts, so that an endpoint whose reports stopped is not blocked for good.
+	reportLifetime = 10 * time.Second
+	// historyLength bounds the record of own load per endpoint; at 25 dispatches a
+	// second on one endpoint it covers the report lifetime.
+	historyLength = 512
+	// priorities is the number of engine priorities: two classes by three urgencies.
+	priorities = 6
+	// shortPriorities is the least priority of short work.
+	shortPriorities = 3
+)
+
+type (
+	// load is an amount of work on an endpoint.
+	load struct {
+		count   int
+		kv      int64
+		prefill int64
+	}
+
+	// moment is this instance's own load on an endpoint from a time on.
+	moment struct {
+		at   time.Duration
+		load load
+	}
+
+	// peerLoad is what a peer last said, what it said before, and what it had said when
+	// the last report of the endpoint was asked for.
+	peerLoad struct {
+		at       time.Duration
+		current  load
+		previous load
+		base     load
+		short    int
+	}
+
+	// endpoint is the view of one endpoint. What others have there is a report less
+	// what this instance and its peers had there when it was asked for; own work is
+	// always counted exactly, so a report never erases a later dispatch.
+	endpoint struct {
+		name          string
+		pool          *pool
+		leaving       bool
+		reportLeaving bool
+		down          bool
+		downAt        time.Duration
+		cost          cost
+
+		reported    bool
+		incarnation uint64
+		asked       time.Duration
+		startedAt   time.Duration
+		capacity    int64
+		// others is the reported load that is neither own nor of known peers.
+		others load
+
+		own load
+		// shorts and longs count own work in flight; suspects counts that with Alone.
+		shorts, longs, suspects int
+		// longPrefills counts own long work before its first token.
+		longPrefills int
+		lent         *item
+		noLendUntil  time.Duration
+		// held is queued work that the endpoint is kept for; heldMemory keeps out short
+		// work too.
+		held       *item
+		heldMemory bool
+		flights    *item
+		// outstanding holds own prefill tokens before the first token by priority;
+		// remaining is what is predicted to be left of them at settledAt.
+		outstanding [priorities]int64
+		remaining   [priorities]float64
+		settledAt   time.Duration
+		// dispatched counts all own prefill tokens ever sent here.
+		dispatched int64
+		history    []moment
+
+		peers map[string]*peerLoad
+		// peerSum is what peers have here now; peerGrow is what they added since the
+		// report was asked for, as told last at peerAt.
+		peerSum   load
+		peerGrow  load
+		peerShort int
+		peerAt    time.Duration
+	}
+)
+
+// usable tells whether new work may be sent to the endpoint.
+func (e *endpoint) usable() bool { return !e.leaving && !e.reportLeaving && !e.down }
+
+// otherLoad returns what the last report says of unknown others, while it counts.
+func (e *endpoint) otherLoad(now time.Duration) load {
+	if now-e.asked > reportLifetime {
+		return load{}
+	}
+	return e.others
+}
+
+// free returns the KV tokens that are not reserved or used, as far as is known.
+func (e *endpoint) free(now time.Duration) int64 {
+	return e.capacity - e.own.kv - e.peerSum.kv - e.otherLoad(now).kv
+}
+
+// requests returns the number of requests that are running or waiting there.
+func (e *endpoint) requests(now time.Duration) int {
+	return e.own.count + max(0, e.otherLoad(now).count+e.peerGrow.count)
+}
+
+// otherPrefill returns the others' outstanding prefill tokens: all of it, and the part
+// that may be short. Neither reports nor peers split it by class, so a short request
+// is assumed for each one known and one more.
+func (e *endpoint) otherPrefill(now time.Duration, rate float64) (all, short float64) {
+	all = max(0, float64(e.otherLoad(now).prefill)-rate*(now-e.asked).Seconds())
+	all += max(0, float64(e.peerGrow.prefill)-rate*(now-e.peerAt).Seconds())
+	if all == 0 {
+		return 0, 0
+	}
+	return all, min(all, float64(e.peerShort+1)*e.pool.shortTokens())
+}
+
+// ahead returns the prefill tokens, own and others', that the engine works on before
+// new work of the priority.
+func (e *endpoint) ahead(now time.Duration, priority marigoldcroft.Priority, rate float64) float64 {
+	sum := 0.0
+	for p := priorities - 1; p >= int(priority); p-- {
+		sum += e.remaining[p]
+	}
+	if sum > 0 {
+		sum = max(0, sum-rate*(now-e.settledAt).Seconds())
+	}
+	all, short := e.otherPrefill(now, rate)
+	if priority >= shortPriorities {
+		return sum + short
+	}
+	return sum + all
+}
+
+// longAhead returns the long part of the outstanding prefill tokens.
+func (e *endpoint) longAhead(now time.Duration, rate float64) float64 {
+	long := 0.0
+	for p := range shortPriorities {
+		long += e.remaining[p]
+	}
+	if long > 0 {
+		long = min(long, e.ahead(now, 0, rate))
+	}
+	all, short := e.otherPrefill(now, rate)
+	return long + all - short
+}
+
+// settle moves the predicted progress of own prefill up to now, higher priority first.
+func (e *endpoint) settle(now time.Duration) {
+	worked := e.rate() * (now - e.settledAt).Seconds()
+	e.settledAt = now
+	for p := priorities - 1; p >= 0 && worked > 0; p-- {
+		part := min(worked, e.remaining[p])
+		e.remaining[p] -= part
+		worked -= part
+	}
+}
+
+// add reserves what the item needs.
+func (e *endpoint) add(now time.Duration, it *item) {
+	e.settle(now)
+	it.ahead = e.ahead(now, it.priority, e.rate())
+	e.own.count++
+	e.own.kv += it.kv
+	e.own.prefill += it.prefill
+	e.outstanding[it.priority] += it.prefill
+	e.remaining[it.priority] += float64(it.prefill)
+	e.dispatched += it.prefill
+	it.joinedMark = e.dispatched
+	if it.class == marigoldcroft.ClassShort {
+		e.shorts++
+	} else {
+		e.longs++
+		e.longPrefills++
+	}
+	if it.work.Alone {
+		e.suspects++
+	}
+	it.endpoint, it.prev, it.next = e, nil, e.flights
+	if e.flights != nil {
+		e.flights.prev = it
+	}
+	e.flights = it
+	e.record(now)
+}
+
+// prefilled takes the item out of the outstanding prefill; it is harmless to repeat.
+func (e *endpoint) prefilled(now time.Duration, it *item) {
+	if it.firstToken {
+		return
+	}
+	it.firstToken = true
+	it.joined = e.dispatched - it.joinedMark
+	e.settle(now)
+	e.own.prefill -= it.prefill
+	e.outstanding[it.priority] -= it.prefill
+	e.remaining[it.priority] = min(e.remaining[it.priority], float64(e.outstanding[it.priority]))
+	if it.class != marigoldcroft.ClassShort {
+		e.longPrefills--
+	}
+	if e.lent == it {
+		e.lent = nil
+	}
+}
+
+// drop releases all that the item holds.
+func (e *endpoint) drop(now time.Duration, it *item) {
+	e.prefilled(now, it)
+	e.own.count--
+	e.own.kv -= it.kv
+	if it.class == marigoldcroft.ClassShort {
+		e.shorts--
+	} else {
+		e.longs--
+	}
+	if it.work.Alone {
+		e.suspects--
+	}
+	if it.prev != nil {
+		it.prev.next = it.next
+	} else {
+		e.flights = it.next
+	}
+	if it.next != nil {
+		it.next.prev = it.prev
+	}
+	it.prev, it.next = nil, nil
+	e.record(now)
+}
+
+// record notes the own load from now on.
+func (e *endpoint) record(now time.Duration) {
+	if n := len(e.history); n > 0 && e.history[n-1].at == now {
+		e.history[n-1].load = e.own
+		return
+	}
+	if len(e.history) >= historyLength {
+		n := copy(e.history, e.history[historyLength/2:])
+		e.history = e.history[:n]
+	}
+	e.history = append(e.history, moment{at: now, load: e.own})
+}
+
+// ownAt returns the own load at a time.
+func (e *endpoint) ownAt(at time.Duration) load {
+	for i := len(e.history) - 1; i >= 0; i-- {
+		if e.history[i].at <= at {
+			return e.history[i].load
+		}
+	}
+	return load{}
+}
+
+// observe takes a report and tells whether it is news.
+func (e *endpoint) observe(asked time.Duration, r marigoldcroft.LoadReport) bool {
+	if e.reported && (r.Incarnation < e.incarnation || asked < e.asked) {
+		return false
+	}
+	if e.down && asked <= e.downAt {
+		return false
+	}
+	if e.reported && r.Incarnation > e.incarnation {
+		e.startedAt = asked
+	}
+	e.reported, e.down = true, false
+	e.incarnation, e.asked, e.reportLeaving = r.Incarnation, asked, r.Leaving
+	if r.KVCapacityTokens > 0 {
+		e.capacity = r.KVCapacityTokens
+	}
+	known := e.ownAt(asked)
+	for name, p := range e.peers {
+		p.base = p.previous
+		if p.at <= asked {
+			p.base = p.current
+		}
+		if p.base == (load{}) && p.current == (load{}) {
+			delete(e.peers, name)
+		}
+		known.count += p.base.count
+		known.kv += p.base.kv
+		known.prefill += p.base.prefill
+	}
+	e.others = load{
+		count:   max(0, r.Running+r.Waiting-known.count),
+		kv:      max(0, r.KVUsedTokens-known.kv),
+		prefill: max(0, r.PrefillTokens-known.prefill),
+	}
+	e.sumPeers()
+	return true
+}
+
+// observePeer replaces what the peer has in flight here.
+func (e *endpoint) observePeer(now time.Duration, peer string, in marigoldcroft.InFlight) {
+	current := load{count: in.Short + in.Long, kv: in.KVTokens, prefill: in.PrefillTokens}
+	p := e.peers[peer]
+	if p == nil {
+		if current == (load{}) {
+			return
+		}
+		if e.peers == nil {
+			e.peers = make(map[string]*peerLoad)
+		}
+		p = &peerLoad{}
+		e.peers[peer] = p
+	}
+	if now > p.at {
+		p.previous = p.current
+	}
+	p.at, p.current, p.short = now, current, in.Short
+	if current == (load{}) && p.base == (load{}) {
+		delete(e.peers, peer)
+	}
+	e.peerAt = now
+	e.sumPeers()
+}
+
+// sumPeers adds up what peers have here.
+func (e *endpoint) sumPeers() {
+	e.peerSum, e.peerGrow, e.peerShort = load{}, load{}, 0
+	for _, p := range e.peers {
+		e.peerSum.count += p.current.count
+		e.peerSum.kv += p.current.kv
+		e.peerSum.prefill += p.current.prefill
+		e.peerGrow.count += max(0, p.current.count-p.base.count)
+		e.peerGrow.prefill += max(0, p.current.prefill-p.base.prefill)
+		e.peerShort += p.short
+	}
+}
