Serve requests end to end: entry instance, measure command, quickstart parts

Cause: the parts had not been put together; no request ran from caller to engine. Change: mcentry builds an instance from settings, follower, store client, scheduler and gateway, and stops it gracefully; verb serve; mcmeasure runs entry instances and stand-ins in one process; sample deployments; the quickstart script, not yet part of the smoke run, as jobs, services and the operators' verbs are missing.

--- a/mccommand/main.go
+++ b/mccommand/main.go
@@ -23,7 +23,7 @@
 
 // verbs is the lookup table, in the order of the help text.
 func verbs() []Verb {
-	return []Verb{settingsVerb(), versionVerb()}
+	return []Verb{serveVerb(), settingsVerb(), versionVerb()}
 }
 
 // Main runs the verb that arguments name and returns the exit code.
--- /dev/null
+++ b/mcentry/entry.go
@@ -0,0 +1,176 @@
+// Package mcentry builds one entry instance from the parts and stops it gracefully.
+package mcentry
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+
+	"marigoldcroft"
+	"marigoldcroft/mcconfig"
+	"marigoldcroft/mcengine"
+	"marigoldcroft/mcgateway"
+	"marigoldcroft/mcobserve"
+	"marigoldcroft/mcplatform"
+	"marigoldcroft/mcscheduler"
+	"marigoldcroft/mcsetting"
+	"marigoldcroft/mcstore"
+)
+
+// Kind is the kind of an entry instance's error.
+type Kind string
+
+// Error is the error type of the package.
+type Error = marigoldcroft.Failure[Kind]
+
+// The kinds of entry instance errors.
+const (
+	KindStart Kind = "cannot start"
+	KindServe Kind = "cannot serve"
+	// KindStopLimit means that the planned stop ended requests that still ran.
+	KindStopLimit Kind = "stop limit reached"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	traceFlush    = 2 * time.Second
+)
+
+// Entry is one entry instance. Its exported fields are set before Run.
+type Entry struct {
+	Settings mcsetting.Settings
+	// Output takes the log lines and, with the stdout exporter, the spans.
+	Output io.Writer
+	// Abort, when it is closed, ends a planned stop at once. Nil means never.
+	Abort <-chan struct{}
+
+	identity   marigoldcroft.Identity
+	logger     zerolog.Logger
+	metrics    *mcobserve.Metrics
+	tracing    *sdktrace.TracerProvider
+	engine     *mcengine.Client
+	store      *mcstore.Client
+	follower   *mcconfig.Follower
+	scheduler  marigoldcroft.Scheduler
+	dispatcher *mcgateway.Dispatcher
+	directory  *directory
+	gateway    *mcgateway.Gateway
+
+	callers net.Listener
+	duties  sync.WaitGroup
+}
+
+// Run starts the instance and serves until ctx ends, which begins a planned stop: the
+// instance becomes unready, keeps its listener open for the lame-duck time and ends
+// when no request is left.
+func (e *Entry) Run(ctx context.Context) error {
+	if err := e.Start(ctx); err != nil {
+		return err
+	}
+	return e.Serve(ctx)
+}
+
+// Start builds the parts and opens the listeners, so that CallerAddress is known.
+func (e *Entry) Start(ctx context.Context) error {
+	s := e.Settings
+	salt := rand.Uint64()
+	e.identity = marigoldcroft.NewIdentity(s.Deployment, s.Region, s.DataCentre, s.Instance, time.Now(), salt)
+	e.logger = mcobserve.NewLogger(e.Output, s.Log.Level).With().Str("instance", s.Instance).Logger()
+	e.metrics = mcobserve.NewMetrics()
+	tracing, err := mcobserve.NewTracerProvider(ctx, s.Trace, s.Instance, e.Output)
+	if err != nil {
+		return marigoldcroft.NewFailure("start", KindStart, err)
+	}
+	e.tracing = tracing
+	if err := e.buildParts(salt); err != nil {
+		return marigoldcroft.NewFailure("start", KindStart, err)
+	}
+	if e.callers, err = net.Listen("tcp", s.CallerAddress); err != nil {
+		return marigoldcroft.NewFailure("listen for callers", KindStart, err)
+	}
+	return nil
+}
+
+// CallerAddress returns the address that callers reach, after Start.
+func (e *Entry) CallerAddress() string { return e.callers.Addr().String() }
+
+func (e *Entry) buildParts(seed uint64) error {
+	s := e.Settings
+	client := &http.Client{Transport: mcengine.NewTransport()}
+	e.engine = &mcengine.Client{HTTP: client}
+	e.store = mcstore.NewClient(mcstore.ClientConfig{
+		Store: &mcstore.HTTP{BaseURL: s.ObjectStore}, WritesPerSecond: s.Store.WritesPerSecond,
+		ReadsPerSecond: s.Store.ReadsPerSecond, CallTimeout: s.Store.CallTimeout,
+	})
+	e.follower = &mcconfig.Follower{Store: e.store, Peers: noPeers{}, Deployment: s.Deployment, Logger: e.logger}
+	tuning := mcscheduler.Default()
+	tuning.Seed, tuning.QueueLength = seed, s.Limits.QueueLength
+	var err error
+	if e.scheduler, err = mcscheduler.New(s.Scheduler, tuning); err != nil {
+		return err
+	}
+	e.dispatcher = &mcgateway.Dispatcher{Scheduler: e.scheduler}
+	e.directory = &directory{
+		list: &mcplatform.InstanceList{Address: s.InstanceList, HTTP: client}, engine: e.engine,
+		scheduler: e.scheduler, dataCentre: s.DataCentre, logger: e.logger,
+	}
+	e.gateway = &mcgateway.Gateway{
+		Identity: e.identity, Config: e.follower, Engine: e.engine, Dispatcher: e.dispatcher,
+		Endpoint: e.directory.endpoint, Limits: s.Limits, Metrics: e.metrics,
+		Tracer: e.tracing.Tracer("marigoldcroft"), Logger: e.logger,
+	}
+	return nil
+}
+
+// Serve runs every duty until ctx ends and the planned stop is done. Start comes first.
+func (e *Entry) Serve(ctx context.Context) error {
+	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer e.flushSpans()
+	defer e.engine.HTTP.CloseIdleConnections()
+	defer e.duties.Wait()
+	defer stopDuties()
+	e.duties.Go(func() { e.dispatcher.Run(duties) })
+	e.duties.Go(func() { e.directory.run(duties) })
+	e.duties.Go(func() { e.follow(duties) })
+	server := &http.Server{
+		Handler: e.gateway.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes,
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(e.callers) }()
+	e.logger.Info().Str("callerAddress", e.CallerAddress()).Uint64("incarnation", e.identity.Incarnation()).Msg("started")
+	select {
+	case err := <-served:
+		return marigoldcroft.NewFailure("serve callers", KindServe, err)
+	case <-ctx.Done():
+	}
+	return e.stop(server)
+}
+
+func (e *Entry) follow(ctx context.Context) {
+	if err := e.follower.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		e.logger.Error().Err(err).Msg("configurationFollowerEnded")
+	}
+}
+
+func (e *Entry) flushSpans() {
+	ctx, cancel := context.WithTimeout(context.Background(), traceFlush)
+	defer cancel()
+	if err := e.tracing.Shutdown(ctx); err != nil {
+		e.logger.Warn().Err(err).Msg("spansLost")
+	}
+}
+
+// Editor returns the editor of the configuration, after Start.
+func (e *Entry) Editor() *mcconfig.Editor {
+	return &mcconfig.Editor{Store: e.store, Follower: e.follower}
+}
--- /dev/null
+++ b/mcmeasure/cluster.go
@@ -0,0 +1,203 @@
+// Package mcmeasure measures the product against its baselines, with entry instances
+// and stand-ins in one process on loopback.
+package mcmeasure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldcroft"
+	"marigoldcroft/mcconfig"
+	"marigoldcroft/mcentry"
+	"marigoldcroft/mcgateway"
+	"marigoldcroft/mcsetting"
+	"marigoldcroft/mcstandin"
+)
+
+// TeamKey is the bearer key of the cluster's team.
+const TeamKey = "measure-key"
+
+const (
+	deployment  = "measure"
+	dataCentre  = "a"
+	model       = "caption"
+	loopback    = "127.0.0.1:0"
+	readyWait   = 20 * time.Second
+	readyStep   = 20 * time.Millisecond
+	headerLimit = 5 * time.Second
+)
+
+type (
+	// ClusterSettings sizes a cluster of one data centre.
+	ClusterSettings struct {
+		Entries int
+		Engines int
+		Policy  string
+		Engine  mcstandin.EngineSettings
+	}
+
+	// Cluster is a running set of entry instances and stand-ins.
+	Cluster struct {
+		Engines []*mcstandin.Engine
+		Store   *mcstandin.ObjectStore
+		// Targets are the base URLs of the entry instances, EngineTargets those of the
+		// engines.
+		Targets       []string
+		EngineTargets []string
+
+		entries []*mcentry.Entry
+		list    *mcstandin.InstanceList
+		cancel  context.CancelFunc
+		running sync.WaitGroup
+		servers []*http.Server
+	}
+)
+
+// StartCluster starts the cluster and returns when every entry instance is ready.
+func StartCluster(ctx context.Context, settings ClusterSettings) (*Cluster, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &Cluster{cancel: cancel, Store: mcstandin.NewObjectStore(1), list: &mcstandin.InstanceList{}}
+	storeAddress, err := c.listen(c.Store)
+	if err != nil {
+		return nil, err
+	}
+	listAddress, err := c.listen(c.list.Handler())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.startEngines(ctx, settings); err != nil {
+		return nil, err
+	}
+	if err := c.startEntries(ctx, settings, storeAddress, listAddress); err != nil {
+		return nil, err
+	}
+	return c, c.configure(ctx)
+}
+
+// Stop ends everything that the cluster runs.
+func (c *Cluster) Stop() {
+	c.cancel()
+	c.running.Wait()
+	for _, server := range c.servers {
+		// The listeners are closed in any case.
+		_ = server.Close()
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
+// listen serves h on a free loopback port and returns its base URL.
+func (c *Cluster) listen(h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerLimit}
+	c.servers = append(c.servers, server)
+	go func() {
+		// Serve ends with the error of Close.
+		_ = server.Serve(listener)
+	}()
+	return "http://" + listener.Addr().String(), nil
+}
+
+func (c *Cluster) startEngines(ctx context.Context, settings ClusterSettings) error {
+	var listing marigoldcroft.InstanceListing
+	for i := range settings.Engines {
+		engine := &mcstandin.Engine{Settings: settings.Engine, Crash: func() {}}
+		engine.Settings.Name, engine.Settings.Model = fmt.Sprintf("engine-%d", i+1), model
+		address, err := c.listen(engine.Handler())
+		if err != nil {
+			return err
+		}
+		c.running.Go(func() { engine.Run(ctx) })
+		c.Engines = append(c.Engines, engine)
+		c.EngineTargets = append(c.EngineTargets, address)
+		listing.Endpoints = append(listing.Endpoints, marigoldcroft.ListedEndpoint{
+			Name: engine.Settings.Name, Kind: marigoldcroft.EndpointEngine, Address: address, DataCentre: dataCentre, Pool: model,
+		})
+	}
+	c.list.Show(listing)
+	return nil
+}
+
+func (c *Cluster) startEntries(ctx context.Context, settings ClusterSettings, store, list string) error {
+	for i := range settings.Entries {
+		s := mcsetting.Default()
+		s.Deployment, s.Region, s.DataCentre, s.Instance = deployment, "r", dataCentre, fmt.Sprintf("entry-%d", i+1)
+		s.CallerAddress, s.PeerAddress, s.AdminAddress = loopback, loopback, loopback
+		s.ObjectStore, s.InstanceList, s.Scheduler = store, list, settings.Policy
+		s.Stop.LameDuck, s.Log.Level = 0, "error"
+		entry := &mcentry.Entry{Settings: s, Output: io.Discard}
+		if err := entry.Start(ctx); err != nil {
+			return err
+		}
+		c.running.Go(func() {
+			// The run ends with the cluster; a failed stop shows in the results.
+			_ = entry.Serve(ctx)
+		})
+		c.entries = append(c.entries, entry)
+		c.Targets = append(c.Targets, "http://"+entry.CallerAddress())
+	}
+	return nil
+}
+
+// configure stores the templates and the team and waits until all instances follow.
+func (c *Cluster) configure(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	templates := []marigoldcroft.TemplateSpec{
+		{Name: "caption", Model: model, Urgency: "interactive", Repeat: marigoldcroft.RepeatIdempotent, DeadlineMs: 30_000},
+		{
+			Name: "comparison", Model: model, Urgency: "batch", Repeat: marigoldcroft.RepeatIdempotent, DeadlineMs: 600_000,
+			Oversize: marigoldcroft.OversizeSplit, CombinePrompt: "Combine the partial answers.",
+		},
+	}
+	var changes []mcconfig.Change
+	for _, t := range templates {
+		changes = append(changes, change(mcconfig.Object{Template: &t}))
+	}
+	team := marigoldcroft.TeamSpec{Name: "measure", KeyHashes: []string{mcgateway.KeyHash(TeamKey)}, Templates: []string{"caption", "comparison"}}
+	changes = append(changes, change(mcconfig.Object{Team: &team}))
+	if _, err := c.entries[0].Editor().Apply(ctx, changes, false); err != nil {
+		return err
+	}
+	return c.waitReady(ctx)
+}
+
+func change(object mcconfig.Object) mcconfig.Change {
+	return mcconfig.Change{Name: object.ID(), Object: object}
+}
+
+// waitReady polls /readyz of every instance until all are ready.
+func (c *Cluster) waitReady(ctx context.Context) error {
+	for _, target := range c.Targets {
+		for !ready(ctx, target) {
+			select {
+			case <-ctx.Done():
+				return errors.Newf("%s is not ready within %s", target, readyWait)
+			case <-time.After(readyStep):
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, target string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/scripts/quickstart/fleet.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"marigoldcroft"
+)
+
+const (
+	engineCount = 4
+	entryCount  = 3
+	dataCentre  = "lima-1"
+	readyStep   = 50 * time.Millisecond
+	stopLimit   = 30 * time.Second
+)
+
+type (
+	// fleet is everything that the script started.
+	fleet struct {
+		folder  string
+		started []*exec.Cmd
+		entries []entry
+		// service is the base URL of the plain service's stand-in.
+		service string
+	}
+
+	// entry is one entry instance with its addresses.
+	entry struct{ caller, peer, admin string }
+)
+
+// start starts the stand-ins first, then the entry instances, and waits until all are ready.
+func (f *fleet) start(ctx context.Context) error {
+	fmt.Println("== starting 4 engines, 1 plain service, object store, instance list and 3 entry instances")
+	store, list, listing := freeAddress(), freeAddress(), marigoldcroft.InstanceListing{}
+	for i := range engineCount {
+		name, address := fmt.Sprintf("engine-%d", i+1), freeAddress()
+		if err := f.run("marigoldcroft-standin", "engine", "--address", address, "--name", name); err != nil {
+			return err
+		}
+		listing.Endpoints = append(listing.Endpoints, listed(name, marigoldcroft.EndpointEngine, address, "caption"))
+	}
+	service := freeAddress()
+	f.service = "http://" + service
+	if err := f.run("marigoldcroft-standin", "service", "--address", service, "--name", "orders-1"); err != nil {
+		return err
+	}
+	listing.Endpoints = append(listing.Endpoints, listed("orders-1", marigoldcroft.EndpointService, service, "orders"))
+	for i := range entryCount {
+		e := entry{caller: freeAddress(), peer: freeAddress(), admin: freeAddress()}
+		f.entries = append(f.entries, e)
+		listing.Instances = append(listing.Instances, marigoldcroft.ListedInstance{
+			Name: entryName(i), DataCentre: dataCentre, Region: "peru", PeerAddress: e.peer,
+		})
+	}
+	if err := f.startPlatform(store, list, listing); err != nil {
+		return err
+	}
+	for i, e := range f.entries {
+		if err := f.startEntry(i, e, store, list); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) startPlatform(store, list string, listing marigoldcroft.InstanceListing) error {
+	text, err := json.Marshal(listing)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(f.folder, "listing.json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return err
+	}
+	if err := f.run("marigoldcroft-standin", "store", "--address", store); err != nil {
+		return err
+	}
+	return f.run("marigoldcroft-standin", "instances", "--address", list, "--listing", file)
+}
+
+func (f *fleet) startEntry(i int, e entry, store, list string) error {
+	settings := fmt.Sprintf(`deployment: quickstart
+region: peru
+dataCentre: %s
+instance: %s
+callerAddress: %s
+peerAddress: %s
+adminAddress: %s
+objectStore: http://%s
+instanceList: http://%s
+stop: {lameDuck: 200ms, limit: 20s}
+log: {level: warn}
+`, dataCentre, entryName(i), e.caller, e.peer, e.admin, store, list)
+	file := filepath.Join(f.folder, entryName(i)+".yaml")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	return f.run("marigoldcroft", "serve", "--config", file)
+}
+
+func entryName(i int) string { return fmt.Sprintf("%s-%d", dataCentre, i+1) }
+
+func listed(name string, kind marigoldcroft.EndpointKind, address, pool string) marigoldcroft.ListedEndpoint {
+	return marigoldcroft.ListedEndpoint{Name: name, Kind: kind, Address: "http://" + address, DataCentre: dataCentre, Pool: pool}
+}
+
+// run starts a program of bin/; its output goes to the script's standard error.
+func (f *fleet) run(program string, arguments ...string) error {
+	command := exec.Command(filepath.Join("bin", program), arguments...)
+	command.Stderr = os.Stderr
+	if err := command.Start(); err != nil {
+		return err
+	}
+	f.started = append(f.started, command)
+	return nil
+}
+
+// stop ends what was started, the newest first, and reports a process that failed.
+func (f *fleet) stop() error {
+	fmt.Println("== stopping")
+	var failures []error
+	for i := len(f.started) - 1; i >= 0; i-- {
+		command := f.started[i]
+		if err := command.Process.Signal(syscall.SIGTERM); err != nil {
+			failures = append(failures, fmt.Errorf("%s: %w", strings.Join(command.Args, " "), err))
+			continue
+		}
+		kill := time.AfterFunc(stopLimit, func() { _ = command.Process.Kill() })
+		if err := command.Wait(); err != nil {
+			failures = append(failures, fmt.Errorf("%s: %w", strings.Join(command.Args, " "), err))
+		}
+		kill.Stop()
+	}
+	return errors.Join(failures...)
+}
+
+// waitReady polls /readyz of every entry instance until all are ready.
+func (f *fleet) waitReady(ctx context.Context) error {
+	for _, e := range f.entries {
+		for !ready(ctx, e) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("entry instance %s is not ready: %w", e.caller, ctx.Err())
+			case <-time.After(readyStep):
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, e entry) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.caller+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// freeAddress returns a loopback address with a port that was free a moment ago.
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err) // loopback always has free ports
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/scripts/quickstart/main.go
@@ -0,0 +1,47 @@
+// Command quickstart starts the stand-ins and three entry instances on free loopback
+// ports, applies the two sample deployments, sends one request of each kind, prints
+// what happened and stops everything that it started. Run it with: make quickstart
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+)
+
+// runLimit bounds the whole run.
+const runLimit = 2 * time.Minute
+
+func main() {
+	ctx, cancel := context.WithTimeout(context.Background(), runLimit)
+	defer cancel()
+	if err := run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "quickstart:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context) (err error) {
+	folder, err := os.MkdirTemp("", "marigoldcroft-quickstart-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	f := &fleet{folder: folder}
+	defer func() {
+		if stopErr := f.stop(); err == nil {
+			err = stopErr
+		}
+	}()
+	if err := f.start(ctx); err != nil {
+		return err
+	}
+	steps := []func(context.Context, *fleet) error{applySamples, askShort, runJob, orderOnce, showStatus}
+	for _, step := range steps {
+		if err := step(ctx, f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/scripts/quickstart/step.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+const (
+	copoKey = "copo-key"
+	retries = 10
+	// comparisonBytes is a prompt of about 250,000 tokens.
+	comparisonBytes = 1_000_000
+	jobStep         = 200 * time.Millisecond
+)
+
+// applySamples applies the two sample deployments through the first entry instance.
+func applySamples(ctx context.Context, f *fleet) error {
+	for _, file := range []string{"examples/copo-andino.yaml", "examples/brunnholzer.yaml"} {
+		if err := f.verb(ctx, "apply", "-f", file); err != nil {
+			return err
+		}
+	}
+	return f.waitReady(ctx)
+}
+
+// verb runs an operator's verb against the first entry instance and shows it.
+func (f *fleet) verb(ctx context.Context, arguments ...string) error {
+	fmt.Println("== marigoldcroft " + strings.Join(arguments, " "))
+	command := exec.CommandContext(ctx, filepath.Join("bin", "marigoldcroft"), append(arguments, "--server", f.entries[0].admin)...)
+	command.Stdout, command.Stderr = os.Stdout, os.Stderr
+	return command.Run()
+}
+
+// askShort sends a short question and shows the stream.
+func askShort(ctx context.Context, f *fleet) error {
+	fmt.Println("== short question, streamed (template caption)")
+	begun := time.Now()
+	body := `{"messages":[{"role":"user","content":"Caption this snowflake."}],"max_tokens":5,"stream":true}`
+	response, err := f.post(ctx, f.entries[0], "/v1/chat/completions", "caption", "", []byte(body))
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	whole := false
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if lines.Text() == "" {
+			continue
+		}
+		fmt.Printf("%4d ms  %s\n", time.Since(begun).Milliseconds(), lines.Text())
+		whole = whole || lines.Text() == "data: [DONE]"
+	}
+	if !whole {
+		return fmt.Errorf("the short answer has no end marker (status %d)", response.StatusCode)
+	}
+	return lines.Err()
+}
+
+// runJob submits a long comparison and waits for its answer at another instance.
+func runJob(ctx context.Context, f *fleet) error {
+	fmt.Println("== long comparison as a durable job (template comparison)")
+	body, err := json.Marshal(map[string]any{
+		"messages":   []map[string]string{{"role": "user", "content": strings.Repeat("compare ", comparisonBytes/len("compare "))}},
+		"max_tokens": 20,
+	})
+	if err != nil {
+		return err
+	}
+	response, err := f.post(ctx, f.entries[0], "/v1/jobs", "comparison", uuid.NewString(), body)
+	if err != nil {
+		return err
+	}
+	var job jobAnswer
+	if err := decode(response, http.StatusAccepted, &job); err != nil {
+		return err
+	}
+	fmt.Printf("job %s accepted\n", job.ID)
+	for job.State != "done" {
+		if job.State != "accepted" && job.State != "running" {
+			return fmt.Errorf("job %s ended as %s: %s", job.ID, job.State, job.Error)
+		}
+		time.Sleep(jobStep)
+		if job, err = f.job(ctx, job.ID); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("job %s done, found at instance %s: %.60q\n", job.ID, entryName(entryCount-1), job.Answer)
+	return nil
+}
+
+type jobAnswer struct {
+	ID     string `json:"id"`
+	State  string `json:"state"`
+	Answer string `json:"answer"`
+	Error  string `json:"error"`
+}
+
+// job asks the last entry instance, which did not take the job.
+func (f *fleet) job(ctx context.Context, id string) (jobAnswer, error) {
+	var job jobAnswer
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.entries[entryCount-1].caller+"/v1/jobs/"+id, nil)
+	if err != nil {
+		return job, err
+	}
+	r.Header.Set("Authorization", "Bearer "+copoKey)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return job, err
+	}
+	return job, decode(response, http.StatusOK, &job)
+}
+
+// orderOnce sends one print order ten times, in turn to all instances.
+func orderOnce(ctx context.Context, f *fleet) error {
+	fmt.Printf("== print order, sent %d times with one idempotency key\n", retries)
+	key, err := uuid.NewV7()
+	if err != nil {
+		return err
+	}
+	for i := range retries {
+		response, err := f.post(ctx, f.entries[i%entryCount], "/v1/services/orders/print-orders", "print-order", key.String(), []byte(`{"print":"snowflake 12"}`))
+		if err != nil {
+			return err
+		}
+		text, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		if err != nil {
+			return err
+		}
+		fmt.Printf("try %2d at %s: %d %s\n", i+1, entryName(i%entryCount), response.StatusCode, bytes.TrimSpace(text))
+	}
+	return f.checkRuns(ctx, key.String())
+}
+
+// checkRuns asks the service how often it ran the order.
+func (f *fleet) checkRuns(ctx context.Context, key string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.service+"/control/runs", nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	var runs map[string]int
+	if err := decode(response, http.StatusOK, &runs); err != nil {
+		return err
+	}
+	fmt.Printf("the service ran it %d time(s)\n", runs[key])
+	if runs[key] != 1 {
+		return fmt.Errorf("the order ran %d times", runs[key])
+	}
+	return nil
+}
+
+func showStatus(ctx context.Context, f *fleet) error { return f.verb(ctx, "status") }
+
+func (f *fleet) post(ctx context.Context, e entry, path, template, key string, body []byte) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.caller+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+copoKey)
+	r.Header.Set("X-Template", template)
+	r.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	return http.DefaultClient.Do(r)
+}
+
+func decode(response *http.Response, status int, out any) error {
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != status {
+		return fmt.Errorf("status %d: %s", response.StatusCode, text)
+	}
+	return json.Unmarshal(text, out)
+}
