--- a/scripts/quickstart/fleet.go
+++ b/scripts/quickstart/fleet.go
@@ -40,7 +40,7 @@
 )
 
 // start starts the stand-ins first, then the entry instances, and waits until all are ready.
-func (f *fleet) start(ctx context.Context) error {
+func (f *fleet) start() error {
 	fmt.Println("== starting 4 engines, 1 plain service, object store, instance list and 3 entry instances")
 	store, list, listing := freeAddress(), freeAddress(), marigoldcroft.InstanceListing{}
 	for i := range engineCount {
