--- /dev/null
+++ b/mcmember/apply.go
@@ -0,0 +1,328 @@
+package mcmember
+
+import (
+	"cmp"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"marigoldcroft/mcmessage"
+)
+
+const (
+	// maxRecords bounds each kind of record that peers can make this member hold.
+	maxRecords = 4096
+	// maxAhead is how far a sequence may lie ahead of the own clock. A larger one
+	// would keep a dead member's record for as long.
+	maxAhead = 24 * time.Hour
+	// usageRetention is how long a team's use is counted without being repeated.
+	usageRetention = time.Minute
+)
+
+func quarantineID(fingerprint uint64) recordID {
+	return recordID{recordQuarantine, strconv.FormatUint(fingerprint, 16)}
+}
+
+// applyRecords merges rarely changing records. Each merge takes the larger of two
+// versions, so that order, loss and repetition of messages do not matter.
+func (t *Table) applyRecords(now time.Time, r *mcmessage.Records, hot bool) {
+	for _, m := range r.GetMembers() {
+		t.applyMember(now, m, hot)
+	}
+	for _, e := range r.GetEndpoints() {
+		t.applyEndpoint(now, e, hot)
+	}
+	for _, m := range r.GetMarks() {
+		t.applyMark(now, m, hot)
+	}
+	for _, q := range r.GetQuarantine() {
+		t.applyQuarantine(now, q, hot)
+	}
+	for _, s := range r.GetSummaries() {
+		t.applySummary(now, s, hot)
+	}
+	for _, u := range r.GetUsage() {
+		t.applyUsageTotal(now, u, hot)
+	}
+}
+
+// applyMember merges a member of the own data centre.
+func (t *Table) applyMember(now time.Time, r *mcmessage.MemberRecord, hot bool) {
+	name := r.GetInstance()
+	if r.GetDataCentre() != t.self.Identity.DataCentre() || t.tooFarAhead(now, max(r.GetSequence(), r.GetGoneSequence())) {
+		return
+	}
+	if name == t.self.Identity.Instance() {
+		t.refute(now, r)
+		return
+	}
+	m := t.members[name]
+	switch {
+	case m == nil:
+		m = t.addMember(now, r)
+		if m == nil {
+			return
+		}
+	case r.GetIncarnation() < m.record.GetIncarnation():
+		return
+	case r.GetIncarnation() > m.record.GetIncarnation():
+		// A new value, so that answers that refer to the old incarnation miss it.
+		m = &member{record: r, sequence: r.GetSequence(), gone: r.GetGoneSequence(), heard: now}
+		m.setKey()
+		t.members[name] = m
+		t.roster = nil
+	default:
+		if r.GetVersion() > m.record.GetVersion() {
+			m.record = r
+		}
+		m.gone = max(m.gone, r.GetGoneSequence())
+		t.advance(now, m, r.GetSequence())
+	}
+	t.applyRevision(r.GetConfigNewestSeen())
+	t.touchMember(now, m, hot)
+}
+
+// addMember returns the new member, or nil when the record is too old to be kept.
+func (t *Table) addMember(now time.Time, r *mcmessage.MemberRecord) *member {
+	m := &member{record: r, sequence: r.GetSequence(), gone: r.GetGoneSequence(), heard: now}
+	if len(t.members) >= maxRecords || m.isGone() && now.Sub(versionTime(m.sequence)) > goneRetention {
+		return nil
+	}
+	m.setKey()
+	t.members[r.GetInstance()] = m
+	return m
+}
+
+func (t *Table) tooFarAhead(now time.Time, sequence uint64) bool {
+	return sequence > versionAt(now.Add(maxAhead))
+}
+
+// advance takes a newer sequence of m as a sign of life.
+func (t *Table) advance(now time.Time, m *member, sequence uint64) {
+	if sequence <= m.sequence || t.tooFarAhead(now, sequence) {
+		return
+	}
+	wasGone := m.isGone()
+	m.sequence, m.heard = sequence, now
+	if !m.suspected.IsZero() {
+		m.suspected, m.probed = time.Time{}, false
+		t.emit(Event{Kind: EventMember, Name: m.record.GetInstance()})
+	}
+	if wasGone {
+		t.touchMember(now, m, true)
+	}
+}
+
+// refute answers a record of this member that a peer holds: one that gives it up is
+// answered by a higher sequence, one of a later incarnation by a still later one.
+func (t *Table) refute(now time.Time, r *mcmessage.MemberRecord) {
+	own := t.own.record
+	switch {
+	case r.GetIncarnation() > own.GetIncarnation():
+		// The clock went back over a restart, or two processes share the name.
+		t.reincarnate(now, r.GetIncarnation())
+	case r.GetIncarnation() == own.GetIncarnation():
+		t.own.sequence = max(t.own.sequence, r.GetSequence(), r.GetGoneSequence()+1)
+		if r.GetVersion() > own.GetVersion() {
+			t.writeOwn(now, func(next *mcmessage.MemberRecord) { next.Version = r.GetVersion() })
+		}
+	}
+}
+
+// reincarnate gives the own record an incarnation after the given one.
+func (t *Table) reincarnate(now time.Time, after uint64) {
+	const saltMask = 1<<10 - 1
+	salt := t.own.record.GetIncarnation() & saltMask
+	next := max(uint64(now.UnixNano())&^saltMask, after&^saltMask+saltMask+1) | salt
+	t.writeOwn(now, func(r *mcmessage.MemberRecord) { r.Incarnation = next })
+	t.own.gone = 0
+	t.own.setKey()
+	t.roster = nil
+	t.urgent = true
+	t.emit(Event{Kind: EventSelfRemoved, Name: t.self.Identity.Instance(), Revision: next})
+}
+
+// applyEndpoint merges the state of an endpoint of the own data centre.
+func (t *Table) applyEndpoint(now time.Time, r *mcmessage.EndpointState, hot bool) {
+	if t.tooFarAhead(now, max(r.GetVersion(), r.GetLoadVersion(), r.GetDownVersion())) {
+		return
+	}
+	e := t.endpoints[r.GetEndpoint()]
+	if e == nil {
+		if len(t.endpoints) >= maxRecords {
+			return
+		}
+		e = &endpoint{name: r.GetEndpoint(), state: r}
+		if t.endpointExpired(now, e) {
+			return
+		}
+		t.endpoints[e.name] = e
+		e.setKey()
+		t.roster = nil
+	}
+	wasDown := e.isDown()
+	switch {
+	case r.GetEndpointIncarnation() < e.state.GetEndpointIncarnation():
+		return
+	case r.GetEndpointIncarnation() > e.state.GetEndpointIncarnation():
+		e = t.replaceEndpoint(e, r)
+	default:
+		e.state = mergeEndpoint(e.state, r)
+	}
+	t.touchEndpoint(now, e, hot)
+	if hot && e.isDown() && !wasDown {
+		t.urgent = true
+	}
+}
+
+// replaceEndpoint starts a new incarnation of e. It is a new value, so that answers
+// that refer to the old incarnation miss it.
+func (t *Table) replaceEndpoint(e *endpoint, state *mcmessage.EndpointState) *endpoint {
+	next := &endpoint{name: e.name, listed: e.listed, spec: e.spec, state: state}
+	next.setKey()
+	t.endpoints[e.name] = next
+	t.roster = nil
+	return next
+}
+
+// mergeEndpoint merges two states of one incarnation.
+func mergeEndpoint(a, b *mcmessage.EndpointState) *mcmessage.EndpointState {
+	if b.GetVersion() > a.GetVersion() {
+		a, b = b, a
+	}
+	if b.GetDownVersion() <= a.GetDownVersion() {
+		return a
+	}
+	return &mcmessage.EndpointState{
+		Endpoint: a.GetEndpoint(), EndpointIncarnation: a.GetEndpointIncarnation(),
+		Version: a.GetVersion(), KvCapacityTokens: a.GetKvCapacityTokens(),
+		DownVersion: b.GetDownVersion(),
+	}
+}
+
+// applyMark merges a leaving mark of any data centre.
+func (t *Table) applyMark(now time.Time, r *mcmessage.EndpointMark, hot bool) {
+	cur := t.marks[r.GetEndpoint()]
+	if cur == nil && len(t.marks) >= maxRecords || cur != nil && !markNewer(r, cur) {
+		return
+	}
+	t.marks[r.GetEndpoint()] = r
+	stamp := hashOf(r.GetEndpoint(), r.GetEndpointIncarnation(), r.GetVersion(), bit(r.GetLeaving()),
+		uint64(r.GetSource()), uint64(r.GetMarkedUnixMs()))
+	if t.touch(now, recordID{recordMark, r.GetEndpoint()}, stamp, hot) {
+		t.emit(Event{Kind: EventEndpoint, Name: r.GetEndpoint()})
+		t.urgent = t.urgent || hot
+	}
+}
+
+// markNewer orders marks totally, so that members agree on one of two concurrent ones.
+func markNewer(a, b *mcmessage.EndpointMark) bool {
+	return cmp.Or(
+		cmp.Compare(a.GetVersion(), b.GetVersion()),
+		cmp.Compare(bit(a.GetLeaving()), bit(b.GetLeaving())),
+		cmp.Compare(a.GetEndpointIncarnation(), b.GetEndpointIncarnation()),
+		cmp.Compare(a.GetSource(), b.GetSource()),
+		cmp.Compare(a.GetMarkedUnixMs(), b.GetMarkedUnixMs()),
+	) > 0
+}
+
+func bit(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// applyQuarantine merges an entry; of equal versions, the fields are joined.
+func (t *Table) applyQuarantine(now time.Time, r *mcmessage.QuarantineEntry, hot bool) {
+	fingerprint := r.GetFingerprint()
+	cur := t.quarantine[fingerprint]
+	if r.GetExpiresUnixMs() < now.UnixMilli() || cur == nil && len(t.quarantine) >= maxRecords ||
+		cur.GetVersion() > r.GetVersion() {
+		return
+	}
+	if cur.GetVersion() == r.GetVersion() && cur != nil {
+		r = &mcmessage.QuarantineEntry{
+			Fingerprint: fingerprint, Version: r.GetVersion(),
+			Crashes:       max(cur.GetCrashes(), r.GetCrashes()),
+			Quarantined:   cur.GetQuarantined() || r.GetQuarantined(),
+			Cleared:       cur.GetCleared() || r.GetCleared(),
+			ExpiresUnixMs: max(cur.GetExpiresUnixMs(), r.GetExpiresUnixMs()),
+		}
+	}
+	stamp := hashOf("", fingerprint, r.GetVersion(), uint64(r.GetCrashes()),
+		bit(r.GetQuarantined()), bit(r.GetCleared()), uint64(r.GetExpiresUnixMs()))
+	t.quarantine[fingerprint] = r
+	if t.touch(now, quarantineID(fingerprint), stamp, hot) {
+		t.emit(Event{Kind: EventQuarantine, Fingerprint: fingerprint})
+		t.urgent = t.urgent || hot
+	}
+}
+
+// applySummary merges a member of another data centre.
+func (t *Table) applySummary(now time.Time, r *mcmessage.MemberSummary, hot bool) {
+	if r.GetDataCentre() == t.self.Identity.DataCentre() || t.tooFarAhead(now, r.GetSequence()) {
+		return
+	}
+	cur := t.summaries[r.GetInstance()]
+	if cur == nil {
+		gone := r.GetState() == mcmessage.MemberState_MEMBER_STATE_GONE
+		if len(t.summaries) >= maxRecords || gone && now.Sub(versionTime(r.GetSequence())) > goneRetention {
+			return
+		}
+	} else if !summaryNewer(r, cur.record) {
+		return
+	}
+	t.summaries[r.GetInstance()] = &summary{record: r, heard: now}
+	stamp := hashOf(r.GetInstance(), r.GetIncarnation(), r.GetSequence(), uint64(r.GetState()), r.GetConfigRevision())
+	if t.touch(now, recordID{recordSummary, r.GetInstance()}, stamp, hot) {
+		t.emit(Event{Kind: EventMember, Name: r.GetInstance()})
+	}
+}
+
+func summaryNewer(a, b *mcmessage.MemberSummary) bool {
+	return cmp.Or(
+		cmp.Compare(a.GetIncarnation(), b.GetIncarnation()),
+		cmp.Compare(a.GetSequence(), b.GetSequence()),
+		cmp.Compare(a.GetState(), b.GetState()),
+		cmp.Compare(a.GetConfigRevision(), b.GetConfigRevision()),
+	) > 0
+}
+
+// applyUsageTotal merges the totals of another data centre, or of the own one.
+func (t *Table) applyUsageTotal(now time.Time, r *mcmessage.DataCentreUsage, hot bool) {
+	cur := t.usage[r.GetDataCentre()]
+	if t.tooFarAhead(now, r.GetVersion()) || cur == nil && len(t.usage) >= maxRecords ||
+		cur != nil && !usageNewer(r, cur.record) {
+		return
+	}
+	t.usage[r.GetDataCentre()] = &centreUsage{record: r, heard: now}
+	t.touch(now, recordID{recordUsage, r.GetDataCentre()}, usageStamp(r), hot)
+}
+
+// usageNewer orders totals by version. Both relays can write one version at once;
+// then the larger encoding wins everywhere.
+func usageNewer(a, b *mcmessage.DataCentreUsage) bool {
+	return cmp.Or(
+		cmp.Compare(a.GetVersion(), b.GetVersion()),
+		cmp.Compare(usageStamp(a), usageStamp(b)),
+	) > 0
+}
+
+func usageStamp(r *mcmessage.DataCentreUsage) uint64 {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(r)
+	if err != nil {
+		return r.GetVersion()
+	}
+	return hashOf(string(encoded), r.GetVersion())
+}
+
+// applyRevision takes note of a newer configuration revision.
+func (t *Table) applyRevision(revision uint64) {
+	if revision > t.newestRevision {
+		t.newestRevision = revision
+		t.urgent = true
+		t.emit(Event{Kind: EventConfig, Revision: revision})
+	}
+}
--- /dev/null
+++ b/mcmember/exchange.go
@@ -0,0 +1,689 @@
+package mcmember
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"marigoldcroft"
+	"marigoldcroft/mcmessage"
+)
+
+const (
+	// minAnswerBytes is the least room that a request offers for its answer.
+	minAnswerBytes = 512
+	// envelopeBytes are set aside in an answer for the fields outside the records.
+	envelopeBytes = 160
+	// maxFullBuckets bounds the buckets whose stamps one request lists.
+	maxFullBuckets = 8
+	// maxRequestRecords bounds the bytes of pushed records in one request.
+	maxRequestRecords = 1500
+
+	loadBytes          = 16
+	inFlightBaseBytes  = 16
+	inFlightEntryBytes = 9
+	usageBaseBytes     = 14
+	usageEntryBytes    = 23
+	heartbeatBytes     = 5
+
+	// Weights order what does not fit: the larger the lag times the weight, the
+	// earlier it goes. Load reports steer routing, so they count more.
+	loadWeight     = 4
+	inFlightWeight = 2
+	usageWeight    = 1
+)
+
+type (
+	// Sent is what Finish needs to know of the request it belongs to.
+	Sent struct {
+		Request *mcmessage.ExchangeRequest
+		peer    string
+		at      time.Time
+		roster  *roster
+		base    uint64
+		// sequence is the own sequence that the request carries.
+		sequence uint64
+	}
+
+	// view is a vector resolved against the own table. Unknown positions are nil.
+	view struct {
+		members    []*member
+		endpoints  []*endpoint
+		memberBase uint64
+		vector     *mcmessage.Vector
+	}
+
+	// update is one candidate of the frequently changing part of an answer.
+	update struct {
+		lag      uint64
+		size     int
+		position int
+		kind     updateKind
+	}
+
+	updateKind uint8
+)
+
+const (
+	updateLoad updateKind = iota
+	updateInFlight
+	updateUsage
+)
+
+// Request returns the request of an exchange with the peer. With keys false the
+// vector's keys are left out if the peer had the same roster last time.
+func (t *Table) Request(now time.Time, peer string, keys bool) Sent {
+	t.beat(now)
+	r := t.currentRoster()
+	withKeys := keys || t.peerRosters[peer] != r.hash
+	request := &mcmessage.ExchangeRequest{
+		Sender:         t.sender(),
+		Vector:         t.vector(r, withKeys),
+		BucketHashes:   t.bucketHashes(),
+		ConfigRevision: t.newestRevision,
+	}
+	t.listFullBuckets(request)
+	request.Records = t.hotRecords(now)
+	request.Updates = t.ownUpdates(now, r)
+	room := t.allowance() - proto.Size(request)
+	request.MaxResponseBytes = uint32(min(max(room, minAnswerBytes), MaxMessageBytes))
+	if room < minAnswerBytes {
+		t.rounds.truncated++
+	}
+	return Sent{
+		Request: request, peer: peer, at: now, roster: r,
+		base: request.GetVector().GetMemberBase(), sequence: t.own.sequence,
+	}
+}
+
+// allowance is what one exchange may cost in both directions. Each member starts
+// Fanout exchanges an interval and on average answers as many.
+func (t *Table) allowance() int {
+	return int(float64(t.budget)*t.interval.Seconds()/(2*Fanout)) - MessageOverhead
+}
+
+func (t *Table) sender() *mcmessage.Sender {
+	id := t.self.Identity
+	return &mcmessage.Sender{
+		Deployment: id.Deployment(), DataCentre: id.DataCentre(), Instance: id.Instance(),
+		Incarnation: t.own.record.GetIncarnation(),
+	}
+}
+
+func (t *Table) vector(r *roster, keys bool) *mcmessage.Vector {
+	v := &mcmessage.Vector{
+		Roster:       r.hash,
+		SequenceLags: make([]uint64, len(r.members)),
+		InFlightLags: make([]uint64, len(r.members)),
+		UsageLags:    make([]uint64, len(r.members)),
+		LoadLags:     make([]uint64, len(r.endpoints)),
+	}
+	for _, m := range r.members {
+		v.MemberBase = max(v.MemberBase, m.sequence)
+	}
+	for _, e := range r.endpoints {
+		v.LoadBase = max(v.LoadBase, e.loadVersion)
+	}
+	for i, m := range r.members {
+		v.SequenceLags[i] = lagOf(v.MemberBase, m.sequence)
+		v.InFlightLags[i] = lagOf(v.MemberBase, m.work.version)
+		v.UsageLags[i] = lagOf(v.MemberBase, m.usage.version)
+	}
+	for i, e := range r.endpoints {
+		v.LoadLags[i] = lagOf(v.LoadBase, e.loadVersion)
+	}
+	if keys {
+		for _, m := range r.members {
+			v.MemberKeys = append(v.MemberKeys, m.key)
+		}
+		for _, e := range r.endpoints {
+			v.EndpointKeys = append(v.EndpointKeys, e.key)
+		}
+	}
+	return v
+}
+
+// lagOf returns the wire form of a version: 0 for none, else the lag plus one.
+func lagOf(base, version uint64) uint64 {
+	if version == 0 || version > base {
+		return 0
+	}
+	return base - version + 1
+}
+
+// versionOf is the inverse of lagOf.
+func versionOf(base uint64, lags []uint64, position int) uint64 {
+	if position >= len(lags) || lags[position] == 0 || lags[position] > base {
+		return 0
+	}
+	return base - lags[position] + 1
+}
+
+func (t *Table) bucketHashes() []uint32 {
+	hashes := make([]uint32, bucketCount)
+	for i, h := range t.buckets {
+		hashes[i] = fold(h)
+	}
+	return hashes
+}
+
+// listFullBuckets lists the stamps of the buckets that differed at the last
+// exchange, so that the answer holds exactly what is lacking.
+func (t *Table) listFullBuckets(request *mcmessage.ExchangeRequest) {
+	offset := t.random.IntN(bucketCount)
+	for i := range bucketCount {
+		bucket := (i + offset) % bucketCount
+		if t.wantFull[bucket] && len(request.FullBuckets) < maxFullBuckets {
+			request.FullBuckets = append(request.FullBuckets, uint32(bucket))
+		}
+	}
+	if len(request.FullBuckets) == 0 {
+		return
+	}
+	for _, r := range t.slow {
+		if slices.Contains(request.FullBuckets, uint32(r.bucket)) {
+			request.Stamps = append(request.Stamps, fold(r.stamp))
+		}
+	}
+	slices.Sort(request.Stamps)
+}
+
+// hotRecords returns the records that have just changed, oldest change first.
+func (t *Table) hotRecords(now time.Time) *mcmessage.Records {
+	var ids []recordID
+	for id, r := range t.slow {
+		if r.pushes > 0 {
+			ids = append(ids, id)
+		}
+	}
+	records := &mcmessage.Records{}
+	room := maxRequestRecords
+	for _, id := range t.oldestFirst(ids) {
+		if !t.addRecord(now, records, id, &room) {
+			break
+		}
+		t.slow[id].pushes--
+	}
+	return records
+}
+
+func (t *Table) oldestFirst(ids []recordID) []recordID {
+	sort.Slice(ids, func(i, j int) bool { return t.slow[ids[i]].index < t.slow[ids[j]].index })
+	return ids
+}
+
+// addRecord adds the record if it fits in the room.
+func (t *Table) addRecord(now time.Time, records *mcmessage.Records, id recordID, room *int) bool {
+	const tagBytes = 3
+	fits := func(m proto.Message) bool {
+		size := proto.Size(m) + tagBytes
+		if size > *room {
+			return false
+		}
+		*room -= size
+		return true
+	}
+	switch id.kind {
+	case recordMember:
+		r := t.memberOnWire(t.members[id.name])
+		if !fits(r) {
+			return false
+		}
+		records.Members = append(records.Members, r)
+	case recordEndpoint:
+		r := t.endpointOnWire(t.endpoints[id.name])
+		if !fits(r) {
+			return false
+		}
+		records.Endpoints = append(records.Endpoints, r)
+	case recordMark:
+		if !fits(t.marks[id.name]) {
+			return false
+		}
+		records.Marks = append(records.Marks, t.marks[id.name])
+	case recordQuarantine:
+		q := t.quarantine[fingerprintOf(id)]
+		if q.GetExpiresUnixMs() < now.UnixMilli() {
+			return true
+		}
+		if !fits(q) {
+			return false
+		}
+		records.Quarantine = append(records.Quarantine, q)
+	case recordSummary:
+		if !fits(t.summaries[id.name].record) {
+			return false
+		}
+		records.Summaries = append(records.Summaries, t.summaries[id.name].record)
+	case recordUsage:
+		if !fits(t.usage[id.name].record) {
+			return false
+		}
+		records.Usage = append(records.Usage, t.usage[id.name].record)
+	}
+	return true
+}
+
+func (t *Table) memberOnWire(m *member) *mcmessage.MemberRecord {
+	r := copyMember(m.record)
+	r.Sequence, r.GoneSequence = m.sequence, m.gone
+	return r
+}
+
+func (t *Table) endpointOnWire(e *endpoint) *mcmessage.EndpointState {
+	return &mcmessage.EndpointState{
+		Endpoint: e.name, EndpointIncarnation: e.state.GetEndpointIncarnation(),
+		Version: e.state.GetVersion(), KvCapacityTokens: e.state.GetKvCapacityTokens(),
+		LoadVersion: e.loadVersion, DownVersion: e.state.GetDownVersion(),
+	}
+}
+
+// ownUpdates returns what this member originated and has not yet pushed to Fanout
+// members: its work, its usage and the reports of its own polls.
+func (t *Table) ownUpdates(now time.Time, r *roster) *mcmessage.Updates {
+	updates := &mcmessage.Updates{}
+	room := maxRequestRecords
+	position := slices.Index(r.members, t.own)
+	if t.pushes.work > 0 && t.own.work.version > 0 {
+		t.pushes.work--
+		t.addInFlight(updates, positionsOf(r), position, t.own)
+	}
+	if t.pushes.usage > 0 && t.own.usage.version > 0 {
+		t.pushes.usage--
+		updates.Usage = append(updates.Usage, usageOnWire(position, t.own))
+	}
+	for i, e := range r.endpoints {
+		if left := t.pushes.loads[e.name]; left > 0 && room >= loadBytes && e.loadVersion > 0 {
+			t.pushes.loads[e.name] = left - 1
+			room -= loadBytes
+			addLoad(now, updates, i, e)
+		}
+	}
+	return updates
+}
+
+func positionsOf(r *roster) map[*endpoint]int {
+	positions := make(map[*endpoint]int, len(r.endpoints))
+	for i, e := range r.endpoints {
+		positions[e] = i
+	}
+	return positions
+}
+
+// resolve returns the own members and endpoints at the positions of the vector, or
+// false when the vector has no keys and the rosters differ.
+func (t *Table) resolve(v *mcmessage.Vector) (view, bool) {
+	r := t.currentRoster()
+	resolved := view{memberBase: v.GetMemberBase(), vector: v}
+	if v.GetRoster() == r.hash && len(v.GetSequenceLags()) == len(r.members) && len(v.GetLoadLags()) == len(r.endpoints) {
+		resolved.members, resolved.endpoints = r.members, r.endpoints
+		return resolved, true
+	}
+	if len(v.GetMemberKeys()) != len(v.GetSequenceLags()) || len(v.GetEndpointKeys()) != len(v.GetLoadLags()) {
+		return view{}, false
+	}
+	byKey := make(map[uint32]*member, len(t.members))
+	for _, m := range t.members {
+		if _, taken := byKey[m.key]; taken {
+			// Two keys collide; neither may take the other's heartbeats.
+			byKey[m.key] = nil
+			continue
+		}
+		byKey[m.key] = m
+	}
+	endpointByKey := make(map[uint32]*endpoint, len(t.endpoints))
+	for _, e := range t.endpoints {
+		if _, taken := endpointByKey[e.key]; taken {
+			endpointByKey[e.key] = nil
+			continue
+		}
+		endpointByKey[e.key] = e
+	}
+	for _, key := range v.GetMemberKeys() {
+		resolved.members = append(resolved.members, byKey[key])
+	}
+	for _, key := range v.GetEndpointKeys() {
+		resolved.endpoints = append(resolved.endpoints, endpointByKey[key])
+	}
+	return resolved, true
+}
+
+// Serve merges a request and returns the answer.
+func (t *Table) Serve(now time.Time, request *mcmessage.ExchangeRequest) *mcmessage.ExchangeResponse {
+	t.lastContact = now
+	t.beat(now)
+	answer := &mcmessage.ExchangeResponse{Sender: t.sender()}
+	sender := request.GetSender()
+	if m := t.members[sender.GetInstance()]; m != nil && m.givenUp() && m.record.GetIncarnation() == sender.GetIncarnation() {
+		answer.HeldGone, answer.HeldSequence = true, m.gone
+	}
+	resolved, ok := t.resolve(request.GetVector())
+	answer.RosterMismatch = !ok
+	t.applyRecords(now, request.GetRecords(), true)
+	t.applyRevision(request.GetConfigRevision())
+	if ok {
+		t.mergeHeartbeats(now, resolved)
+		t.applyUpdates(now, now, resolved, request.GetUpdates())
+	}
+	if t.members[sender.GetInstance()] != nil {
+		t.peerRosters[sender.GetInstance()] = request.GetVector().GetRoster()
+	}
+	answer.Roster = t.currentRoster().hash
+	answer.ConfigRevision = t.newestRevision
+
+	room := int(request.GetMaxResponseBytes())
+	room = min(max(room, minAnswerBytes), MaxMessageBytes) - envelopeBytes
+	complete := t.fillRecords(now, request, answer, &room)
+	if ok {
+		complete = t.fillUpdates(now, resolved, answer, room) && complete
+	}
+	answer.Truncated = !complete
+	return answer
+}
+
+func (t *Table) mergeHeartbeats(now time.Time, v view) {
+	for i := range v.members {
+		if m := t.peerAt(v, uint32(i)); m != nil {
+			t.advance(now, m, versionOf(v.memberBase, v.vector.GetSequenceLags(), i))
+		}
+	}
+}
+
+// fillRecords adds the rarely changing records that the requester lacks, oldest
+// change first, and names the unequal buckets.
+func (t *Table) fillRecords(now time.Time, request *mcmessage.ExchangeRequest, answer *mcmessage.ExchangeResponse, room *int) bool {
+	answer.Records = &mcmessage.Records{}
+	var unequal [bucketCount]bool
+	hashes := request.GetBucketHashes()
+	for i, h := range t.buckets {
+		if i < len(hashes) && hashes[i] != fold(h) {
+			unequal[i] = true
+			answer.UnequalBuckets = append(answer.UnequalBuckets, uint32(i))
+		}
+	}
+	if len(answer.UnequalBuckets) == 0 {
+		return true
+	}
+	*room -= len(answer.UnequalBuckets) + 2
+	var ids []recordID
+	for id, r := range t.slow {
+		if !unequal[r.bucket] {
+			continue
+		}
+		listed := hashes[r.bucket] == 0 || slices.Contains(request.GetFullBuckets(), uint32(r.bucket))
+		if listed {
+			if _, held := slices.BinarySearch(request.GetStamps(), fold(r.stamp)); held {
+				continue
+			}
+		} else if now.Sub(r.changed) > recentWindow {
+			continue
+		}
+		ids = append(ids, id)
+	}
+	for _, id := range t.oldestFirst(ids) {
+		if !t.addRecord(now, answer.Records, id, room) {
+			return false
+		}
+	}
+	return true
+}
+
+// fillUpdates adds newer heartbeats, then load reports, work and usage, the largest
+// lag first.
+func (t *Table) fillUpdates(now time.Time, v view, answer *mcmessage.ExchangeResponse, room int) bool {
+	updates := &mcmessage.Updates{}
+	answer.Updates = updates
+	positions := make(map[*endpoint]int, len(v.endpoints))
+	var candidates []update
+	for i, m := range v.members {
+		if m == nil {
+			continue
+		}
+		theirs := versionOf(v.memberBase, v.vector.GetSequenceLags(), i)
+		if m.sequence > theirs && room >= heartbeatBytes {
+			updates.HeartbeatIndex = append(updates.HeartbeatIndex, uint32(i))
+			updates.Heartbeat = append(updates.Heartbeat, int64(m.sequence-v.memberBase))
+			room -= heartbeatBytes
+		}
+		theirs = versionOf(v.memberBase, v.vector.GetInFlightLags(), i)
+		if m.work.version > theirs {
+			size := inFlightBaseBytes + inFlightEntryBytes*len(m.work.entries)
+			candidates = append(candidates, update{lag: (m.work.version - theirs) * inFlightWeight, size: size, position: i, kind: updateInFlight})
+		}
+		theirs = versionOf(v.memberBase, v.vector.GetUsageLags(), i)
+		if m.usage.version > theirs {
+			size := usageBaseBytes + usageEntryBytes*len(m.usage.chunk)
+			candidates = append(candidates, update{lag: (m.usage.version - theirs) * usageWeight, size: size, position: i, kind: updateUsage})
+		}
+	}
+	for i, e := range v.endpoints {
+		if e == nil {
+			continue
+		}
+		positions[e] = i
+		theirs := versionOf(v.vector.GetLoadBase(), v.vector.GetLoadLags(), i)
+		if e.loadVersion > theirs {
+			candidates = append(candidates, update{lag: (e.loadVersion - theirs) * loadWeight, size: loadBytes, position: i, kind: updateLoad})
+		}
+	}
+	sort.SliceStable(candidates, func(i, j int) bool { return candidates[i].lag > candidates[j].lag })
+	for _, c := range candidates {
+		if c.size > room {
+			return false
+		}
+		room -= c.size
+		switch c.kind {
+		case updateLoad:
+			addLoad(now, updates, c.position, v.endpoints[c.position])
+		case updateInFlight:
+			t.addInFlight(updates, positions, c.position, v.members[c.position])
+		case updateUsage:
+			updates.Usage = append(updates.Usage, usageOnWire(c.position, v.members[c.position]))
+		}
+	}
+	return true
+}
+
+// maxKibi and maxCount bound what goes on the wire; peers refuse larger values.
+const (
+	maxKibi  = 1 << 30
+	maxCount = 1 << 20
+)
+
+func kibi(tokens int64) uint32 { return uint32(min((max(tokens, 0)+1023)/1024, maxKibi)) }
+
+func count32(n int) uint32 { return uint32(min(max(n, 0), maxCount)) }
+
+func addLoad(now time.Time, updates *mcmessage.Updates, position int, e *endpoint) {
+	if updates.Loads == nil {
+		updates.Loads = &mcmessage.Loads{}
+	}
+	l := updates.Loads
+	l.Index = append(l.Index, uint32(position))
+	l.Version = append(l.Version, e.loadVersion)
+	load := e.shared.load
+	l.AgeMs = append(l.AgeMs, uint32(min(max(now.Sub(e.shared.asked), 0), time.Hour).Milliseconds()))
+	l.Running = append(l.Running, count32(load.Running))
+	l.Waiting = append(l.Waiting, count32(load.Waiting))
+	l.PrefillKi = append(l.PrefillKi, kibi(load.PrefillTokens))
+	l.KvUsedKi = append(l.KvUsedKi, kibi(load.KVUsedTokens))
+}
+
+// addInFlight adds the work of m on the endpoints that the requester knows.
+func (t *Table) addInFlight(updates *mcmessage.Updates, positions map[*endpoint]int, position int, m *member) {
+	w := &mcmessage.InFlight{Member: uint32(position), Version: m.work.version}
+	for name, entry := range m.work.entries {
+		at, known := positions[t.endpoints[name]]
+		if !known {
+			continue
+		}
+		w.Endpoint = append(w.Endpoint, uint32(at))
+		w.ShortRequests = append(w.ShortRequests, count32(entry.Short))
+		w.LongRequests = append(w.LongRequests, count32(entry.Long))
+		w.PrefillKi = append(w.PrefillKi, kibi(entry.PrefillTokens))
+		w.KvKi = append(w.KvKi, kibi(entry.KVTokens))
+	}
+	updates.InFlight = append(updates.InFlight, w)
+}
+
+func usageOnWire(position int, m *member) *mcmessage.MemberUsage {
+	return &mcmessage.MemberUsage{Member: uint32(position), Version: m.usage.version, Teams: m.usage.chunk}
+}
+
+// peerAt returns the other member at the position, or nil when it is unknown or has
+// been replaced by another incarnation since the view was taken.
+func (t *Table) peerAt(v view, position uint32) *member {
+	if int(position) >= len(v.members) {
+		return nil
+	}
+	m := v.members[position]
+	if m == nil || m == t.own || t.members[m.record.GetInstance()] != m {
+		return nil
+	}
+	return m
+}
+
+// endpointAt returns the endpoint at the position, or nil like peerAt.
+func (t *Table) endpointAt(v view, position uint32) *endpoint {
+	if int(position) >= len(v.endpoints) {
+		return nil
+	}
+	e := v.endpoints[position]
+	if e == nil || t.endpoints[e.name] != e {
+		return nil
+	}
+	return e
+}
+
+// applyUpdates merges what changes all the time. Positions are those of the view and
+// ages count from sent.
+func (t *Table) applyUpdates(now, sent time.Time, v view, u *mcmessage.Updates) {
+	for i, position := range u.GetHeartbeatIndex() {
+		if m := t.peerAt(v, position); m != nil && i < len(u.GetHeartbeat()) {
+			t.advance(now, m, v.memberBase+uint64(u.GetHeartbeat()[i]))
+		}
+	}
+	t.applyLoads(now, sent, v, u.GetLoads())
+	for _, w := range u.GetInFlight() {
+		if m := t.peerAt(v, w.GetMember()); m != nil {
+			t.applyInFlight(m, v, w)
+		}
+	}
+	for _, w := range u.GetUsage() {
+		if m := t.peerAt(v, w.GetMember()); m != nil {
+			t.applyMemberUsage(now, m, w)
+		}
+	}
+}
+
+func (t *Table) applyLoads(now, sent time.Time, v view, l *mcmessage.Loads) {
+	n := min(len(l.GetIndex()), len(l.GetVersion()), len(l.GetAgeMs()), len(l.GetRunning()),
+		len(l.GetWaiting()), len(l.GetPrefillKi()), len(l.GetKvUsedKi()))
+	for i := range n {
+		e := t.endpointAt(v, l.GetIndex()[i])
+		version := l.GetVersion()[i]
+		if e == nil || version <= e.loadVersion || t.tooFarAhead(now, version) {
+			continue
+		}
+		t.setLoad(now, e, version, sent.Add(-time.Duration(l.GetAgeMs()[i])*time.Millisecond), marigoldcroft.LoadReport{
+			Running: int(l.GetRunning()[i]), Waiting: int(l.GetWaiting()[i]),
+			PrefillTokens: int64(l.GetPrefillKi()[i]) * 1024, KVUsedTokens: int64(l.GetKvUsedKi()[i]) * 1024,
+		})
+	}
+}
+
+// setLoad replaces the shared load of e and clears an older down mark.
+func (t *Table) setLoad(now time.Time, e *endpoint, version uint64, asked time.Time, load marigoldcroft.LoadReport) {
+	wasDown := e.isDown()
+	load.Time = versionTime(version)
+	e.loadVersion, e.shared = version, observation{load: load, asked: asked}
+	if wasDown && !e.isDown() {
+		t.touchEndpoint(now, e, true)
+	}
+	t.see(e, e.shared)
+}
+
+// see replaces what this member knows of the load of e by a younger observation.
+func (t *Table) see(e *endpoint, o observation) {
+	if !o.asked.After(e.seen.asked) {
+		return
+	}
+	o.load.Endpoint, o.load.Incarnation = e.name, e.state.GetEndpointIncarnation()
+	o.load.KVCapacityTokens = int64(e.state.GetKvCapacityTokens())
+	o.load.Leaving = t.leaving(e.name)
+	e.seen = o
+	t.emit(Event{Kind: EventLoad, Name: e.name, Report: o.load, Asked: o.asked})
+}
+
+func (t *Table) applyInFlight(m *member, v view, w *mcmessage.InFlight) {
+	if w.GetVersion() <= m.work.version || w.GetVersion() > m.sequence {
+		return
+	}
+	n := min(len(w.GetEndpoint()), len(w.GetShortRequests()), len(w.GetLongRequests()), len(w.GetPrefillKi()), len(w.GetKvKi()))
+	entries := make(map[string]marigoldcroft.InFlight, n)
+	for i := range n {
+		e := t.endpointAt(v, w.GetEndpoint()[i])
+		if e == nil {
+			continue
+		}
+		entries[e.name] = marigoldcroft.InFlight{
+			Short: int(w.GetShortRequests()[i]), Long: int(w.GetLongRequests()[i]),
+			PrefillTokens: int64(w.GetPrefillKi()[i]) * 1024, KVTokens: int64(w.GetKvKi()[i]) * 1024,
+		}
+	}
+	m.work = memberWork{version: w.GetVersion(), entries: entries}
+	t.emit(Event{Kind: EventInFlight, Name: m.record.GetInstance(), InFlight: entries})
+}
+
+func (t *Table) applyMemberUsage(now time.Time, m *member, w *mcmessage.MemberUsage) {
+	if w.GetVersion() <= m.usage.version || w.GetVersion() > m.sequence {
+		return
+	}
+	m.usage.version, m.usage.chunk = w.GetVersion(), w.GetTeams()
+	m.usage.merge(now)
+}
+
+// merge takes the last chunk into the team map and drops teams not heard of lately.
+func (u *memberUsage) merge(now time.Time) {
+	if u.teams == nil {
+		u.teams = make(map[uint64]teamUse)
+	}
+	for _, use := range u.chunk {
+		u.teams[use.GetTeam()] = teamUse{use: use, seen: now}
+	}
+	for team, use := range u.teams {
+		if now.Sub(use.seen) > usageRetention {
+			delete(u.teams, team)
+		}
+	}
+}
+
+// Finish merges the answer to a request. It returns true when the exchange has to
+// be repeated at once with the vector's keys.
+func (t *Table) Finish(now time.Time, sent Sent, answer *mcmessage.ExchangeResponse) bool {
+	t.lastContact = now
+	t.rounds.exchanges++
+	if answer.GetTruncated() {
+		t.rounds.truncated++
+	}
+	if answer.GetHeldGone() && answer.GetHeldSequence() >= t.acknowledged && t.own.record.GetIncarnation() == sent.Request.GetSender().GetIncarnation() {
+		// No peer has heard anything newer than what this member was given up at.
+		t.reincarnate(now, t.own.record.GetIncarnation())
+	}
+	t.acknowledged = max(t.acknowledged, sent.sequence)
+	t.peerRosters[sent.peer] = answer.GetRoster()
+	// Ages count from the sending of the request, so that they are never too young.
+	v := view{members: sent.roster.members, endpoints: sent.roster.endpoints, memberBase: sent.base}
+	t.applyUpdates(now, sent.at, v, answer.GetUpdates())
+	t.applyRecords(now, answer.GetRecords(), false)
+	t.applyRevision(answer.GetConfigRevision())
+	t.wantFull = [bucketCount]bool{}
+	for _, bucket := range answer.GetUnequalBuckets() {
+		if bucket < bucketCount {
+			t.wantFull[bucket] = true
+		}
+	}
+	return answer.GetRosterMismatch()
+}
--- /dev/null
+++ b/mcmember/local_query.go
@@ -0,0 +1,250 @@
+package mcmember
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"marigoldcroft"
+	"marigoldcroft/mcmessage"
+)
+
+type (
+	// MemberView is one member for status output and for choices by Rank.
+	MemberView struct {
+		Contact
+		AdminAddress   string
+		Incarnation    uint64
+		State          mcmessage.MemberState
+		ConfigRevision uint64
+		// Age is the time since the newest sign of life arrived here. For a member of
+		// another data centre it is the time since that data centre's relays were heard.
+		Age time.Duration
+	}
+
+	// EndpointView is what this member knows of one endpoint of its data centre.
+	EndpointView struct {
+		Endpoint marigoldcroft.Endpoint
+		// Report is the youngest one; it is zero when none was seen.
+		Report marigoldcroft.LoadReport
+		Down   bool
+		// Leaving is also set in Endpoint.
+		Leaving bool
+		// Listed is false for an endpoint that the instance list has dropped.
+		Listed bool
+		// Asked is the local time at which the endpoint was asked for Report.
+		Asked time.Time
+		Age   time.Duration
+	}
+)
+
+// Members returns the known members of all data centres, by data centre and name.
+func (t *Table) Members(now time.Time) []MemberView {
+	views := make([]MemberView, 0, len(t.members)+len(t.summaries))
+	for _, m := range t.members {
+		r := m.record
+		views = append(views, MemberView{
+			Contact: contactOf(r), AdminAddress: r.GetAdminAddress(), Incarnation: r.GetIncarnation(),
+			State: m.state(), ConfigRevision: r.GetConfigRevision(), Age: now.Sub(m.heard),
+		})
+	}
+	for _, s := range t.summaries {
+		r := s.record
+		heard := s.heard
+		if u := t.usage[r.GetDataCentre()]; u != nil && u.heard.After(heard) {
+			heard = u.heard
+		}
+		views = append(views, MemberView{
+			Contact: Contact{Instance: r.GetInstance(), DataCentre: r.GetDataCentre(), Region: r.GetRegion(), Address: r.GetPeerAddress()},
+			Age:     now.Sub(heard), AdminAddress: r.GetAdminAddress(), Incarnation: r.GetIncarnation(),
+			State: r.GetState(), ConfigRevision: r.GetConfigRevision(),
+		})
+	}
+	sort.Slice(views, func(i, j int) bool {
+		a, b := views[i], views[j]
+		return a.DataCentre < b.DataCentre || a.DataCentre == b.DataCentre && a.Instance < b.Instance
+	})
+	return views
+}
+
+// Endpoints returns the endpoints of the own data centre that are listed or answer,
+// by name.
+func (t *Table) Endpoints(now time.Time) []EndpointView {
+	views := make([]EndpointView, 0, len(t.endpoints))
+	for _, e := range t.endpoints {
+		if e.listed || now.Sub(e.seen.asked) <= freshEvidence {
+			views = append(views, t.endpointView(now, e))
+		}
+	}
+	sort.Slice(views, func(i, j int) bool { return views[i].Endpoint.Name() < views[j].Endpoint.Name() })
+	return views
+}
+
+// Endpoint returns one endpoint of the own data centre.
+func (t *Table) Endpoint(now time.Time, name string) (EndpointView, bool) {
+	e := t.endpoints[name]
+	if e == nil {
+		return EndpointView{}, false
+	}
+	return t.endpointView(now, e), true
+}
+
+func (t *Table) endpointView(now time.Time, e *endpoint) EndpointView {
+	spec := e.spec
+	if spec.Name() == "" {
+		spec = marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{Name: e.name, DataCentre: t.self.Identity.DataCentre()})
+	}
+	leaving := t.leaving(e.name)
+	report := e.seen.load
+	report.Leaving = leaving
+	return EndpointView{
+		Endpoint: spec.WithLeaving(leaving), Report: report, Down: e.isDown(), Leaving: leaving,
+		Listed: e.listed, Asked: e.seen.asked, Age: now.Sub(e.seen.asked),
+	}
+}
+
+// Leaving tells whether an endpoint of any data centre is marked as leaving.
+func (t *Table) Leaving(endpoint string) bool { return t.leaving(endpoint) }
+
+// Quarantine returns the entry of the fingerprint.
+func (t *Table) Quarantine(fingerprint uint64) (*mcmessage.QuarantineEntry, bool) {
+	q, held := t.quarantine[fingerprint]
+	return q, held
+}
+
+// QuarantineEntries returns all entries in the order of their fingerprints.
+func (t *Table) QuarantineEntries() []*mcmessage.QuarantineEntry {
+	entries := make([]*mcmessage.QuarantineEntry, 0, len(t.quarantine))
+	for _, q := range t.quarantine {
+		entries = append(entries, q)
+	}
+	sort.Slice(entries, func(i, j int) bool { return entries[i].GetFingerprint() < entries[j].GetFingerprint() })
+	return entries
+}
+
+// NewestRevision returns the newest configuration revision heard of.
+func (t *Table) NewestRevision() uint64 { return t.newestRevision }
+
+// Candidates returns the members of the own data centre that may be given duties:
+// live and not suspected, this one included unless it is draining. They are sorted.
+func (t *Table) Candidates() []string {
+	var names []string
+	for _, name := range t.memberNames() {
+		if t.members[name].state() == mcmessage.MemberState_MEMBER_STATE_LIVE {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// DeploymentCandidates returns Candidates and the live members of other data centres.
+func (t *Table) DeploymentCandidates() []string {
+	names := t.Candidates()
+	for name, s := range t.summaries {
+		if s.record.GetState() == mcmessage.MemberState_MEMBER_STATE_LIVE {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// IncarnationGone tells whether that run of the instance is over as far as is known.
+// It is false for an instance that was never heard of.
+func (t *Table) IncarnationGone(instance string, incarnation uint64) bool {
+	if m := t.members[instance]; m != nil {
+		return m.record.GetIncarnation() > incarnation || m.record.GetIncarnation() == incarnation && m.isGone()
+	}
+	if s := t.summaries[instance]; s != nil {
+		gone := s.record.GetState() == mcmessage.MemberState_MEMBER_STATE_GONE
+		return s.record.GetIncarnation() > incarnation || s.record.GetIncarnation() == incarnation && gone
+	}
+	return false
+}
+
+// Isolated tells whether no exchange with any member has succeeded for three
+// intervals although others are known. What is gone may then be only unreachable.
+func (t *Table) Isolated(now time.Time) bool {
+	return (len(t.members) > 1 || len(t.seeds) > 0) && now.Sub(t.lastContact) > suspectIntervals*t.interval
+}
+
+// PeerInFlight returns the work of a member by endpoint; it must not be changed.
+func (t *Table) PeerInFlight(instance string) map[string]marigoldcroft.InFlight {
+	if m := t.members[instance]; m != nil {
+		return m.work.entries
+	}
+	return nil
+}
+
+// PeerUsage returns the team's use at each member of the own data centre that has
+// reported it within usageRetention, gone ones excluded.
+func (t *Table) PeerUsage(now time.Time, team string) map[string]TeamUsage {
+	hash := xxhash.Sum64String(team)
+	uses := make(map[string]TeamUsage)
+	for name, m := range t.members {
+		use, held := m.usage.teams[hash]
+		if held && !m.isGone() && now.Sub(use.seen) <= usageRetention {
+			uses[name] = usageOf(team, use.use)
+		}
+	}
+	return uses
+}
+
+// CentreUsage returns the team's totals by other data centre.
+func (t *Table) CentreUsage(team string) map[string]TeamUsage {
+	hash := xxhash.Sum64String(team)
+	uses := make(map[string]TeamUsage)
+	for name, u := range t.usage {
+		for _, use := range u.record.GetTeams() {
+			if use.GetTeam() == hash && name != t.self.Identity.DataCentre() {
+				uses[name] = usageOf(team, use)
+			}
+		}
+	}
+	return uses
+}
+
+func usageOf(team string, use *mcmessage.TeamUse) TeamUsage {
+	return TeamUsage{
+		Team: team, TokensPerSecond: float64(use.GetTokensPerSecond()),
+		Concurrency: int(use.GetConcurrency()), Share: float64(use.GetShare()),
+	}
+}
+
+// PollsFor returns the endpoints that this member polls: it is among the first two
+// candidates by Rank. A member without candidates polls all.
+func (t *Table) PollsFor(now time.Time) []marigoldcroft.Endpoint {
+	const pollers = 2
+	candidates := t.Candidates()
+	self := t.self.Identity.Instance()
+	var endpoints []marigoldcroft.Endpoint
+	for _, e := range t.currentRoster().endpoints {
+		if e.spec.Address() == "" || !e.listed && now.Sub(e.seen.asked) > freshEvidence {
+			continue
+		}
+		first := topTwo("poll/"+e.name, candidates)
+		if len(candidates) == 0 || first[0] == self || len(first) == pollers && first[1] == self {
+			endpoints = append(endpoints, e.spec)
+		}
+	}
+	return endpoints
+}
+
+// topTwo returns the first two members of Rank without sorting.
+func topTwo(key string, members []string) []string {
+	first := Home(key, members)
+	if first == "" {
+		return nil
+	}
+	rest := make([]string, 0, len(members))
+	for _, m := range members {
+		if m != first {
+			rest = append(rest, m)
+		}
+	}
+	if second := Home(key, rest); second != "" {
+		return []string{first, second}
+	}
+	return []string{first}
+}
--- /dev/null
+++ b/mcmember/network_test.go
@@ -0,0 +1,187 @@
+package mcmember_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"marigoldcroft"
+	"marigoldcroft/mcmember"
+	"marigoldcroft/mcmessage"
+)
+
+// network joins members in memory through the Transport interface.
+type network struct {
+	mu      sync.Mutex
+	members map[string]*mcmember.Member
+	// cut tells whether requests, or the answers to them, are lost on the way from one
+	// member to another.
+	cut func(from, to string, answer bool) bool
+	// largest is the size of the largest message so far.
+	largest int
+}
+
+type port struct {
+	from string
+	n    *network
+}
+
+var errCut = errors.New("the network is cut")
+
+func (p port) target(message proto.Message, to mcmember.Contact, answer bool) (*mcmember.Member, error) {
+	p.n.mu.Lock()
+	defer p.n.mu.Unlock()
+	p.n.largest = max(p.n.largest, proto.Size(message))
+	m := p.n.members[to.Address]
+	if m == nil || p.n.cut != nil && p.n.cut(p.from, to.Address, answer) {
+		return nil, errCut
+	}
+	return m, nil
+}
+
+// call delivers the request and the answer, unless the way there or back is cut.
+func call[Q, A proto.Message](ctx context.Context, p port, to mcmember.Contact, request Q, serve func(*mcmember.Member, context.Context, Q) (A, error)) (A, error) {
+	var none A
+	m, err := p.target(request, to, false)
+	if err != nil {
+		return none, err
+	}
+	answer, err := serve(m, ctx, proto.Clone(request).(Q))
+	if err != nil {
+		return none, err
+	}
+	if _, err := (port{from: to.Address, n: p.n}).target(answer, mcmember.Contact{Address: p.from}, true); err != nil {
+		return none, err
+	}
+	return proto.Clone(answer).(A), nil
+}
+
+func (p port) Exchange(ctx context.Context, to mcmember.Contact, r *mcmessage.ExchangeRequest) (*mcmessage.ExchangeResponse, error) {
+	return call(ctx, p, to, r, (*mcmember.Member).Exchange)
+}
+
+func (p port) Probe(ctx context.Context, to mcmember.Contact, r *mcmessage.ProbeRequest) (*mcmessage.ProbeResponse, error) {
+	return call(ctx, p, to, r, (*mcmember.Member).Probe)
+}
+
+func (p port) Relay(ctx context.Context, to mcmember.Contact, r *mcmessage.RelayRequest) (*mcmessage.RelayResponse, error) {
+	return call(ctx, p, to, r, (*mcmember.Member).Relay)
+}
+
+// listing is an instance list that the test changes.
+type listing struct {
+	mu     sync.Mutex
+	answer marigoldcroft.InstanceListing
+}
+
+func (l *listing) Instances(context.Context) (marigoldcroft.InstanceListing, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answer, nil
+}
+
+func (l *listing) change(f func(*marigoldcroft.InstanceListing)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(&l.answer)
+}
+
+// fleet is a set of running members in a synctest bubble.
+type fleet struct {
+	network
+	t    *testing.T
+	list *listing
+	ctx  context.Context
+	stop map[string]context.CancelFunc
+	wait sync.WaitGroup
+}
+
+const region = "south"
+
+func instanceName(centre string, i int) string { return fmt.Sprintf("%s-entry-%02d", centre, i) }
+
+// newFleet lists n instances in each data centre without starting them.
+func newFleet(t *testing.T, n int, centres ...string) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{t: t, list: &listing{}, ctx: ctx, stop: make(map[string]context.CancelFunc)}
+	f.members = make(map[string]*mcmember.Member)
+	for _, centre := range centres {
+		for i := range n {
+			name := instanceName(centre, i)
+			f.list.answer.Instances = append(f.list.answer.Instances, marigoldcroft.ListedInstance{
+				Name: name, DataCentre: centre, Region: region, PeerAddress: name,
+			})
+		}
+	}
+	t.Cleanup(func() {
+		cancel()
+		f.wait.Wait()
+	})
+	return f
+}
+
+// start runs a new incarnation of the listed instance.
+func (f *fleet) start(name string, change func(*mcmember.Member)) *mcmember.Member {
+	var at marigoldcroft.ListedInstance
+	for _, i := range f.list.answer.Instances {
+		if i.Name == name {
+			at = i
+		}
+	}
+	salt := uint64(len(f.members))
+	m := &mcmember.Member{
+		Self: mcmember.Self{
+			Identity:    marigoldcroft.NewIdentity("copo", at.Region, at.DataCentre, name, time.Now(), salt),
+			PeerAddress: name,
+		},
+		Transport: port{from: name, n: &f.network}, List: f.list, Seed: salt,
+	}
+	if change != nil {
+		change(m)
+	}
+	ctx, stop := context.WithCancel(f.ctx)
+	f.mu.Lock()
+	f.members[name], f.stop[name] = m, stop
+	f.mu.Unlock()
+	f.wait.Go(func() { _ = m.Run(ctx) })
+	return m
+}
+
+// startAll starts all listed instances and lets them find each other.
+func (f *fleet) startAll(change func(*mcmember.Member)) {
+	for _, i := range f.list.answer.Instances {
+		f.start(i.Name, change)
+	}
+	time.Sleep(20 * time.Second)
+	synctest.Wait()
+}
+
+// kill cuts the member off and ends it, so that nobody hears its farewell.
+func (f *fleet) kill(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.members, name)
+	f.stop[name]()
+}
+
+// setCut changes which messages are lost.
+func (f *fleet) setCut(cut func(from, to string, answer bool) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+// states returns what the member knows of the state of each other one.
+func states(m *mcmember.Member) map[string]mcmessage.MemberState {
+	found := make(map[string]mcmessage.MemberState)
+	for _, v := range m.Members() {
+		found[v.Instance] = v.State
+	}
+	return found
+}
--- /dev/null
+++ b/mcmember/poll.go
@@ -0,0 +1,137 @@
+package mcmember
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"marigoldcroft"
+)
+
+const (
+	// PollInterval is the time between two polls of an endpoint by one poller, and
+	// the deadline of each.
+	PollInterval = time.Second
+	// ConfirmAge is the age of the view of an endpoint from which Confirm asks it.
+	ConfirmAge = 3 * time.Second
+)
+
+// pollLoop polls the endpoints that fall to this member.
+func (m *Member) pollLoop(ctx context.Context) error {
+	ticker := time.NewTicker(PollInterval)
+	defer ticker.Stop()
+	for {
+		var endpoints []marigoldcroft.Endpoint
+		m.do(func(t *Table, now time.Time) { endpoints = t.PollsFor(now) })
+		for _, e := range endpoints {
+			if m.beginPoll(e.Name()) {
+				m.running.Go(func() { m.pollLater(ctx, e) })
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// beginPoll returns false while a poll of the endpoint is still running.
+func (m *Member) beginPoll(endpoint string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.polling[endpoint] {
+		return false
+	}
+	m.polling[endpoint] = true
+	return true
+}
+
+// pollLater spreads the polls of one interval over half of it, by a hash of poller
+// and endpoint.
+func (m *Member) pollLater(ctx context.Context, e marigoldcroft.Endpoint) {
+	defer func() {
+		m.mu.Lock()
+		delete(m.polling, e.Name())
+		m.mu.Unlock()
+	}()
+	phase := xxhash.Sum64String(e.Name()+"/"+m.Self.Identity.Instance()) % uint64(PollInterval/2)
+	timer := time.NewTimer(time.Duration(phase))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+		m.poll(ctx, e)
+	}
+}
+
+// poll asks the endpoint once and tells the table.
+func (m *Member) poll(ctx context.Context, e marigoldcroft.Endpoint) error {
+	parent := ctx
+	ctx, cancel := context.WithTimeout(ctx, PollInterval)
+	defer cancel()
+	asked := time.Now()
+	report, err := m.Loader.Load(ctx, e)
+	if err == nil && report.Endpoint != "" && report.Endpoint != e.Name() {
+		err = errors.Newf("the answer is of endpoint %q", report.Endpoint)
+	}
+	if err == nil {
+		report.Endpoint = e.Name()
+		m.do(func(t *Table, now time.Time) { err = t.ObservePoll(now, asked, report) })
+		return err
+	}
+	if parent.Err() == nil {
+		refused := errors.Is(err, syscall.ECONNREFUSED)
+		m.do(func(t *Table, now time.Time) { t.ObserveFailure(now, asked, e.Name(), refused) })
+	}
+	return marigoldcroft.NewFailure("poll "+e.Name(), KindUnreachable, err)
+}
+
+// Confirm returns the view of the endpoint. It asks the endpoint itself when the view
+// is older than ConfirmAge; concurrent calls share one question. An error means that
+// the endpoint could not be confirmed; the view is then the last one.
+func (m *Member) Confirm(ctx context.Context, endpoint string) (EndpointView, error) {
+	for {
+		var view EndpointView
+		known, asking := false, (chan struct{})(nil)
+		m.do(func(t *Table, now time.Time) {
+			view, known = t.Endpoint(now, endpoint)
+			if !known || view.Age <= ConfirmAge || m.Loader == nil || view.Endpoint.Address() == "" {
+				return
+			}
+			if asking = m.confirming[endpoint]; asking == nil {
+				m.confirming[endpoint] = make(chan struct{})
+			}
+		})
+		switch {
+		case !known:
+			return view, marigoldcroft.NewFailure("confirm "+endpoint, KindUnknownEndpoint, nil)
+		case view.Age <= ConfirmAge:
+			return view, nil
+		case m.Loader == nil || view.Endpoint.Address() == "":
+			return view, marigoldcroft.NewFailure("confirm "+endpoint, KindUnreachable, errors.New("it has no known address"))
+		case asking == nil:
+			return m.ask(ctx, view)
+		}
+		select {
+		case <-ctx.Done():
+			return view, marigoldcroft.NewFailure("confirm "+endpoint, KindUnreachable, ctx.Err())
+		case <-asking:
+		}
+	}
+}
+
+// ask polls the endpoint on behalf of Confirm and wakes those that wait for it.
+func (m *Member) ask(ctx context.Context, view EndpointView) (EndpointView, error) {
+	name := view.Endpoint.Name()
+	err := m.poll(ctx, view.Endpoint)
+	m.do(func(t *Table, now time.Time) {
+		view, _ = t.Endpoint(now, name)
+		close(m.confirming[name])
+		delete(m.confirming, name)
+	})
+	return view, err
+}
--- /dev/null
+++ b/mcmember/rank.go
@@ -0,0 +1,54 @@
+package mcmember
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rank returns members in the order in which they are responsible for the key, by
+// rendezvous hashing: the loss of a member moves only the keys that it was first
+// for. The order of the argument does not matter.
+func Rank(key string, members []string) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	keyHash := xxhash.Sum64String(key)
+	ranked := make([]scored, len(members))
+	for i, name := range members {
+		ranked[i] = scored{name, score(keyHash, name)}
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+	})
+	names := make([]string, len(ranked))
+	for i, r := range ranked {
+		names[i] = r.name
+	}
+	return names
+}
+
+// Home returns the first member of Rank without sorting, or "" without members.
+func Home(key string, members []string) string {
+	keyHash := xxhash.Sum64String(key)
+	best, bestScore := "", uint64(0)
+	for _, name := range members {
+		s := score(keyHash, name)
+		if best == "" || s > bestScore || s == bestScore && name < best {
+			best, bestScore = name, s
+		}
+	}
+	return best
+}
+
+// score mixes both hashes with the finaliser of SplitMix64 (Steele, Lea, Flood,
+// "Fast splittable pseudorandom number generators", 2014).
+func score(keyHash uint64, member string) uint64 {
+	z := keyHash ^ bits.RotateLeft64(xxhash.Sum64String(member), 32)
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
