--- a/mcscheduler/lengthaware.go
+++ b/mcscheduler/lengthaware.go
@@ -136,8 +136,7 @@
 // longSlot tells whether long work may be sent now: beside other long prefill up to the
 // cap, or alone behind one that is nearly through.
 func (r *lengthAware) longSlot(now time.Duration, it *item, e *endpoint, rate float64) bool {
-	all, short := e.otherPrefill(now, rate)
-	outstanding := all - short
+	_, outstanding := e.otherPrefill(now, rate)
 	for p := range shortPriorities {
 		outstanding += float64(e.outstanding[p])
 	}
--- /dev/null
+++ b/mcscheduler/property_test.go
@@ -0,0 +1,296 @@
+package mcscheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"marigoldcroft"
+	"marigoldcroft/mcscheduler"
+)
+
+const (
+	propertyEndpoints = 5
+	propertyCapacity  = 100_000
+)
+
+// attempt is what the test knows of one submitted id.
+type attempt struct {
+	work     marigoldcroft.Work
+	endpoint string // "" while queued
+	lost     bool   // the endpoint went away
+	answered bool
+}
+
+// machine drives a scheduler with random calls and checks each decision against a
+// plain record of what is queued and what runs where.
+type machine struct {
+	s        marigoldcroft.Scheduler
+	now      time.Time
+	next     int
+	attempts map[marigoldcroft.StreamID]*attempt
+	listed   map[string]bool // value: leaving
+	down     map[string]bool
+	leaves   map[string]bool // by its own report
+	capacity map[string]int64
+}
+
+func newMachine(t *rapid.T) *machine {
+	settings := mcscheduler.Default()
+	settings.Seed = rapid.Uint64().Draw(t, "seed")
+	settings.KVCapacityTokens = propertyCapacity
+	settings.QueueLength = 20
+	s, err := mcscheduler.New(rapid.SampledFrom(policies).Draw(t, "policy"), settings)
+	require.NoError(t, err)
+	m := &machine{
+		s: s, now: epoch, attempts: map[marigoldcroft.StreamID]*attempt{}, listed: map[string]bool{},
+		down: map[string]bool{}, leaves: map[string]bool{}, capacity: map[string]int64{},
+	}
+	m.setEndpoints(engines(propertyEndpoints))
+	return m
+}
+
+func (m *machine) setEndpoints(list []marigoldcroft.Endpoint) {
+	listed := map[string]bool{}
+	for _, e := range list {
+		listed[e.Name()] = e.Leaving()
+		if _, known := m.listed[e.Name()]; !known {
+			m.capacity[e.Name()] = propertyCapacity
+			delete(m.down, e.Name())
+			delete(m.leaves, e.Name())
+		}
+	}
+	m.listed = listed
+	m.lose(func(name string) bool { _, ok := listed[name]; return !ok })
+	m.s.SetEndpoints(m.now, list)
+}
+
+// lose notes that the attempts on some endpoints hold nothing any more.
+func (m *machine) lose(gone func(name string) bool) {
+	for _, a := range m.attempts {
+		if a.endpoint != "" && gone(a.endpoint) {
+			a.lost = true
+		}
+	}
+}
+
+// apply checks one decision and takes it into the record.
+func (m *machine) apply(t *rapid.T, d marigoldcroft.Decision) {
+	a := m.attempts[d.ID]
+	require.NotNil(t, a, "decision about an id that is not held: %+v", d)
+	switch d.Action {
+	case marigoldcroft.ActionDispatch:
+		require.Empty(t, a.endpoint, "dispatched twice: %+v", d)
+		leaving, ok := m.listed[d.Endpoint]
+		require.True(t, ok && !leaving && !m.down[d.Endpoint] && !m.leaves[d.Endpoint], "not usable: %+v", d)
+		require.NotContains(t, a.work.Exclude, d.Endpoint)
+		a.endpoint = d.Endpoint
+		require.LessOrEqual(t, m.reserved()[d.Endpoint], m.capacity[d.Endpoint], "beyond capacity: %+v", d)
+	case marigoldcroft.ActionRecall:
+		require.True(t, a.endpoint != "" && !a.answered && !a.lost, "recalled wrongly: %+v", d)
+		a.endpoint = ""
+	case marigoldcroft.ActionExpire:
+		require.Empty(t, a.endpoint, "expired while dispatched: %+v", d)
+		delete(m.attempts, d.ID)
+	default:
+		t.Fatalf("unexpected decision %+v", d)
+	}
+}
+
+// reserved returns the KV tokens that the record says are reserved.
+func (m *machine) reserved() map[string]int64 {
+	kv := map[string]int64{}
+	for _, a := range m.attempts {
+		if a.endpoint != "" && !a.lost {
+			kv[a.endpoint] += a.work.PromptTokens + a.work.OutputTokens
+		}
+	}
+	return kv
+}
+
+func (m *machine) submit(t *rapid.T) {
+	m.next++
+	w := work(m.next, rapid.Int64Range(0, 60_000).Draw(t, "prompt"), rapid.Int64Range(0, 50_000).Draw(t, "output"))
+	w.Urgency = marigoldcroft.Urgency(rapid.IntRange(0, 2).Draw(t, "urgency"))
+	w.Team = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team")
+	w.Deadline = m.now.Add(time.Duration(rapid.IntRange(-1, 120).Draw(t, "deadline")) * time.Second)
+	w.PrefixHash = rapid.Uint64Range(0, 3).Draw(t, "prefix")
+	w.Alone = rapid.IntRange(0, 9).Draw(t, "alone") == 0
+	if rapid.IntRange(0, 4).Draw(t, "exclude") == 0 {
+		w.Exclude = []string{fmt.Sprintf("e%d", rapid.IntRange(0, propertyEndpoints-1).Draw(t, "excluded"))}
+	}
+	explained := m.s.Explain(m.now, w)
+	d := m.s.Submit(m.now, w)
+	require.Equal(t, explained, d, "Explain differs from Submit")
+	if d.Action == marigoldcroft.ActionRefuse {
+		return
+	}
+	m.attempts[w.ID] = &attempt{work: w}
+	if d.Action == marigoldcroft.ActionDispatch {
+		m.apply(t, d)
+	}
+	again := m.s.Submit(m.now, w)
+	require.Equal(t, marigoldcroft.ActionWait, again.Action, "a held id was taken twice")
+}
+
+func (m *machine) poll(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{0, 5, 200, 3000, 40_000}).Draw(t, "ms")) * time.Millisecond)
+	for _, d := range m.s.Poll(m.now, nil) {
+		m.apply(t, d)
+	}
+	for _, a := range m.attempts {
+		require.True(t, a.endpoint != "" || a.work.Deadline.After(m.now), "not expired: %+v", a.work)
+	}
+}
+
+// some draws the id of a held attempt, or an unknown one.
+func (m *machine) some(t *rapid.T) marigoldcroft.StreamID {
+	return id(rapid.IntRange(max(0, m.next-30), m.next+1).Draw(t, "id"))
+}
+
+func (m *machine) name(t *rapid.T) string {
+	return fmt.Sprintf("e%d", rapid.IntRange(0, propertyEndpoints).Draw(t, "endpoint"))
+}
+
+func (m *machine) finish(t *rapid.T) {
+	which := m.some(t)
+	m.s.Finish(m.now, which, marigoldcroft.Completion{
+		Succeeded: rapid.Bool().Draw(t, "succeeded"), PromptTokens: 5000, OutputTokens: 50,
+		CachedTokens: rapid.Int64Range(0, 6000).Draw(t, "cached"),
+		FirstToken:   time.Duration(rapid.IntRange(0, 2000).Draw(t, "first")) * time.Millisecond, Total: 3 * time.Second,
+	})
+	delete(m.attempts, which)
+}
+
+func (m *machine) observe(t *rapid.T) {
+	r := marigoldcroft.LoadReport{
+		Endpoint: m.name(t), Incarnation: 1, Leaving: rapid.IntRange(0, 5).Draw(t, "leaving") == 0,
+		KVCapacityTokens: rapid.SampledFrom([]int64{0, 60_000, propertyCapacity, 150_000}).Draw(t, "capacity"),
+		KVUsedTokens:     rapid.Int64Range(0, 80_000).Draw(t, "used"),
+		PrefillTokens:    rapid.Int64Range(0, 200_000).Draw(t, "prefill"),
+	}
+	m.report(r)
+}
+
+func (m *machine) report(r marigoldcroft.LoadReport) {
+	m.now = m.now.Add(time.Millisecond)
+	m.s.Observe(m.now, r)
+	if _, ok := m.listed[r.Endpoint]; !ok {
+		return
+	}
+	delete(m.down, r.Endpoint)
+	m.leaves[r.Endpoint] = r.Leaving
+	if r.KVCapacityTokens > 0 {
+		m.capacity[r.Endpoint] = r.KVCapacityTokens
+	}
+}
+
+func (m *machine) observePeer(t *rapid.T) {
+	m.s.ObservePeer(m.now, rapid.SampledFrom([]string{"p", "q"}).Draw(t, "peer"), m.name(t), marigoldcroft.InFlight{
+		Short: rapid.IntRange(0, 2).Draw(t, "short"), Long: rapid.IntRange(0, 1).Draw(t, "long"),
+		PrefillTokens: rapid.Int64Range(0, 50_000).Draw(t, "prefill"), KVTokens: rapid.Int64Range(0, 50_000).Draw(t, "kv"),
+	})
+}
+
+func (m *machine) endpointDown(t *rapid.T) {
+	name := m.name(t)
+	if _, ok := m.listed[name]; ok {
+		m.down[name] = true
+	}
+	m.lose(func(n string) bool { return n == name })
+	m.s.EndpointDown(m.now, name)
+}
+
+func (m *machine) change(t *rapid.T) {
+	var list []marigoldcroft.Endpoint
+	for _, e := range engines(propertyEndpoints) {
+		switch rapid.IntRange(0, 5).Draw(t, e.Name()) {
+		case 0:
+		case 1:
+			list = append(list, e.WithLeaving(true))
+		default:
+			list = append(list, e)
+		}
+	}
+	m.setEndpoints(list)
+}
+
+// check compares what the scheduler reports of itself with the record.
+func (m *machine) check(t *rapid.T) {
+	queued := 0
+	for _, a := range m.attempts {
+		if a.endpoint == "" {
+			queued++
+		}
+	}
+	require.Equal(t, queued, m.s.Queued())
+	want, inFlight := m.reserved(), m.s.InFlight()
+	for name, load := range inFlight {
+		require.Equal(t, want[name], load.KVTokens, name)
+		require.GreaterOrEqual(t, load.PrefillTokens, int64(0))
+	}
+	for name, kv := range want {
+		require.Equal(t, kv, inFlight[name].KVTokens, name)
+	}
+}
+
+// quiesce makes every endpoint idle and usable, and finishes all work. What waits must
+// then run, and nothing may stay reserved.
+func (m *machine) quiesce(t *rapid.T) {
+	m.setEndpoints(engines(propertyEndpoints))
+	for _, e := range engines(propertyEndpoints) {
+		for _, peer := range []string{"p", "q"} {
+			m.s.ObservePeer(m.now, peer, e.Name(), marigoldcroft.InFlight{})
+		}
+		m.report(marigoldcroft.LoadReport{Endpoint: e.Name(), Incarnation: 1, KVCapacityTokens: 150_000})
+	}
+	for round := 0; len(m.attempts) > 0; round++ {
+		require.Less(t, round, 200, "work waits although everything is idle: %d", m.s.Queued())
+		for which, a := range m.attempts {
+			if a.endpoint != "" {
+				m.s.Finish(m.now, which, marigoldcroft.Completion{})
+				delete(m.attempts, which)
+			}
+		}
+		m.now = m.now.Add(10 * time.Millisecond)
+		for _, d := range m.s.Poll(m.now, nil) {
+			if m.apply(t, d); d.Action == marigoldcroft.ActionExpire {
+				require.Equal(t, marigoldcroft.ReasonDeadline, d.Reason)
+			}
+		}
+	}
+	require.Empty(t, m.s.InFlight())
+	// Each endpoint can hold work that needs all of its memory, one at a time.
+	for range propertyEndpoints {
+		m.next++
+		w := work(m.next, 1000, 149_000)
+		w.Deadline = m.now.Add(24 * time.Hour)
+		d := m.s.Submit(m.now, w)
+		require.Equal(t, marigoldcroft.ActionDispatch, d.Action, "memory is still reserved: %+v", d)
+	}
+}
+
+// Guards against double dispatch, work lost or stranded, memory reserved beyond the
+// capacity or never released, work sent to endpoints that must get none, and late
+// expiry, under any sequence of calls.
+func TestAnySequenceKeepsTheInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": m.submit, "submit2": m.submit, "submit3": m.submit, "poll": m.poll, "finish": m.finish,
+			"firstToken": func(t *rapid.T) {
+				which := m.some(t)
+				m.s.FirstToken(m.now, which)
+				if a := m.attempts[which]; a != nil && a.endpoint != "" {
+					a.answered = true
+				}
+			},
+			"observe": m.observe, "observePeer": m.observePeer, "down": m.endpointDown, "change": m.change,
+			"": m.check,
+		})
+		m.quiesce(t)
+	})
+}
--- a/mcscheduler/scheduler_command.go
+++ b/mcscheduler/scheduler_command.go
@@ -67,13 +67,13 @@
 	if reason != marigoldcroft.ReasonNone {
 		return it, at, s.refusal(it, reason, drain)
 	}
-	action := marigoldcroft.ActionDispatch
-	if why != placed {
-		action = marigoldcroft.ActionWait
+	action, prefill := marigoldcroft.ActionWait, it.prefillSeconds
+	if why == placed {
+		action, prefill = marigoldcroft.ActionDispatch, float64(at.prefill)/at.endpoint.rate()
 	}
 	d := it.decision(action, marigoldcroft.ReasonNone)
 	d.PredictedStart = seconds(start)
-	d.PredictedFirstToken = seconds(start + it.prefillSeconds)
+	d.PredictedFirstToken = seconds(start + prefill)
 	return it, at, d
 }
 
@@ -276,7 +276,7 @@
 	e.down, e.downAt = true, now
 	s.orphan(now, e)
 	e.peers, e.others = nil, load{}
-	e.sumPeers()
+	e.sumPeers(now)
 	e.pool.refresh()
 }
 
--- a/mcscheduler/view.go
+++ b/mcscheduler/view.go
@@ -40,7 +40,7 @@
 		current  load
 		previous load
 		base     load
-		short    int
+		long     bool
 	}
 
 	// endpoint is the view of one endpoint. What others have there is a report less
@@ -85,11 +85,11 @@
 		history    []moment
 
 		peers map[string]*peerLoad
-		// peerSum is what peers have here now; peerGrow is what they added since the
-		// report was asked for, as told last at peerAt.
+		// peerSum is what peers have here; peerShort and peerLong are what is predicted
+		// to be left of their prefill tokens at peerAt.
 		peerSum   load
-		peerGrow  load
-		peerShort int
+		peerShort float64
+		peerLong  float64
 		peerAt    time.Duration
 	}
 )
@@ -112,19 +112,27 @@
 
 // requests returns the number of requests that are running or waiting there.
 func (e *endpoint) requests(now time.Duration) int {
-	return e.own.count + max(0, e.otherLoad(now).count+e.peerGrow.count)
+	return e.own.count + e.peerSum.count + e.otherLoad(now).count
 }
 
-// otherPrefill returns the others' outstanding prefill tokens: all of it, and the part
-// that may be short. Neither reports nor peers split it by class, so a short request
-// is assumed for each one known and one more.
-func (e *endpoint) otherPrefill(now time.Duration, rate float64) (all, short float64) {
-	all = max(0, float64(e.otherLoad(now).prefill)-rate*(now-e.asked).Seconds())
-	all += max(0, float64(e.peerGrow.prefill)-rate*(now-e.peerAt).Seconds())
-	if all == 0 {
-		return 0, 0
-	}
-	return all, min(all, float64(e.peerShort+1)*e.pool.shortTokens())
+// otherPrefill returns the others' outstanding prefill tokens by class. Peers do not
+// split theirs: that of a peer with long work in flight counts as long, as do tokens in
+// a report that are more than short requests could bring.
+func (e *endpoint) otherPrefill(now time.Duration, rate float64) (short, long float64) {
+	if e.peerShort > 0 || e.peerLong > 0 {
+		worked := rate * (now - e.peerAt).Seconds()
+		short = max(0, e.peerShort-worked)
+		long = max(0, e.peerLong-max(0, worked-e.peerShort))
+	}
+	others := e.otherLoad(now)
+	if others.prefill == 0 {
+		return short, long
+	}
+	left := max(0, float64(others.prefill)-rate*(now-e.asked).Seconds())
+	if float64(others.prefill) > float64(max(1, others.count))*e.pool.shortTokens() {
+		return short, long + left
+	}
+	return short + left, long
 }
 
 // ahead returns the prefill tokens, own and others', that the engine works on before
@@ -137,24 +145,27 @@
 	if sum > 0 {
 		sum = max(0, sum-rate*(now-e.settledAt).Seconds())
 	}
-	all, short := e.otherPrefill(now, rate)
+	short, long := e.otherPrefill(now, rate)
 	if priority >= shortPriorities {
 		return sum + short
 	}
-	return sum + all
+	return sum + short + long
 }
 
 // longAhead returns the long part of the outstanding prefill tokens.
 func (e *endpoint) longAhead(now time.Duration, rate float64) float64 {
-	long := 0.0
-	for p := range shortPriorities {
-		long += e.remaining[p]
+	all, long := 0.0, 0.0
+	for p, left := range e.remaining {
+		all += left
+		if p < shortPriorities {
+			long += left
+		}
 	}
 	if long > 0 {
-		long = min(long, e.ahead(now, 0, rate))
+		long = max(0, min(long, all-rate*(now-e.settledAt).Seconds()))
 	}
-	all, short := e.otherPrefill(now, rate)
-	return long + all - short
+	_, other := e.otherPrefill(now, rate)
+	return long + other
 }
 
 // settle moves the predicted progress of own prefill up to now, higher priority first.
@@ -287,6 +298,7 @@
 		}
 		if p.base == (load{}) && p.current == (load{}) {
 			delete(e.peers, name)
+			continue
 		}
 		known.count += p.base.count
 		known.kv += p.base.kv
@@ -297,7 +309,6 @@
 		kv:      max(0, r.KVUsedTokens-known.kv),
 		prefill: max(0, r.PrefillTokens-known.prefill),
 	}
-	e.sumPeers()
 	return true
 }
 
@@ -318,23 +329,29 @@
 	if now > p.at {
 		p.previous = p.current
 	}
-	p.at, p.current, p.short = now, current, in.Short
+	p.at, p.current, p.long = now, current, in.Long > 0
 	if current == (load{}) && p.base == (load{}) {
 		delete(e.peers, peer)
 	}
-	e.peerAt = now
-	e.sumPeers()
+	e.sumPeers(now)
 }
 
-// sumPeers adds up what peers have here.
-func (e *endpoint) sumPeers() {
-	e.peerSum, e.peerGrow, e.peerShort = load{}, load{}, 0
+// sumPeers adds up what peers have here, less the prefill predicted since each one said
+// it, for which all peers share the engine.
+func (e *endpoint) sumPeers(now time.Duration) {
+	e.peerSum, e.peerAt = load{}, now
+	// Whole tokens are summed, as a sum of floats depends on the order of the map.
+	var short, long int64
+	rate := e.rate() / float64(max(1, len(e.peers)))
 	for _, p := range e.peers {
 		e.peerSum.count += p.current.count
 		e.peerSum.kv += p.current.kv
-		e.peerSum.prefill += p.current.prefill
-		e.peerGrow.count += max(0, p.current.count-p.base.count)
-		e.peerGrow.prefill += max(0, p.current.prefill-p.base.prefill)
-		e.peerShort += p.short
+		left := max(0, p.current.prefill-int64(rate*(now-p.at).Seconds()))
+		if p.long {
+			long += left
+		} else {
+			short += left
+		}
 	}
+	e.peerShort, e.peerLong = float64(short), float64(long)
 }
