Share one type for team usage between membership and limits

Cause: membership and limits each had a form of their own for one team's use. Change: marigoldcroft.TeamUsage, which mcmember aliases.

--- a/mcmember/local_command.go
+++ b/mcmember/local_command.go
@@ -34,13 +34,7 @@
 )
 
 // TeamUsage is one team's use at one instance.
-type TeamUsage struct {
-	Team            string
-	TokensPerSecond float64
-	Concurrency     int
-	// Share is the part of the team's limits that the instance holds, 0 to 1.
-	Share float64
-}
+type TeamUsage = marigoldcroft.TeamUsage
 
 // SetState changes the own state to live, draining or gone. A gone member has left.
 func (t *Table) SetState(now time.Time, state mcmessage.MemberState) {
