--- a/mcscheduler/admission.go
+++ b/mcscheduler/admission.go
@@ -81,13 +81,13 @@
 		}
 		wait = ahead / float64(len(set))
 	}
-	memory = max(p.memoryWait(now, kv), r.fitWait(now, it))
+	memory = max(p.memoryWait(now, kv, p.heldSeconds(it)), r.fitWait(now, it))
 	return max(wait, memory), memory
 }
 
 // fitWait predicts the seconds until one endpoint has released enough memory.
 func (r *lengthAware) fitWait(now time.Duration, it *item) float64 {
-	p, least := it.pool, -1.0
+	p, least, held := it.pool, -1.0, it.pool.heldSeconds(it)
 	for _, e := range p.live {
 		if e.capacity < it.kv || it.excludes(e) {
 			continue
@@ -95,7 +95,7 @@
 		free := e.free(now)
 		w := 0.0
 		if used := e.capacity - free; free < it.kv && used > 0 {
-			w = float64(it.kv-free) * p.residence.value / float64(used)
+			w = float64(it.kv-free) * held / float64(used)
 		}
 		if least < 0 || w < least {
 			least = w
--- a/mcscheduler/baseline.go
+++ b/mcscheduler/baseline.go
@@ -18,7 +18,7 @@
 }
 
 // prepare queues all work in one lane in the order of arrival.
-func (b *baseline) prepare(it *item) {
+func (b *baseline) prepare(_ time.Duration, it *item) {
 	it.lane, it.level, it.order = laneShort, 0, int64(it.sequence)
 	it.work.Urgency, it.work.Team = 0, ""
 }
--- a/mcscheduler/cost.go
+++ b/mcscheduler/cost.go
@@ -15,6 +15,9 @@
 	// rateLifetime is the age of the last completion after which predicted service
 	// time alone refuses nothing, so that a slow spell cannot lock work out for good.
 	rateLifetime = 10 * time.Second
+	// endpointRateLifetime is the age of an endpoint's last completion after which the
+	// model's rates are used for it again.
+	endpointRateLifetime = 60 * time.Second
 	// cachedShareSeed is the share of a prompt expected in the cache on a first hit.
 	cachedShareSeed = 0.5
 )
@@ -74,7 +77,7 @@
 	if !done.Succeeded || it.endpoint == nil {
 		return
 	}
-	p.cost.sampledAt = now
+	p.cost.sampledAt, it.endpoint.sampledAt = now, now
 	own := &it.endpoint.cost
 	if own.prefill.samples == 0 {
 		own.prefill.value = p.cost.prefill.value
@@ -114,6 +117,14 @@
 	return e.cost.prefill.value
 }
 
+// forgetRates drops the endpoint's own rates when nothing has run there for a while, so
+// that an endpoint that was slow once is tried again.
+func (e *endpoint) forgetRates(now time.Duration) {
+	if now-e.sampledAt > endpointRateLifetime {
+		e.cost = cost{}
+	}
+}
+
 // decodeSeconds predicts the time from the first to the last token.
 func (p *pool) decodeSeconds(outputTokens int64) float64 {
 	return float64(outputTokens) * p.cost.outputShare.value * p.cost.decode.value
--- a/mcscheduler/lengthaware.go
+++ b/mcscheduler/lengthaware.go
@@ -19,8 +19,11 @@
 // lengthAware implements the policy that keeps short work fast beside long work.
 type lengthAware struct{ s *scheduler }
 
-// prepare chooses the lane; within a team and level the earliest deadline goes first.
-func (r *lengthAware) prepare(it *item) {
+// prepare chooses the lane and takes the predicted service time off the deadline; within a team and level the earliest deadline goes first.
+func (r *lengthAware) prepare(now time.Duration, it *item) {
+	if p := it.pool; p.serviceTrusted(now) {
+		it.expiry -= seconds(it.prefillSeconds + p.decodeSeconds(it.work.OutputTokens))
+	}
 	it.level = it.urgency()
 	it.order = int64(it.deadline)
 	switch {
@@ -72,6 +75,10 @@
 			}
 			continue
 		}
+		if first > p.longSet.size && i < p.longSet.size {
+			// Short work keeps out of the long set while the rest has room.
+			wait += r.s.settings.ChunkDelay.Seconds()
+		}
 		p.scores[i] = wait + (float64(it.work.PromptTokens)-r.saved(now, it, known, e))/e.rate()
 		least = min(least, p.scores[i])
 	}
--- /dev/null
+++ b/mcscheduler/longset_test.go
@@ -0,0 +1,45 @@
+package mcscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a long set that follows every swing of the demand or takes the share
+// that is kept for short work.
+func TestLongSetHysteresis(t *testing.T) {
+	type phase struct {
+		demand   int
+		duration time.Duration
+	}
+	for _, c := range []struct {
+		name      string
+		endpoints int
+		phases    []phase
+		size      int
+	}{
+		{"short burst", 8, []phase{{4, 2 * time.Second}}, 1},
+		{"lasting demand", 8, []phase{{4, 4 * time.Second}}, 2},
+		{"never more than half", 8, []phase{{99, time.Minute}}, 4},
+		{"one endpoint serves both", 1, []phase{{99, time.Minute}}, 1},
+		{"short lull", 8, []phase{{99, time.Minute}, {0, 25 * time.Second}}, 4},
+		{"lasting lull", 8, []phase{{99, time.Minute}, {0, 35 * time.Second}}, 3},
+		{"middle use changes nothing", 8, []phase{{99, time.Minute}, {0, 25 * time.Second}, {2, 5 * time.Second}, {0, 25 * time.Second}}, 4},
+		{"never empty", 8, []phase{{0, 5 * time.Minute}}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var l longSet
+			l.bound(c.endpoints)
+			now := time.Duration(0)
+			for _, phase := range c.phases {
+				for end := now + phase.duration; now < end; {
+					now += useInterval
+					l.measure(now, phase.demand)
+				}
+			}
+			require.Equal(t, c.size, l.size)
+		})
+	}
+}
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -83,22 +83,23 @@
 	p.dirty = true
 }
 
-// rank sorts the endpoints by the rendezvous hash of model and name, so that the long
-// sets of all instances are nested in each other.
-func (p *pool) rank() {
+// newEndpoint returns the view of an endpoint of which nothing is known yet.
+func newEndpoint(now time.Duration, p *pool, name string, capacity int64) *endpoint {
+	return &endpoint{
+		name: name, pool: p, capacity: capacity, settledAt: now, sampledAt: now,
+		rank: xxhash.Sum64String(p.name + "\x00" + name),
+	}
+}
+
+// sort puts the endpoints into rendezvous order, so that the long sets of all instances
+// are nested in each other.
+func (p *pool) sort() {
 	slices.SortFunc(p.endpoints, func(a, b *endpoint) int {
-		if c := cmp.Compare(p.weight(a), p.weight(b)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.name, b.name)
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
 	})
 	p.refresh()
 }
 
-func (p *pool) weight(e *endpoint) uint64 {
-	return xxhash.Sum64String(p.name + "\x00" + e.name)
-}
-
 // release ends the hold of the item, if it has one.
 func (p *pool) release(it *item) {
 	if p.hold != it {
@@ -133,9 +134,18 @@
 	return marigoldcroft.ClassShort
 }
 
-// memoryWait predicts when the memory for the tokens will be free, by Little's law:
-// memory in use divided by the mean time for which it is held is the rate of release.
-func (p *pool) memoryWait(now time.Duration, tokens int64) float64 {
+// heldSeconds predicts for how long work keeps its memory: the mean of finished work,
+// or the service time of the item while nothing has finished.
+func (p *pool) heldSeconds(it *item) float64 {
+	if p.residence.samples == 0 {
+		return it.prefillSeconds + p.decodeSeconds(it.work.OutputTokens)
+	}
+	return p.residence.value
+}
+
+// memoryWait predicts when memory for the tokens will be free, by Little's law: memory
+// in use divided by the mean time in seconds for which it is held is the rate of release.
+func (p *pool) memoryWait(now time.Duration, tokens int64, held float64) float64 {
 	free, used := int64(0), int64(0)
 	for _, e := range p.live {
 		f := e.free(now)
@@ -145,7 +155,7 @@
 	if tokens <= free || used <= 0 {
 		return 0
 	}
-	return float64(tokens-free) * p.residence.value / float64(used)
+	return float64(tokens-free) * held / float64(used)
 }
 
 // seconds converts to a duration without overflow.
--- a/mcscheduler/scheduler.go
+++ b/mcscheduler/scheduler.go
@@ -19,6 +19,8 @@
 	// retryInterval is the time between attempts without a change; waiting work may
 	// become due by predicted progress alone.
 	retryInterval = 10 * time.Millisecond
+	// forgetInterval is the time between two searches for outdated records.
+	forgetInterval = 10 * time.Second
 	// maxSpareItems bounds the recycled items.
 	maxSpareItems = 4096
 )
@@ -39,8 +41,8 @@
 
 	// rules is what the policies differ in.
 	rules interface {
-		// prepare sets the lane, the level and the order of a new item.
-		prepare(it *item)
+		// prepare sets the lane, the level, the order and the expiry of a new item.
+		prepare(now time.Duration, it *item)
 		// place chooses an endpoint.
 		place(now time.Duration, it *item) (placement, blocked)
 		// admit returns the reason to refuse the item or "", and its predicted start and
@@ -147,7 +149,7 @@
 	it.class = p.class(&work)
 	it.prefillSeconds = p.prefillSeconds(work.PromptTokens)
 	it.expiry = it.deadline
-	s.rules.prepare(it)
+	s.rules.prepare(now, it)
 	return it
 }
 
--- a/mcscheduler/scheduler_command.go
+++ b/mcscheduler/scheduler_command.go
@@ -29,9 +29,6 @@
 	if d.Action == marigoldcroft.ActionDispatch {
 		return s.dispatch(now, it, at)
 	}
-	if p := it.pool; p.serviceTrusted(now) {
-		it.expiry = it.deadline - seconds(it.prefillSeconds+p.decodeSeconds(work.OutputTokens))
-	}
 	s.enqueue(now, it)
 	return d
 }
@@ -111,16 +108,24 @@
 		}
 	}
 	if now >= s.forgetAt {
-		s.forgetAt = now + teamLifetime
-		for _, p := range s.order {
-			for i := range p.lanes {
-				p.lanes[i].forget(now)
-			}
-		}
+		s.forgetAt = now + forgetInterval
+		s.forget(now)
 	}
 	return decisions
 }
 
+// forget drops what was learned of teams and endpoints without recent work.
+func (s *scheduler) forget(now time.Duration) {
+	for _, p := range s.order {
+		for i := range p.lanes {
+			p.lanes[i].forget(now)
+		}
+		for _, e := range p.endpoints {
+			e.forgetRates(now)
+		}
+	}
+}
+
 // expire ends waiting work that cannot meet its deadline.
 func (s *scheduler) expire(it *item) marigoldcroft.Decision {
 	s.dequeue(it)
@@ -222,6 +227,9 @@
 	case stateDispatched:
 		s.undispatch(now, it)
 		held := (now - it.heldAt).Seconds()
+		if it.pool.residence.samples == 0 {
+			it.pool.residence.value = held // there is no seed
+		}
 		it.pool.residence.observe(held, held, 1)
 		it.pool.learn(now, it, done)
 	}
@@ -298,10 +306,7 @@
 	for _, listed := range list {
 		e := s.endpoints[listed.Name()]
 		if e == nil || e.pool.name != listed.Pool() {
-			e = &endpoint{
-				name: listed.Name(), pool: s.pool(listed.Pool()),
-				capacity: s.settings.KVCapacityTokens, settledAt: now,
-			}
+			e = newEndpoint(now, s.pool(listed.Pool()), listed.Name(), s.settings.KVCapacityTokens)
 		}
 		e.leaving = listed.Leaving()
 		kept[e.name] = e
@@ -323,7 +328,7 @@
 	}
 	s.dropPools()
 	for _, p := range s.order {
-		p.rank()
+		p.sort()
 		s.unpark(p)
 	}
 }
--- a/mcscheduler/view.go
+++ b/mcscheduler/view.go
@@ -54,6 +54,10 @@
 		down          bool
 		downAt        time.Duration
 		cost          cost
+		// sampledAt is the time of the last completion that taught cost something.
+		sampledAt time.Duration
+		// rank is the rendezvous hash of the model and the name.
+		rank uint64
 
 		reported    bool
 		incarnation uint64
@@ -213,8 +217,13 @@
 		return
 	}
 	it.firstToken = true
-	it.joined = e.dispatched - it.joinedMark
 	e.settle(now)
+	it.joined = e.dispatched - it.joinedMark
+	short, long := e.otherPrefill(now, e.rate())
+	if it.priority < shortPriorities {
+		short += long
+	}
+	it.joined += int64(short)
 	e.own.prefill -= it.prefill
 	e.outstanding[it.priority] -= it.prefill
 	e.remaining[it.priority] = min(e.remaining[it.priority], float64(e.outstanding[it.priority]))
