Add gRPC transport between instances

Cause: members exchange over gRPC, and nothing that a peer sends may be applied unchecked.

Change: mcpeer.Server and mcpeer.Pool with deadlines, size limits, limits on every field of member.proto, refusal of foreign deployments and wrong data centres, mutual TLS whose files are read again when they change, byte counters, spans and a fault switch for tests.

--- /dev/null
+++ b/mcpeer/credentials.go
@@ -0,0 +1,156 @@
+package mcpeer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/credentials"
+
+	"marigoldcroft"
+)
+
+// reloadInterval is the shortest time between two looks at the files.
+const reloadInterval = time.Second
+
+type (
+	// Files names the PEM files of mutual TLS. They are read again when they change,
+	// so that certificates are replaced without a restart.
+	Files struct {
+		CertificateFile string
+		KeyFile         string
+		AuthorityFile   string
+	}
+
+	// Credentials is mutual TLS with the files. Peers must present a certificate that
+	// the authorities have signed; a client also checks that it names the address.
+	Credentials struct {
+		files Files
+
+		mu      sync.Mutex
+		config  *tls.Config
+		checked time.Time
+		stamps  [3]fileStamp
+		// failure is why the files as they are now are not in use.
+		failure error
+	}
+
+	fileStamp struct {
+		modified time.Time
+		size     int64
+	}
+
+	// clientCredentials reads the files again for each new connection.
+	clientCredentials struct {
+		credentials.TransportCredentials
+		source *Credentials
+	}
+)
+
+// NewCredentials reads the files.
+func NewCredentials(files Files) (*Credentials, error) {
+	c := &Credentials{files: files}
+	config, err := c.load()
+	if err != nil {
+		return nil, marigoldcroft.NewFailure("read certificates", KindTLS, err)
+	}
+	c.config, c.stamps, c.checked = config, c.stat(), time.Now()
+	return c, nil
+}
+
+func (c *Credentials) load() (*tls.Config, error) {
+	certificate, err := tls.LoadX509KeyPair(c.files.CertificateFile, c.files.KeyFile)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s and %s", c.files.CertificateFile, c.files.KeyFile)
+	}
+	pem, err := os.ReadFile(c.files.AuthorityFile)
+	if err != nil {
+		return nil, err
+	}
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(pem) {
+		return nil, errors.Newf("%s holds no certificate", c.files.AuthorityFile)
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{certificate},
+		RootCAs:      authorities,
+		ClientCAs:    authorities,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		NextProtos:   []string{"h2"},
+	}, nil
+}
+
+func (c *Credentials) stat() (stamps [3]fileStamp) {
+	for i, name := range []string{c.files.CertificateFile, c.files.KeyFile, c.files.AuthorityFile} {
+		if info, err := os.Stat(name); err == nil {
+			stamps[i] = fileStamp{info.ModTime(), info.Size()}
+		}
+	}
+	return stamps
+}
+
+// current returns the configuration of the files. Files that cannot be used, for
+// example because only some of them were replaced so far, leave the last one in use.
+func (c *Credentials) current() *tls.Config {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := time.Now(); now.Sub(c.checked) >= reloadInterval {
+		c.checked = now
+		c.reload()
+	}
+	return c.config
+}
+
+// reload needs mu.
+func (c *Credentials) reload() {
+	stamps := c.stat()
+	if stamps == c.stamps && c.failure == nil {
+		return
+	}
+	config, err := c.load()
+	c.failure = err
+	if err == nil {
+		c.config, c.stamps = config, stamps
+	}
+}
+
+// Failure returns why changed files are not in use, or nil.
+func (c *Credentials) Failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure == nil {
+		return nil
+	}
+	return marigoldcroft.NewFailure("read certificates", KindTLS, c.failure)
+}
+
+// Server returns the credentials of a gRPC server.
+func (c *Credentials) Server() credentials.TransportCredentials {
+	return credentials.NewTLS(&tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return c.current(), nil
+		},
+	})
+}
+
+// Client returns the credentials of a gRPC client.
+func (c *Credentials) Client() credentials.TransportCredentials {
+	return &clientCredentials{TransportCredentials: credentials.NewTLS(c.current()), source: c}
+}
+
+// ClientHandshake runs the handshake with the present files.
+func (c *clientCredentials) ClientHandshake(ctx context.Context, authority string, conn net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	return credentials.NewTLS(c.source.current()).ClientHandshake(ctx, authority, conn)
+}
+
+// Clone returns a copy.
+func (c *clientCredentials) Clone() credentials.TransportCredentials {
+	return &clientCredentials{TransportCredentials: c.TransportCredentials.Clone(), source: c.source}
+}
--- /dev/null
+++ b/mcpeer/peer_test.go
@@ -0,0 +1,269 @@
+package mcpeer_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"marigoldcroft"
+	"marigoldcroft/mcmember"
+	"marigoldcroft/mcmessage"
+	"marigoldcroft/mcpeer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// counting counts the calls that reach the service.
+type counting struct {
+	*mcmember.Member
+	calls atomic.Int64
+}
+
+func (c *counting) Exchange(ctx context.Context, r *mcmessage.ExchangeRequest) (*mcmessage.ExchangeResponse, error) {
+	c.calls.Add(1)
+	return c.Member.Exchange(ctx, r)
+}
+
+// node is one instance with its server and pool on a loopback port.
+type node struct {
+	address string
+	member  *counting
+	pool    *mcpeer.Pool
+	faults  *mcpeer.Faults
+}
+
+func identity(deployment, centre, name string) marigoldcroft.Identity {
+	return marigoldcroft.NewIdentity(deployment, "south", centre, name, time.Now(), 1)
+}
+
+// start runs a node until the test ends. It does not exchange on its own.
+func start(t *testing.T, id marigoldcroft.Identity, credentials *mcpeer.Credentials, tracer *trace.TracerProvider) *node {
+	t.Helper()
+	n := &node{member: &counting{Member: &mcmember.Member{}}, faults: &mcpeer.Faults{}}
+	server := &mcpeer.Server{Address: "127.0.0.1:0", Identity: id, Member: n.member, Credentials: credentials, Faults: n.faults}
+	n.pool = &mcpeer.Pool{Identity: id, Credentials: credentials, Faults: n.faults}
+	if tracer != nil {
+		server.TracerProvider, n.pool.TracerProvider = tracer, tracer
+	}
+	address, err := server.Listen()
+	require.NoError(t, err)
+	n.address, n.pool.PeerAddress = address, address
+	n.member.Self = mcmember.Self{Identity: id, PeerAddress: address}
+	n.member.Transport = n.pool
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	t.Cleanup(func() {
+		n.pool.Close()
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return n
+}
+
+// request returns the request that a new member with the identity sends.
+func request(id marigoldcroft.Identity) *mcmessage.ExchangeRequest {
+	table := mcmember.NewTable(mcmember.Self{Identity: id, PeerAddress: "127.0.0.1:1"}, time.Now(), 1)
+	return table.Request(time.Now(), "", false).Request
+}
+
+func (n *node) contact() mcmember.Contact {
+	return mcmember.Contact{Instance: n.member.Self.Identity.Instance(), Address: n.address}
+}
+
+// Guards against calls of foreign deployments and data centres, and against blocked
+// traffic that arrives.
+func TestExchangeOverLoopback(t *testing.T) {
+	ownCentre := identity("copo", "lima", "a")
+	cases := map[string]struct {
+		caller marigoldcroft.Identity
+		// block sets the fault switches of caller and receiver.
+		block func(caller, receiver *node)
+		relay bool
+		want  codes.Code
+		// reached tells whether the exchange gets to the service.
+		reached int64
+	}{
+		"same data centre":             {caller: ownCentre, want: codes.OK, reached: 1},
+		"other data centre":            {caller: identity("copo", "cusco", "a"), want: codes.PermissionDenied},
+		"other deployment":             {caller: identity("brunnholzer", "lima", "a"), want: codes.PermissionDenied},
+		"relay from other data centre": {caller: identity("copo", "cusco", "a"), relay: true, want: codes.OK},
+		"relay within a data centre":   {caller: ownCentre, relay: true, want: codes.PermissionDenied},
+		"blocked at the caller": {
+			caller: ownCentre, want: codes.Unavailable,
+			block: func(caller, receiver *node) { caller.faults.Set([]string{receiver.address}, nil) },
+		},
+		"blocked at the receiver": {
+			caller: ownCentre, want: codes.DeadlineExceeded,
+			block: func(caller, receiver *node) { receiver.faults.Set(nil, []string{caller.address}) },
+		},
+		"blocked in the other direction": {
+			caller: ownCentre, want: codes.OK, reached: 1,
+			block: func(caller, receiver *node) {
+				caller.faults.Set(nil, []string{receiver.address})
+				receiver.faults.Set([]string{caller.address}, nil)
+			},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			receiver := start(t, identity("copo", "lima", "b"), nil, nil)
+			caller := start(t, c.caller, nil, nil)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if c.block != nil {
+				c.block(caller, receiver)
+				ctx, cancel = context.WithTimeout(ctx, 50*time.Millisecond)
+				defer cancel()
+				if c.want == codes.OK {
+					ctx = t.Context()
+				}
+			}
+			var err error
+			if c.relay {
+				_, err = caller.pool.Relay(ctx, receiver.contact(), &mcmessage.RelayRequest{Sender: request(c.caller).Sender})
+			} else {
+				_, err = caller.pool.Exchange(ctx, receiver.contact(), request(c.caller))
+			}
+			require.Equal(t, c.want, status.Code(err), "%v", err)
+			require.Equal(t, c.reached, receiver.member.calls.Load())
+		})
+	}
+}
+
+// Guards against spans that are lost or not joined between instances.
+func TestExchangeHasSpansOnBothSides(t *testing.T) {
+	spans := tracetest.NewSpanRecorder()
+	tracer := trace.NewTracerProvider(trace.WithSpanProcessor(spans))
+	receiver := start(t, identity("copo", "lima", "b"), nil, tracer)
+	id := identity("copo", "lima", "a")
+	caller := start(t, id, nil, tracer)
+	_, err := caller.pool.Exchange(t.Context(), receiver.contact(), request(id))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(spans.Ended()) == 2 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, spans.Ended()[0].SpanContext().TraceID(), spans.Ended()[1].SpanContext().TraceID())
+}
+
+// authority signs certificates for the loopback address.
+type authority struct {
+	t    *testing.T
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+func newAuthority(t *testing.T) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true,
+		BasicConstraintsValid: true, NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return &authority{t: t, key: key, cert: cert}
+}
+
+// write puts a new certificate for address into files under dir.
+func (a *authority) write(dir string, address string) mcpeer.Files {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(a.t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.ParseIP(address)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	require.NoError(a.t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	require.NoError(a.t, err)
+	files := mcpeer.Files{
+		CertificateFile: filepath.Join(dir, "own.pem"), KeyFile: filepath.Join(dir, "own.key"), AuthorityFile: filepath.Join(dir, "authority.pem"),
+	}
+	for name, block := range map[string]*pem.Block{
+		files.CertificateFile: {Type: "CERTIFICATE", Bytes: der},
+		files.KeyFile:         {Type: "EC PRIVATE KEY", Bytes: keyDER},
+		files.AuthorityFile:   {Type: "CERTIFICATE", Bytes: a.cert.Raw},
+	} {
+		require.NoError(a.t, os.WriteFile(name, pem.EncodeToMemory(block), 0o600))
+	}
+	return files
+}
+
+// Guards against a peer without an accepted certificate, and against a connection
+// that still needs a restart after the files were replaced.
+func TestMutualTLS(t *testing.T) {
+	first, second := newAuthority(t), newAuthority(t)
+	cases := map[string]struct {
+		caller  *authority
+		address string
+		plain   bool
+		// replaced puts files of the second authority in place at the receiver.
+		replaced bool
+		want     codes.Code
+	}{
+		"same authority":                    {caller: first, address: "127.0.0.1", want: codes.OK},
+		"foreign authority":                 {caller: second, address: "127.0.0.1", want: codes.Unavailable},
+		"no TLS at the caller":              {plain: true, want: codes.Unavailable},
+		"authority replaced at receiver":    {caller: second, address: "127.0.0.1", replaced: true, want: codes.OK},
+		"old authority after a replacement": {caller: first, address: "127.0.0.1", replaced: true, want: codes.Unavailable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			credentials, err := mcpeer.NewCredentials(first.write(dir, "127.0.0.1"))
+			require.NoError(t, err)
+			receiver := start(t, identity("copo", "lima", "b"), credentials, nil)
+			if c.replaced {
+				second.write(dir, "127.0.0.1")
+				mcpeer.ForgetCheck(credentials)
+			}
+			var own *mcpeer.Credentials
+			if !c.plain {
+				own, err = mcpeer.NewCredentials(c.caller.write(t.TempDir(), c.address))
+				require.NoError(t, err)
+			}
+			id := identity("copo", "lima", "a")
+			caller := start(t, id, own, nil)
+			_, err = caller.pool.Exchange(t.Context(), receiver.contact(), request(id))
+			require.Equal(t, c.want, status.Code(err), "%v", err)
+			require.NoError(t, credentials.Failure())
+		})
+	}
+}
+
+// Guards against a half replaced set of files that takes an instance out of service.
+func TestUnusableFilesLeaveTheLastInUse(t *testing.T) {
+	a, dir := newAuthority(t), t.TempDir()
+	files := a.write(dir, "127.0.0.1")
+	credentials, err := mcpeer.NewCredentials(files)
+	require.NoError(t, err)
+	receiver := start(t, identity("copo", "lima", "b"), credentials, nil)
+	require.NoError(t, os.WriteFile(files.KeyFile, []byte("not a key"), 0o600))
+	mcpeer.ForgetCheck(credentials)
+	own, err := mcpeer.NewCredentials(a.write(t.TempDir(), "127.0.0.1"))
+	require.NoError(t, err)
+	id := identity("copo", "lima", "a")
+	caller := start(t, id, own, nil)
+	_, err = caller.pool.Exchange(t.Context(), receiver.contact(), request(id))
+	require.NoError(t, err)
+	require.ErrorContains(t, credentials.Failure(), "own.key")
+}
--- /dev/null
+++ b/mcpeer/pool.go
@@ -0,0 +1,286 @@
+package mcpeer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"marigoldcroft"
+	"marigoldcroft/mcmember"
+	"marigoldcroft/mcmessage"
+)
+
+const (
+	// idleTime closes a connection without calls; addresses of replaced instances go
+	// out of use this way.
+	idleTime = 5 * time.Minute
+	// redialBackoff bounds the wait between attempts to connect, so that a healed
+	// partition is used within seconds.
+	redialBackoff = 2 * time.Second
+	// maxTimeouts in a row make the pool connect again. After a partition, TCP would
+	// repeat lost packets at intervals of up to two minutes.
+	maxTimeouts = 3
+	// maxConns bounds the connections of one instance.
+	maxConns = 1024
+)
+
+type (
+	// Pool holds one connection to each peer address. Set the exported fields before
+	// the first call. It implements mcmember.Transport. Safe for use from many
+	// goroutines.
+	Pool struct {
+		Identity marigoldcroft.Identity
+		// PeerAddress is the own address, told to peers only while Faults is set.
+		PeerAddress string
+		// Credentials is nil for connections without TLS.
+		Credentials *Credentials
+		// TracerProvider is nil for no spans.
+		TracerProvider trace.TracerProvider
+		// Faults is nil outside tests.
+		Faults *Faults
+		// MaxBytes bounds messages of other services; 0 means DefaultMaxBytes.
+		MaxBytes int
+
+		mu     sync.Mutex
+		conns  map[string]*peerConn
+		closed bool
+		bytes  Bytes
+	}
+
+	peerConn struct {
+		*grpc.ClientConn
+		used     time.Time
+		timeouts int
+	}
+)
+
+// Bytes returns the counters of the pool's connections.
+func (p *Pool) Bytes() *Bytes { return &p.bytes }
+
+// Conn returns the connection to the address, for clients of any service. It dials
+// at the first call; a connection that is not used is closed after idleTime.
+func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, marigoldcroft.NewFailure("dial "+address, KindClosed, nil)
+	}
+	now := time.Now()
+	if conn := p.conns[address]; conn != nil {
+		conn.used = now
+		return conn.ClientConn, nil
+	}
+	p.dropIdle(now)
+	if len(p.conns) >= maxConns {
+		return nil, marigoldcroft.NewFailure("dial "+address, KindDial, status.Errorf(codes.ResourceExhausted, "%d connections are open", maxConns))
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, p.options(address)...)
+	if err != nil {
+		return nil, marigoldcroft.NewFailure("dial "+address, KindDial, err)
+	}
+	if p.conns == nil {
+		p.conns = make(map[string]*peerConn)
+	}
+	p.conns[address] = &peerConn{ClientConn: conn, used: now}
+	return conn, nil
+}
+
+// dropIdle needs mu.
+func (p *Pool) dropIdle(now time.Time) {
+	for address, conn := range p.conns {
+		if now.Sub(conn.used) > idleTime {
+			delete(p.conns, address)
+			_ = conn.Close()
+		}
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for address, conn := range p.conns {
+		delete(p.conns, address)
+		_ = conn.Close()
+	}
+}
+
+func (p *Pool) options(address string) []grpc.DialOption {
+	size := p.MaxBytes
+	if size == 0 {
+		size = DefaultMaxBytes
+	}
+	retry := backoff.DefaultConfig
+	retry.BaseDelay, retry.MaxDelay = 100*time.Millisecond, redialBackoff
+	security := insecure.NewCredentials()
+	if p.Credentials != nil {
+		security = p.Credentials.Client()
+	}
+	options := []grpc.DialOption{
+		grpc.WithTransportCredentials(security),
+		grpc.WithContextDialer(p.dial),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: mcmember.CallTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(size), grpc.MaxCallSendMsgSize(size)),
+		grpc.WithMaxHeaderListSize(maxHeaderBytes),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithNoProxy(),
+		grpc.WithChainUnaryInterceptor(func(ctx context.Context, method string, request, answer any, conn *grpc.ClientConn, invoke grpc.UnaryInvoker, options ...grpc.CallOption) error {
+			return p.callUnary(ctx, address, func(ctx context.Context) error {
+				return invoke(ctx, method, request, answer, conn, options...)
+			}, answer)
+		}),
+		grpc.WithChainStreamInterceptor(func(ctx context.Context, description *grpc.StreamDesc, conn *grpc.ClientConn, method string, open grpc.Streamer, options ...grpc.CallOption) (grpc.ClientStream, error) {
+			return p.openStream(ctx, address, func(ctx context.Context) (grpc.ClientStream, error) {
+				return open(ctx, description, conn, method, options...)
+			})
+		}),
+	}
+	if p.TracerProvider != nil {
+		options = append(options, grpc.WithStatsHandler(otelgrpc.NewClientHandler(
+			otelgrpc.WithTracerProvider(p.TracerProvider), otelgrpc.WithPropagators(propagation.TraceContext{}))))
+	}
+	return options
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{conn, &p.bytes}, nil
+}
+
+// callUnary gives the call a deadline and checks the answer before the caller sees it.
+func (p *Pool) callUnary(ctx context.Context, address string, invoke func(context.Context) error, answer any) error {
+	ctx, cancel := context.WithTimeout(p.outgoing(ctx), maxUnaryTime)
+	defer cancel()
+	if err := p.Faults.blocksTo(ctx, address); err != nil {
+		return err
+	}
+	err := invoke(ctx)
+	p.noteOutcome(address, err)
+	if err != nil {
+		return err
+	}
+	return validateAnswer(answer)
+}
+
+func validateAnswer(answer any) error {
+	message, ok := answer.(proto.Message)
+	if !ok {
+		return nil
+	}
+	if err := Validate(message); err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	return nil
+}
+
+func (p *Pool) openStream(ctx context.Context, address string, open func(context.Context) (grpc.ClientStream, error)) (grpc.ClientStream, error) {
+	ctx, cancel := context.WithTimeout(p.outgoing(ctx), maxStreamTime)
+	if err := p.Faults.blocksTo(ctx, address); err != nil {
+		cancel()
+		return nil, err
+	}
+	stream, err := open(ctx)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return &checkedClientStream{ClientStream: stream, cancel: cancel}, nil
+}
+
+// checkedClientStream checks each message and releases the deadline at the end.
+type checkedClientStream struct {
+	grpc.ClientStream
+	cancel context.CancelFunc
+}
+
+func (c *checkedClientStream) RecvMsg(message any) error {
+	err := c.ClientStream.RecvMsg(message)
+	if err == nil {
+		err = validateAnswer(message)
+	}
+	if err != nil {
+		c.cancel()
+	}
+	return err
+}
+
+func (p *Pool) outgoing(ctx context.Context) context.Context {
+	if p.Faults == nil {
+		return ctx
+	}
+	return metadata.AppendToOutgoingContext(ctx, addressHeader, p.PeerAddress)
+}
+
+// noteOutcome closes a connection on which calls only time out; the next call dials.
+func (p *Pool) noteOutcome(address string, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conn := p.conns[address]
+	if conn == nil {
+		return
+	}
+	if status.Code(err) != codes.DeadlineExceeded {
+		conn.timeouts = 0
+		return
+	}
+	conn.timeouts++
+	if conn.timeouts >= maxTimeouts {
+		delete(p.conns, address)
+		_ = conn.Close()
+	}
+}
+
+// Exchange calls MemberService.Exchange.
+func (p *Pool) Exchange(ctx context.Context, to mcmember.Contact, request *mcmessage.ExchangeRequest) (*mcmessage.ExchangeResponse, error) {
+	conn, err := p.Conn(to.Address)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := mcmessage.NewMemberServiceClient(conn).Exchange(ctx, request, grpc.MaxCallRecvMsgSize(mcmember.MaxMessageBytes))
+	if err != nil {
+		return nil, err
+	}
+	return answer, checkOrigin(p.Identity, mcmessage.MemberService_Exchange_FullMethodName, answer)
+}
+
+// Probe calls MemberService.Probe.
+func (p *Pool) Probe(ctx context.Context, to mcmember.Contact, request *mcmessage.ProbeRequest) (*mcmessage.ProbeResponse, error) {
+	conn, err := p.Conn(to.Address)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := mcmessage.NewMemberServiceClient(conn).Probe(ctx, request, grpc.MaxCallRecvMsgSize(mcmember.MaxMessageBytes))
+	if err != nil {
+		return nil, err
+	}
+	return answer, checkOrigin(p.Identity, mcmessage.MemberService_Probe_FullMethodName, answer)
+}
+
+// Relay calls MemberService.Relay.
+func (p *Pool) Relay(ctx context.Context, to mcmember.Contact, request *mcmessage.RelayRequest) (*mcmessage.RelayResponse, error) {
+	conn, err := p.Conn(to.Address)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := mcmessage.NewMemberServiceClient(conn).Relay(ctx, request, grpc.MaxCallRecvMsgSize(mcmember.MaxMessageBytes))
+	if err != nil {
+		return nil, err
+	}
+	return answer, checkOrigin(p.Identity, mcmessage.MemberService_Relay_FullMethodName, answer)
+}
--- /dev/null
+++ b/mcpeer/server.go
@@ -0,0 +1,207 @@
+package mcpeer
+
+import (
+	"context"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"marigoldcroft"
+	"marigoldcroft/mcmember"
+	"marigoldcroft/mcmessage"
+)
+
+const (
+	// DefaultMaxBytes bounds messages of services other than MemberService, which has
+	// mcmember.MaxMessageBytes. It holds a configuration page of 1 MB.
+	DefaultMaxBytes = 2 << 20
+	// maxUnaryTime bounds a call that came without a deadline.
+	maxUnaryTime = 10 * time.Second
+	// maxStreamTime does the same for streams.
+	maxStreamTime = 10 * time.Minute
+	// stopTime is how long calls may finish after the end of Run's context.
+	stopTime          = 2 * time.Second
+	connectTime       = 5 * time.Second
+	maxStreamsPerConn = 256
+	maxHeaderBytes    = 8 << 10
+	memberPrefix      = "/marigoldcroft.member.MemberService/"
+)
+
+// Server serves the calls of peers. Set the exported fields before Listen.
+type Server struct {
+	// Address is the IP and port to listen on; port 0 chooses one.
+	Address  string
+	Identity marigoldcroft.Identity
+	// Member serves MemberService.
+	Member mcmessage.MemberServiceServer
+	// Register adds other services; it may be nil.
+	Register func(grpc.ServiceRegistrar)
+	// Credentials is nil for connections without TLS.
+	Credentials *Credentials
+	// TracerProvider is nil for no spans.
+	TracerProvider trace.TracerProvider
+	// Faults is nil outside tests.
+	Faults *Faults
+	Logger zerolog.Logger
+	// MaxBytes bounds messages of other services; 0 means DefaultMaxBytes.
+	MaxBytes int
+
+	listener net.Listener
+	bytes    Bytes
+}
+
+// Listen opens the port and returns its address.
+func (s *Server) Listen() (string, error) {
+	listener, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return "", marigoldcroft.NewFailure("listen on "+s.Address, KindListen, err)
+	}
+	s.listener = listener
+	return listener.Addr().String(), nil
+}
+
+// Bytes returns the counters of the server's connections.
+func (s *Server) Bytes() *Bytes { return &s.bytes }
+
+// Run serves until ctx ends; calls in flight then have stopTime to finish.
+func (s *Server) Run(ctx context.Context) error {
+	if s.listener == nil {
+		if _, err := s.Listen(); err != nil {
+			return err
+		}
+	}
+	server := grpc.NewServer(s.options()...)
+	mcmessage.RegisterMemberServiceServer(server, s.Member)
+	if s.Register != nil {
+		s.Register(server)
+	}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(countedListener{s.listener, &s.bytes}) }()
+	select {
+	case err := <-done:
+		return marigoldcroft.NewFailure("serve "+s.Address, KindServe, err)
+	case <-ctx.Done():
+	}
+	timer := time.AfterFunc(stopTime, server.Stop)
+	server.GracefulStop()
+	timer.Stop()
+	if err := <-done; err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+		return marigoldcroft.NewFailure("serve "+s.Address, KindServe, err)
+	}
+	return nil
+}
+
+func (s *Server) options() []grpc.ServerOption {
+	if s.MaxBytes == 0 {
+		s.MaxBytes = DefaultMaxBytes
+	}
+	options := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(s.MaxBytes),
+		grpc.MaxSendMsgSize(s.MaxBytes),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.MaxConcurrentStreams(maxStreamsPerConn),
+		grpc.ConnectionTimeout(connectTime),
+		grpc.ChainUnaryInterceptor(s.checkUnary),
+		grpc.ChainStreamInterceptor(s.checkStream),
+	}
+	if s.Credentials != nil {
+		options = append(options, grpc.Creds(s.Credentials.Server()))
+	}
+	if s.TracerProvider != nil {
+		options = append(options, grpc.StatsHandler(otelgrpc.NewServerHandler(
+			otelgrpc.WithTracerProvider(s.TracerProvider), otelgrpc.WithPropagators(propagation.TraceContext{}))))
+	}
+	return options
+}
+
+// checkUnary refuses a bad request before the service sees it.
+func (s *Server) checkUnary(ctx context.Context, request any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxUnaryTime)
+	defer cancel()
+	if err := s.Faults.blocksFrom(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.check(info.FullMethod, request); err != nil {
+		s.Logger.Warn().Str("method", info.FullMethod).Err(err).Msg("peerCallRefused")
+		return nil, err
+	}
+	return handler(ctx, request)
+}
+
+func (s *Server) checkStream(service any, stream grpc.ServerStream, info *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
+	ctx, cancel := context.WithTimeout(stream.Context(), maxStreamTime)
+	defer cancel()
+	if err := s.Faults.blocksFrom(ctx); err != nil {
+		return err
+	}
+	return handler(service, &checkedStream{ServerStream: stream, ctx: ctx, server: s, method: info.FullMethod})
+}
+
+// checkedStream checks each message that arrives on a stream.
+type checkedStream struct {
+	grpc.ServerStream
+	ctx    context.Context
+	server *Server
+	method string
+}
+
+func (c *checkedStream) Context() context.Context { return c.ctx }
+
+func (c *checkedStream) RecvMsg(message any) error {
+	if err := c.ServerStream.RecvMsg(message); err != nil {
+		return err
+	}
+	return c.server.check(c.method, message)
+}
+
+// check validates the message and its sender.
+func (s *Server) check(method string, request any) error {
+	message, ok := request.(proto.Message)
+	if !ok {
+		return status.Errorf(codes.Internal, "the request of %s is not a protobuf message", method)
+	}
+	if size := proto.Size(message); strings.HasPrefix(method, memberPrefix) && size > mcmember.MaxMessageBytes {
+		return status.Errorf(codes.InvalidArgument, "the message has %d bytes, the limit is %d", size, mcmember.MaxMessageBytes)
+	}
+	if err := Validate(message); err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	return checkOrigin(s.Identity, method, message)
+}
+
+// checkOrigin refuses messages of another deployment, exchanges of another data
+// centre and relays within one.
+func checkOrigin(own marigoldcroft.Identity, method string, message proto.Message) error {
+	deployment := ""
+	switch m := message.(type) {
+	case interface{ GetSender() *mcmessage.Sender }:
+		sender := m.GetSender()
+		deployment = sender.GetDeployment()
+		same := sender.GetDataCentre() == own.DataCentre()
+		if relay := strings.HasSuffix(method, "/Relay"); relay == same {
+			return status.Errorf(codes.PermissionDenied, "the data centre %q of the sender is wrong for %s at %q",
+				sender.GetDataCentre(), method, own.DataCentre())
+		}
+		if sender.GetInstance() == own.Instance() && sender.GetIncarnation() == own.Incarnation() {
+			return status.Error(codes.PermissionDenied, "the sender is the receiver itself")
+		}
+	case interface{ GetDeployment() string }:
+		deployment = m.GetDeployment()
+	default:
+		return nil
+	}
+	if deployment != own.Deployment() {
+		return status.Errorf(codes.PermissionDenied, "the deployment %q of the sender is not %q", deployment, own.Deployment())
+	}
+	return nil
+}
