Add team limits and retry budget

Cause: the gateway has no team limits, and retries are not bounded. Change: mclimit holds token rate, concurrency and long share of active teams; shares follow reported demand by claims that are enforced only after peers saw them and were heard again, and stand while a peer is unreachable. Retry budget: 10% of the successes of 10 s plus 5.

--- /dev/null
+++ b/mclimit/limiter_test.go
@@ -0,0 +1,270 @@
+package mclimit_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"marigoldcroft"
+	"marigoldcroft/mclimit"
+	"marigoldcroft/mcmessage"
+)
+
+const interval = time.Second
+
+var start = time.Unix(1_800_000_000, 0)
+
+func team(spec marigoldcroft.TeamSpec) marigoldcroft.Team {
+	spec.Name = "studio"
+	return marigoldcroft.NewTeam(spec)
+}
+
+// Guards against a limit that does not hold, and one that refuses for ever.
+func TestOneInstance(t *testing.T) {
+	for name, c := range map[string]struct {
+		spec   marigoldcroft.TeamSpec
+		tokens int64
+		long   bool
+		// allowed is how many requests pass at once.
+		allowed int
+		reason  mclimit.Reason
+	}{
+		"no limit":    {marigoldcroft.TeamSpec{}, 1000, true, 50, mclimit.ReasonNone},
+		"token rate":  {marigoldcroft.TeamSpec{TokensPerSecond: 100, BurstTokens: 300}, 100, false, 3, mclimit.ReasonTokenRate},
+		"over burst":  {marigoldcroft.TeamSpec{TokensPerSecond: 100}, 1000, false, 1, mclimit.ReasonTokenRate},
+		"concurrency": {marigoldcroft.TeamSpec{Concurrency: 4}, 1, false, 4, mclimit.ReasonConcurrency},
+		"long share":  {marigoldcroft.TeamSpec{Concurrency: 4, LongShare: 0.5}, 1, true, 2, mclimit.ReasonLongShare},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &mclimit.Limiter{}
+			for i := range c.allowed {
+				require.True(t, l.Admit(start, team(c.spec), c.tokens, c.long).Allowed(), "request %d", i)
+			}
+			verdict := l.Admit(start, team(c.spec), c.tokens, c.long)
+			require.Equal(t, c.reason, verdict.Reason)
+			l.Finish(start, "studio", c.tokens, c.tokens, c.long)
+			later := start.Add(verdict.RetryAfter)
+			require.True(t, l.Admit(later, team(c.spec), c.tokens, c.long).Allowed())
+		})
+	}
+}
+
+// Guards against memory that grows with the configured teams: all 40,000 active at
+// once stay under the 64 MB of one node, and idle ones cost nothing.
+func TestTeamsFitInMemory(t *testing.T) {
+	const teams, heapLimit = 40_000, 64 << 20
+	var before, after runtime.MemStats
+	l := &mclimit.Limiter{}
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range teams {
+		spec := marigoldcroft.TeamSpec{Name: fmt.Sprintf("team%d", i), TokensPerSecond: 100}
+		require.True(t, l.Admit(start, marigoldcroft.NewTeam(spec), 1, false).Allowed())
+		l.Finish(start, spec.Name, 1, 1, false)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	require.Less(t, int64(after.HeapAlloc)-int64(before.HeapAlloc), int64(heapLimit))
+	l.Rebalance(start.Add(59*time.Second), interval)
+	require.Equal(t, teams, l.Active())
+	l.Rebalance(start.Add(60*time.Second), interval)
+	require.Zero(t, l.Active())
+}
+
+// Guards against shares that stay where they were when demand moves, and against a
+// new instance that takes a full share.
+func TestShareFollowsDemand(t *testing.T) {
+	limit := team(marigoldcroft.TeamSpec{TokensPerSecond: 1000})
+	c := newCluster(2)
+	c.step(limit, []int{10, 0})
+	require.InDelta(t, 0.5, c.nodes[0].Share("studio"), 0.01)
+	for range 20 {
+		c.step(limit, []int{10, 0})
+	}
+	require.Greater(t, c.nodes[0].Share("studio"), 0.95)
+	c.step(limit, []int{10, 1})
+	require.Less(t, c.nodes[1].Share("studio"), 0.3)
+	for range 30 {
+		c.step(limit, []int{1, 10})
+	}
+	require.Greater(t, c.nodes[1].Share("studio"), 0.7)
+}
+
+// Guards against a limit that doubles at a partition: last shares stand on both sides.
+func TestPartitionKeepsShares(t *testing.T) {
+	limit := team(marigoldcroft.TeamSpec{TokensPerSecond: 1000})
+	c := newCluster(2)
+	for range 20 {
+		c.step(limit, []int{5, 5})
+	}
+	c.cut = []bool{false, true}
+	for range 120 {
+		c.step(limit, []int{10, 0})
+	}
+	require.InDelta(t, 0.5, c.nodes[0].Share("studio"), 0.05)
+}
+
+// Guards against two sides of a partition that both take what a stopped instance freed.
+func TestPartitionedSidesDoNotTakeTheSameShare(t *testing.T) {
+	limit := team(marigoldcroft.TeamSpec{TokensPerSecond: 1000})
+	c := newCluster(3)
+	for range 20 {
+		c.step(limit, []int{5, 5, 5})
+	}
+	c.cut = []bool{true, true, true}
+	c.nodes[0].SetMembers([]string{"1"})
+	c.nodes[1].SetMembers([]string{"0"})
+	for range 120 {
+		c.step(limit, []int{10, 10, 0})
+	}
+	require.LessOrEqual(t, c.nodes[0].Share("studio")+c.nodes[1].Share("studio"), 1.0)
+}
+
+// Guards against an instance with less than one request's share that ignores what
+// peers run: the third instance of six is refused once peers report two of two.
+func TestSmallConcurrencyCountsPeers(t *testing.T) {
+	limit := team(marigoldcroft.TeamSpec{Concurrency: 2})
+	c := newCluster(6)
+	for i := range 2 {
+		require.True(t, c.nodes[i].Admit(c.now, limit, 1, false).Allowed())
+	}
+	c.exchange()
+	c.exchange()
+	require.Equal(t, mclimit.ReasonConcurrency, c.nodes[2].Admit(c.now, limit, 1, false).Reason)
+}
+
+// Guards against over-admission beyond the stated bound under any demand, restarts of
+// the exchange and partitions: limit x (1 + 1/n) x time, one propagation's worth, the
+// burst, and one request an instance.
+func TestOverAdmissionBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 5).Draw(t, "instances")
+		const rate, tokens = 1000.0, 50
+		limit := team(marigoldcroft.TeamSpec{TokensPerSecond: rate, Concurrency: 1 << 20})
+		c := newCluster(n)
+		steps := rapid.IntRange(10, 80).Draw(t, "steps")
+		admitted := 0
+		for range steps {
+			demand := make([]int, n)
+			for i := range demand {
+				demand[i] = rapid.SampledFrom([]int{0, 0, 1, 10, 100}).Draw(t, "demand")
+				if rapid.IntRange(0, 15).Draw(t, "toggle") == 0 {
+					c.cut[i] = !c.cut[i]
+				}
+			}
+			admitted += c.step(limit, demand) * tokens
+		}
+		seconds := float64(steps) * interval.Seconds()
+		bound := rate*(1+1/float64(n))*seconds + rate*(2*interval).Seconds() + rate + float64(n)*tokens
+		if float64(admitted) > bound {
+			t.Fatalf("admitted %d tokens in %v s, bound %v", admitted, seconds, bound)
+		}
+	})
+}
+
+// Guards against more requests at once than the limit plus one an instance.
+func TestConcurrencyBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "instances")
+		concurrency := rapid.IntRange(1, 20).Draw(t, "concurrency")
+		limit := team(marigoldcroft.TeamSpec{Concurrency: concurrency})
+		c := newCluster(n)
+		running := 0
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			for _, l := range c.nodes {
+				for range rapid.IntRange(0, 25).Draw(t, "requests") {
+					if l.Admit(c.now, limit, 1, false).Allowed() {
+						running++
+					}
+				}
+			}
+			c.exchange()
+		}
+		if running > concurrency+n {
+			t.Fatalf("%d run at once, limit %d with %d instances", running, concurrency, n)
+		}
+	})
+}
+
+// Guards against retries that multiply load when nothing succeeds.
+func TestRetryBudget(t *testing.T) {
+	r := &mclimit.RetryBudget{}
+	take := func(now time.Time) (n int) {
+		for r.Take(now, "model") {
+			n++
+		}
+		return n
+	}
+	require.Equal(t, 5, take(start), "floor")
+	for range 100 {
+		r.Succeeded(start, "model")
+	}
+	require.Equal(t, 10, take(start), "a tenth of the successes")
+	require.Zero(t, take(start.Add(9*time.Second)))
+	require.Equal(t, 5, take(start.Add(10*time.Second)), "old successes lapse")
+}
+
+// cluster is a data centre whose instances exchange usage once a second; a report
+// arrives one interval late.
+type cluster struct {
+	now    time.Time
+	nodes  []*mclimit.Limiter
+	cut    []bool
+	wire   [][]*mcmessage.TeamUsage
+	sentBy []bool
+}
+
+func newCluster(n int) *cluster {
+	c := &cluster{now: start, cut: make([]bool, n), wire: make([][]*mcmessage.TeamUsage, n), sentBy: make([]bool, n)}
+	for i := range n {
+		l := &mclimit.Limiter{Propagation: 2 * interval}
+		var others []string
+		for j := range n {
+			if j != i {
+				others = append(others, fmt.Sprint(j))
+			}
+		}
+		l.SetMembers(others)
+		c.nodes = append(c.nodes, l)
+	}
+	c.exchange()
+	return c
+}
+
+// step offers so many requests of 50 tokens to each instance within one interval and
+// returns the number of admitted ones.
+func (c *cluster) step(limit marigoldcroft.Team, demand []int) int {
+	admitted := 0
+	const parts = 10
+	for range parts {
+		for i, l := range c.nodes {
+			for range demand[i] {
+				if l.Admit(c.now, limit, 50, false).Allowed() {
+					admitted++
+					l.Finish(c.now, "studio", 50, 50, false)
+				}
+			}
+		}
+		c.now = c.now.Add(interval / parts)
+	}
+	c.exchange()
+	return admitted
+}
+
+func (c *cluster) exchange() {
+	for i := range c.nodes {
+		for j, l := range c.nodes {
+			if i != j && c.sentBy[i] && !c.cut[i] && !c.cut[j] {
+				l.ObservePeer(c.now, fmt.Sprint(i), 1, c.wire[i])
+			}
+		}
+	}
+	for i, l := range c.nodes {
+		l.Rebalance(c.now, interval)
+		c.wire[i], c.sentBy[i] = l.Usage(), true
+	}
+}
