Add crash attribution and quarantine

Cause: one request that crashes each endpoint it runs on can take down the fleet. Change: mcquarantine accuses all that was in flight when an endpoint died, which a broken stream followed by a refused dial or a new incarnation shows; suspects run alone at their home instance, two crashes quarantine, entries merge by version.

--- /dev/null
+++ b/mcquarantine/guard_query.go
@@ -0,0 +1,29 @@
+package mcquarantine
+
+import (
+	"sort"
+	"time"
+
+	"marigoldcroft/mcmessage"
+)
+
+// Check tells how a request would run: VerdictRun, VerdictAlone or VerdictQuarantined.
+func (g *Guard) Check(now time.Time, f Fingerprint) Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.verdict(now, f)
+}
+
+// Entries returns all entries that have not expired, by fingerprint, for the exchange.
+func (g *Guard) Entries(now time.Time) []*mcmessage.QuarantineEntry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	messages := make([]*mcmessage.QuarantineEntry, 0, len(g.entries))
+	for f, e := range g.entries {
+		if now.Before(e.expires) {
+			messages = append(messages, e.message(f))
+		}
+	}
+	sort.Slice(messages, func(i, j int) bool { return messages[i].Fingerprint < messages[j].Fingerprint })
+	return messages
+}
