--- a/mclimit/limiter_query.go
+++ b/mclimit/limiter_query.go
@@ -3,18 +3,18 @@
 import (
 	"sort"
 
-	"marigoldcroft/mcmessage"
+	"marigoldcroft"
 )
 
 // Usage returns this instance's use of each active team, by team, for the exchange.
-func (l *Limiter) Usage() []*mcmessage.TeamUsage {
+func (l *Limiter) Usage() []marigoldcroft.TeamUsage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	usage := make([]*mcmessage.TeamUsage, 0, len(l.teams))
+	usage := make([]marigoldcroft.TeamUsage, 0, len(l.teams))
 	for name, b := range l.teams {
 		if !b.used.IsZero() {
-			usage = append(usage, &mcmessage.TeamUsage{
-				Team: name, TokensPerSecond: b.demand, Concurrency: uint32(b.running), Share: b.share,
+			usage = append(usage, marigoldcroft.TeamUsage{
+				Team: name, TokensPerSecond: b.demand, Concurrency: b.running, Share: b.share,
 			})
 		}
 	}
--- a/mclimit/limiter_test.go
+++ b/mclimit/limiter_test.go
@@ -11,7 +11,6 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mclimit"
-	"marigoldcroft/mcmessage"
 )
 
 const interval = time.Second
@@ -214,12 +213,12 @@
 	now    time.Time
 	nodes  []*mclimit.Limiter
 	cut    []bool
-	wire   [][]*mcmessage.TeamUsage
+	wire   [][]marigoldcroft.TeamUsage
 	sentBy []bool
 }
 
 func newCluster(n int) *cluster {
-	c := &cluster{now: start, cut: make([]bool, n), wire: make([][]*mcmessage.TeamUsage, n), sentBy: make([]bool, n)}
+	c := &cluster{now: start, cut: make([]bool, n), wire: make([][]marigoldcroft.TeamUsage, n), sentBy: make([]bool, n)}
 	for i := range n {
 		l := &mclimit.Limiter{Propagation: 2 * interval}
 		var others []string
--- a/mclimit/share.go
+++ b/mclimit/share.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"marigoldcroft/mcmessage"
+	"marigoldcroft"
 )
 
 type (
@@ -60,7 +60,7 @@
 
 // ObservePeer takes the usage that a member reported. Teams that are missing keep
 // their last report; a newer incarnation of the peer starts without shares.
-func (l *Limiter) ObservePeer(now time.Time, name string, incarnation uint64, usage []*mcmessage.TeamUsage) {
+func (l *Limiter) ObservePeer(now time.Time, name string, incarnation uint64, usage []marigoldcroft.TeamUsage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.peers[name]
@@ -74,9 +74,9 @@
 	}
 	p.incarnation, p.heard = incarnation, now
 	for _, u := range usage {
-		l.bucketOf(u.GetTeam()).observe(peerShare{
-			peer: p, seen: now, share: float32(clamp(u.GetShare())),
-			demand: float32(max(0, u.GetTokensPerSecond())), concurrency: u.GetConcurrency(),
+		l.bucketOf(u.Team).observe(peerShare{
+			peer: p, seen: now, share: float32(clamp(u.Share)),
+			demand: float32(max(0, u.TokensPerSecond)), concurrency: uint32(max(0, u.Concurrency)),
 		})
 	}
 }
