Wire membership, limits, quarantine and joins into the entry instance

Cause: instances acted alone: each polled every endpoint and knew no peer. Change: mcentry builds the member driver, the peer server and the pool, and carries endpoint loads, marks, peers' work, quarantine entries and configuration hints to the parts that decide; data centres divide a team's limits by demand.

--- /dev/null
+++ b/mcentry/build.go
@@ -0,0 +1,106 @@
+package mcentry
+
+import (
+	"context"
+	"net/http"
+
+	"google.golang.org/grpc"
+
+	"marigoldcroft"
+	"marigoldcroft/mcconfig"
+	"marigoldcroft/mcengine"
+	"marigoldcroft/mcgateway"
+	"marigoldcroft/mclimit"
+	"marigoldcroft/mcmember"
+	"marigoldcroft/mcmessage"
+	"marigoldcroft/mcobserve"
+	"marigoldcroft/mcpeer"
+	"marigoldcroft/mcplatform"
+	"marigoldcroft/mcquarantine"
+	"marigoldcroft/mcscheduler"
+	"marigoldcroft/mcstore"
+)
+
+// credentials returns those of mutual TLS, or nil when the settings name no files.
+func (e *Entry) credentials() (*mcpeer.Credentials, error) {
+	t := e.Settings.TLS
+	if t.CertificateFile == "" {
+		return nil, nil
+	}
+	credentials, err := mcpeer.NewCredentials(mcpeer.Files{
+		CertificateFile: t.CertificateFile, KeyFile: t.KeyFile, AuthorityFile: t.AuthorityFile,
+	})
+	if err != nil {
+		return nil, marigoldcroft.NewFailure("read TLS files", KindStart, err)
+	}
+	return credentials, nil
+}
+
+func (e *Entry) buildParts(seed uint64, peerAddress string, credentials *mcpeer.Credentials) error {
+	s := e.Settings
+	client := &http.Client{Transport: mcengine.NewTransport()}
+	e.engine = &mcengine.Client{HTTP: client}
+	e.store = mcstore.NewClient(mcstore.ClientConfig{
+		Store: &mcstore.HTTP{BaseURL: s.ObjectStore}, WritesPerSecond: s.Store.WritesPerSecond,
+		ReadsPerSecond: s.Store.ReadsPerSecond, CallTimeout: s.Store.CallTimeout,
+	})
+	tuning := mcscheduler.Default()
+	tuning.Seed, tuning.QueueLength = seed, s.Limits.QueueLength
+	var err error
+	if e.scheduler, err = mcscheduler.New(s.Scheduler, tuning); err != nil {
+		return err
+	}
+	e.dispatcher = &mcgateway.Dispatcher{Scheduler: e.scheduler}
+	e.suspects = &mcquarantine.Guard{}
+	e.buildMembership(seed, peerAddress, credentials, client)
+	e.follower = &mcconfig.Follower{Store: e.store, Peers: e.membership, Deployment: s.Deployment, Logger: e.logger}
+	e.buildGateway()
+	e.watcher = &watcher{
+		membership: e.membership, events: e.membership.member.Subscribe(eventBacklog), scheduler: e.scheduler,
+		suspects: e.suspects, limiter: e.limiter, follower: e.follower, store: e.store, metrics: e.metrics, logger: e.logger,
+		allotments: e.allotments,
+	}
+	return nil
+}
+
+func (e *Entry) buildMembership(seed uint64, peerAddress string, credentials *mcpeer.Credentials, client *http.Client) {
+	pool := &mcpeer.Pool{
+		Identity: e.identity, PeerAddress: peerAddress, Credentials: credentials, TracerProvider: e.tracing, Faults: e.Faults,
+	}
+	member := &mcmember.Member{
+		Self:      mcmember.Self{Identity: e.identity, PeerAddress: peerAddress, AdminAddress: e.Settings.AdminAddress},
+		Transport: pool, List: &mcplatform.InstanceList{Address: e.Settings.InstanceList, HTTP: client},
+		Loader: e.engine, Logger: e.logger, Meter: controlMeter{e.metrics}, Seed: seed,
+		InFlight: e.scheduler.InFlight, Usage: func() []marigoldcroft.TeamUsage { return e.limiter.Usage() },
+	}
+	e.membership = &membership{member: member, pool: pool, self: e.Settings.Instance, dataCentre: e.Settings.DataCentre}
+	e.allotments = &allotments{}
+	e.limiter = &mclimit.Limiter{Allotment: e.allotments.part}
+	e.peers.Member = member
+}
+
+func (e *Entry) buildGateway() {
+	m := e.membership
+	e.gateway = &mcgateway.Gateway{
+		Identity: e.identity, Config: e.follower, Engine: e.engine, Dispatcher: e.dispatcher,
+		Endpoint: m.endpoint, Limits: e.Settings.Limits, Metrics: e.metrics,
+		Tracer: e.tracing.Tracer("marigoldcroft"), Logger: e.logger, Teams: e.limiter, Suspects: e.suspects,
+		Announce: func(_ context.Context, entries []*mcmessage.QuarantineEntry) { m.announce(entries) },
+		Home:     m.home, SuspectHome: m.suspectHome, LargestEngine: m.largestEngine,
+	}
+}
+
+// registerServices adds the services beside membership to the peers' server.
+func (e *Entry) registerServices(r grpc.ServiceRegistrar) {
+	mcmessage.RegisterConfigServiceServer(r, &mcconfig.Server{Follower: e.follower})
+	mcmessage.RegisterStreamServiceServer(r, &mcgateway.StreamServer{Gateway: e.gateway})
+}
+
+// controlMeter counts the bytes of the peer exchange.
+type controlMeter struct{ metrics *mcobserve.Metrics }
+
+// Message counts one call.
+func (c controlMeter) Message(_ string, sent, received int) {
+	c.metrics.ControlBytes.WithLabelValues("sent").Add(float64(sent))
+	c.metrics.ControlBytes.WithLabelValues("received").Add(float64(received))
+}
--- a/mcentry/entry.go
+++ b/mcentry/entry.go
@@ -18,9 +18,10 @@
 	"marigoldcroft/mcconfig"
 	"marigoldcroft/mcengine"
 	"marigoldcroft/mcgateway"
+	"marigoldcroft/mclimit"
 	"marigoldcroft/mcobserve"
-	"marigoldcroft/mcplatform"
-	"marigoldcroft/mcscheduler"
+	"marigoldcroft/mcpeer"
+	"marigoldcroft/mcquarantine"
 	"marigoldcroft/mcsetting"
 	"marigoldcroft/mcstore"
 )
@@ -52,6 +53,8 @@
 	Output io.Writer
 	// Abort, when it is closed, ends a planned stop at once. Nil means never.
 	Abort <-chan struct{}
+	// Faults blocks peer traffic in tests; nil outside them.
+	Faults *mcpeer.Faults
 
 	identity   marigoldcroft.Identity
 	logger     zerolog.Logger
@@ -62,11 +65,17 @@
 	follower   *mcconfig.Follower
 	scheduler  marigoldcroft.Scheduler
 	dispatcher *mcgateway.Dispatcher
-	directory  *directory
+	limiter    *mclimit.Limiter
+	allotments *allotments
+	suspects   *mcquarantine.Guard
+	membership *membership
+	watcher    *watcher
 	gateway    *mcgateway.Gateway
+	peers      *mcpeer.Server
 
-	callers net.Listener
-	duties  sync.WaitGroup
+	callers     net.Listener
+	peerAddress string
+	duties      sync.WaitGroup
 }
 
 // Run starts the instance and serves until ctx ends, which begins a planned stop: the
@@ -91,56 +100,49 @@
 		return marigoldcroft.NewFailure("start", KindStart, err)
 	}
 	e.tracing = tracing
-	if err := e.buildParts(salt); err != nil {
-		return marigoldcroft.NewFailure("start", KindStart, err)
-	}
-	if e.callers, err = net.Listen("tcp", s.CallerAddress); err != nil {
-		return marigoldcroft.NewFailure("listen for callers", KindStart, err)
-	}
-	return nil
+	return e.open(salt)
 }
 
-// CallerAddress returns the address that callers reach, after Start.
-func (e *Entry) CallerAddress() string { return e.callers.Addr().String() }
-
-func (e *Entry) buildParts(seed uint64) error {
-	s := e.Settings
-	client := &http.Client{Transport: mcengine.NewTransport()}
-	e.engine = &mcengine.Client{HTTP: client}
-	e.store = mcstore.NewClient(mcstore.ClientConfig{
-		Store: &mcstore.HTTP{BaseURL: s.ObjectStore}, WritesPerSecond: s.Store.WritesPerSecond,
-		ReadsPerSecond: s.Store.ReadsPerSecond, CallTimeout: s.Store.CallTimeout,
-	})
-	e.follower = &mcconfig.Follower{Store: e.store, Peers: noPeers{}, Deployment: s.Deployment, Logger: e.logger}
-	tuning := mcscheduler.Default()
-	tuning.Seed, tuning.QueueLength = seed, s.Limits.QueueLength
-	var err error
-	if e.scheduler, err = mcscheduler.New(s.Scheduler, tuning); err != nil {
+// open opens the listeners and builds the parts, which need the listeners' addresses.
+func (e *Entry) open(seed uint64) error {
+	credentials, err := e.credentials()
+	if err != nil {
 		return err
 	}
-	e.dispatcher = &mcgateway.Dispatcher{Scheduler: e.scheduler}
-	e.directory = &directory{
-		list: &mcplatform.InstanceList{Address: s.InstanceList, HTTP: client}, engine: e.engine,
-		scheduler: e.scheduler, dataCentre: s.DataCentre, logger: e.logger,
+	e.peers = &mcpeer.Server{
+		Address: e.Settings.PeerAddress, Identity: e.identity, Credentials: credentials,
+		TracerProvider: e.tracing, Faults: e.Faults, Logger: e.logger, Register: e.registerServices,
 	}
-	e.gateway = &mcgateway.Gateway{
-		Identity: e.identity, Config: e.follower, Engine: e.engine, Dispatcher: e.dispatcher,
-		Endpoint: e.directory.endpoint, Limits: s.Limits, Metrics: e.metrics,
-		Tracer: e.tracing.Tracer("marigoldcroft"), Logger: e.logger,
+	peerAddress, err := e.peers.Listen()
+	if err != nil {
+		return marigoldcroft.NewFailure("listen for peers", KindStart, err)
+	}
+	if e.callers, err = net.Listen("tcp", e.Settings.CallerAddress); err != nil {
+		return marigoldcroft.NewFailure("listen for callers", KindStart, err)
+	}
+	e.peerAddress = peerAddress
+	if err := e.buildParts(seed, peerAddress, credentials); err != nil {
+		return marigoldcroft.NewFailure("start", KindStart, err)
 	}
 	return nil
 }
 
+// CallerAddress returns the address that callers reach, after Start.
+func (e *Entry) CallerAddress() string { return e.callers.Addr().String() }
+
 // Serve runs every duty until ctx ends and the planned stop is done. Start comes first.
 func (e *Entry) Serve(ctx context.Context) error {
 	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer e.flushSpans()
 	defer e.engine.HTTP.CloseIdleConnections()
+	defer e.membership.pool.Close()
 	defer e.duties.Wait()
 	defer stopDuties()
 	e.duties.Go(func() { e.dispatcher.Run(duties) })
-	e.duties.Go(func() { e.directory.run(duties) })
+	e.duties.Go(func() { e.watcher.run(duties) })
 	e.duties.Go(func() { e.follow(duties) })
+	e.duties.Go(func() { e.ended("membership", e.membership.member.Run(duties)) })
+	e.duties.Go(func() { e.ended("peerServer", e.peers.Run(duties)) })
 	server := &http.Server{
 		Handler: e.gateway.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes,
@@ -156,9 +158,12 @@
 	return e.stop(server)
 }
 
-func (e *Entry) follow(ctx context.Context) {
-	if err := e.follower.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
-		e.logger.Error().Err(err).Msg("configurationFollowerEnded")
+func (e *Entry) follow(ctx context.Context) { e.ended("follower", e.follower.Run(ctx)) }
+
+// ended logs a duty that ended for another reason than the end of the instance.
+func (e *Entry) ended(duty string, err error) {
+	if err != nil && !errors.Is(err, context.Canceled) {
+		e.logger.Error().Str("duty", duty).Err(err).Msg("dutyFailed")
 	}
 }
 
@@ -174,3 +179,6 @@
 func (e *Entry) Editor() *mcconfig.Editor {
 	return &mcconfig.Editor{Store: e.store, Follower: e.follower}
 }
+
+// PeerAddress returns the address that peers reach, after Start.
+func (e *Entry) PeerAddress() string { return e.peerAddress }
--- a/mcload/caller.go
+++ b/mcload/caller.go
@@ -40,9 +40,9 @@
 	fillerBytes = 8 << 20
 	// grace is how long after its deadline a caller still waits for an outcome.
 	grace = 3 * time.Second
-	// minRetryPause is the shortest time between two tries of one caller: a client
-	// that retries at once still needs a moment.
-	minRetryPause = 2 * time.Millisecond
+	// minRetryPause is the shortest time between two tries of one caller that retries
+	// at once: the round trip between clients and a data centre takes a few milliseconds.
+	minRetryPause = 10 * time.Millisecond
 )
 
 type (
