--- /dev/null
+++ b/mcledger/head.go
@@ -0,0 +1,244 @@
+package mcledger
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"marigoldcroft"
+	"marigoldcroft/mcmessage"
+)
+
+const (
+	// headBytes bounds a stored head, below the 1 MB that the store holds.
+	headBytes = 960 << 10
+	// startedBytes bounds the records of attempts in flight in one shard; they cannot
+	// be sealed.
+	startedBytes = 512 << 10
+	// sealBytes is the size of the head at which finished records move to a segment.
+	// Each write rewrites the head, so it stays well below the limit.
+	sealBytes = 128 << 10
+	// segmentBytes bounds a segment. A new segment takes in the newest one while both
+	// fit, so that a new owner reads few objects.
+	segmentBytes = 900 << 10
+	// outcomeBytes is the longest recorded body.
+	outcomeBytes = 16 << 10
+	// contentTypeBytes is the longest recorded content type.
+	contentTypeBytes = 256
+)
+
+type (
+	record = mcmessage.LedgerRecord
+
+	// executor names the only process incarnation that may run an attempt.
+	executor struct {
+		instance    string
+		incarnation uint64
+	}
+
+	// head is the decoded head of a shard. Records and segment entries are immutable;
+	// a change replaces them.
+	head struct {
+		epoch    uint64
+		owner    executor
+		sequence uint64
+		floorMs  int64
+		records  map[string]*record
+		// recordBytes is the encoded size of records.
+		recordBytes int
+		// startedBytes is the part of recordBytes in state started.
+		startedBytes int
+		segments     []*mcmessage.LedgerSegmentEntry
+	}
+)
+
+func newHead() *head { return &head{records: make(map[string]*record)} }
+
+func executorOf(attempt *mcmessage.LedgerAttempt) executor {
+	return executor{instance: attempt.GetExecutor(), incarnation: attempt.GetExecutorIncarnation()}
+}
+
+func idOf(attempt *mcmessage.LedgerAttempt) string {
+	return recordID(attempt.GetTeam(), attempt.GetService(), attempt.GetKey())
+}
+
+func (h *head) clone() *head {
+	c := *h
+	c.records = maps.Clone(h.records)
+	c.segments = slices.Clone(h.segments)
+	return &c
+}
+
+func (h *head) set(id string, r *record) {
+	h.remove(id)
+	h.records[id] = r
+	size := recordSize(r)
+	h.recordBytes += size
+	if r.GetState() == mcmessage.LedgerState_LEDGER_STATE_STARTED {
+		h.startedBytes += size
+	}
+}
+
+func (h *head) remove(id string) {
+	old, ok := h.records[id]
+	if !ok {
+		return
+	}
+	size := recordSize(old)
+	h.recordBytes -= size
+	if old.GetState() == mcmessage.LedgerState_LEDGER_STATE_STARTED {
+		h.startedBytes -= size
+	}
+	delete(h.records, id)
+}
+
+// recordSize includes the tag and the length of the record in its container.
+func recordSize(r *record) int {
+	const containerBytes = 5
+	return proto.Size(r) + containerBytes
+}
+
+// encode returns the stored form; equal heads have equal forms.
+func (h *head) encode() ([]byte, error) {
+	message := &mcmessage.LedgerHead{
+		Epoch: h.epoch, Owner: h.owner.instance, OwnerIncarnation: h.owner.incarnation,
+		Sequence: h.sequence, FloorMs: h.floorMs, Segments: h.segments,
+	}
+	for _, id := range slices.Sorted(maps.Keys(h.records)) {
+		message.Records = append(message.Records, h.records[id])
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(message)
+}
+
+func decodeHead(value []byte) (*head, error) {
+	var message mcmessage.LedgerHead
+	if err := proto.Unmarshal(value, &message); err != nil {
+		return nil, err
+	}
+	h := newHead()
+	h.epoch, h.sequence, h.floorMs = message.GetEpoch(), message.GetSequence(), message.GetFloorMs()
+	h.owner = executor{instance: message.GetOwner(), incarnation: message.GetOwnerIncarnation()}
+	h.segments = message.GetSegments()
+	for _, r := range message.GetRecords() {
+		h.set(idOf(r.GetAttempt()), r)
+	}
+	return h, nil
+}
+
+// segment is a sealed segment in memory.
+type segment struct {
+	name    string
+	records []*record
+}
+
+func (s *segment) encode() ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&mcmessage.LedgerSegment{Records: s.records})
+}
+
+func decodeSegment(name string, value []byte) (*segment, error) {
+	var message mcmessage.LedgerSegment
+	if err := proto.Unmarshal(value, &message); err != nil {
+		return nil, err
+	}
+	return &segment{name: name, records: message.GetRecords()}, nil
+}
+
+func headKey(shard int) string { return fmt.Sprintf("ledger/%d/head", shard) }
+
+func segmentKey(shard int, name string) string { return fmt.Sprintf("ledger/%d/%s", shard, name) }
+
+// seal moves all finished records into a segment with the name and returns it. The
+// newest segment is merged in, and replaced, if merge is not nil and both fit.
+func (h *head) seal(name string, merge *segment) *segment {
+	sealed := make(map[string]*record)
+	size := 0
+	for id, r := range h.records {
+		if r.GetState() != mcmessage.LedgerState_LEDGER_STATE_STARTED {
+			sealed[id] = r
+			size += recordSize(r)
+		}
+	}
+	for id := range sealed {
+		h.remove(id)
+	}
+	if merge != nil && size+int(h.segments[len(h.segments)-1].GetBytes()) <= segmentBytes {
+		h.segments = h.segments[:len(h.segments)-1]
+		for _, r := range merge.records {
+			id := idOf(r.GetAttempt())
+			if sealed[id] == nil && keyTimeMs(r.GetAttempt().GetKey()) >= h.floorMs {
+				sealed[id] = r
+				size += recordSize(r)
+			}
+		}
+	}
+	s := &segment{name: name}
+	newest := int64(0)
+	for _, id := range slices.Sorted(maps.Keys(sealed)) {
+		s.records = append(s.records, sealed[id])
+		newest = max(newest, keyTimeMs(sealed[id].GetAttempt().GetKey()))
+	}
+	h.segments = append(slices.Clone(h.segments), &mcmessage.LedgerSegmentEntry{
+		Name: name, NewestKeyMs: newest, Bytes: uint32(size),
+	})
+	return s
+}
+
+// expire removes finished records and segments of keys that no instance accepts any
+// more, and raises the floor to their time.
+func (h *head) expire(now time.Time) {
+	cutoff := now.Add(-Retention - removalMargin).UnixMilli()
+	removed := false
+	for id, r := range h.records {
+		if keyTimeMs(r.GetAttempt().GetKey()) < cutoff {
+			h.remove(id)
+			removed = true
+		}
+	}
+	kept := h.segments[:0:0]
+	for _, s := range h.segments {
+		if s.GetNewestKeyMs() >= cutoff {
+			kept = append(kept, s)
+		}
+	}
+	removed = removed || len(kept) < len(h.segments)
+	h.segments = kept
+	if removed {
+		h.floorMs = max(h.floorMs, cutoff)
+	}
+}
+
+func outcomeOf(o marigoldcroft.ActionOutcome) *mcmessage.LedgerOutcome {
+	message := &mcmessage.LedgerOutcome{
+		Status: uint32(o.Status), ContentType: o.ContentType, Body: o.Body, BodyOmitted: o.BodyOmitted,
+	}
+	if len(o.Body) > outcomeBytes {
+		message.Body, message.BodyOmitted = nil, true
+	}
+	if len(o.ContentType) > contentTypeBytes {
+		message.ContentType = ""
+	}
+	return message
+}
+
+func outcomeFrom(m *mcmessage.LedgerOutcome) marigoldcroft.ActionOutcome {
+	return marigoldcroft.ActionOutcome{
+		Status: int(m.GetStatus()), ContentType: m.GetContentType(), Body: m.GetBody(), BodyOmitted: m.GetBodyOmitted(),
+	}
+}
+
+var actionStates = map[mcmessage.LedgerState]marigoldcroft.ActionState{
+	mcmessage.LedgerState_LEDGER_STATE_NONE:      marigoldcroft.ActionNone,
+	mcmessage.LedgerState_LEDGER_STATE_STARTED:   marigoldcroft.ActionStarted,
+	mcmessage.LedgerState_LEDGER_STATE_DONE:      marigoldcroft.ActionDone,
+	mcmessage.LedgerState_LEDGER_STATE_UNKNOWN:   marigoldcroft.ActionUnknown,
+	mcmessage.LedgerState_LEDGER_STATE_ABANDONED: marigoldcroft.ActionAbandoned,
+}
+
+var messageStates = map[marigoldcroft.ActionState]mcmessage.LedgerState{
+	marigoldcroft.ActionDone:      mcmessage.LedgerState_LEDGER_STATE_DONE,
+	marigoldcroft.ActionUnknown:   mcmessage.LedgerState_LEDGER_STATE_UNKNOWN,
+	marigoldcroft.ActionAbandoned: mcmessage.LedgerState_LEDGER_STATE_ABANDONED,
+}
--- /dev/null
+++ b/mcledger/ledger.go
@@ -0,0 +1,406 @@
+package mcledger
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"marigoldcroft"
+	"marigoldcroft/mcmessage"
+)
+
+const (
+	// ForwardTimeout bounds one forwarded call; the shard is then claimed locally.
+	ForwardTimeout = time.Second
+	// abandonLimit bounds the time for which an attempt that was not granted in time is
+	// tried to be recorded as abandoned. Its key stays in flight until this succeeds or
+	// the incarnation ends.
+	abandonLimit = 5 * time.Minute
+	// maxAbandoning bounds the attempts that are being abandoned at once.
+	maxAbandoning = 1024
+	abandonBase   = 100 * time.Millisecond
+	abandonMax    = 5 * time.Second
+)
+
+type (
+	// Peers tells the ledger about other instances. Its answers may lag or be wrong:
+	// they steer traffic, and safety does not depend on them.
+	Peers interface {
+		// Owner returns the name of the instance that should own the shard.
+		Owner(shard int) string
+		// Client returns a client of the instance's LedgerService.
+		Client(instance string) (mcmessage.LedgerServiceClient, error)
+		// Gone tells whether the incarnation of the instance has ended.
+		Gone(instance string, incarnation uint64) bool
+	}
+
+	// Ledger is the at-most-once ledger at one instance. Its fields are set before Run,
+	// and Run must be under way for its methods to answer.
+	Ledger struct {
+		Store    marigoldcroft.ObjectStore
+		Identity marigoldcroft.Identity
+		// Peers is nil where this instance works alone.
+		Peers Peers
+		Log   zerolog.Logger
+
+		counts   counters
+		lastCall atomic.Uint64
+		start    sync.Once
+		shards   [ShardCount]*shard
+		stopped  chan struct{}
+		// background holds the attempts that are being abandoned.
+		background chan struct{}
+		draining   atomic.Bool
+	}
+
+	counters struct {
+		begins, granted, forwarded, fallbacks, abandoned, notAbandoned     atomic.Uint64
+		reads, writes, writeBytes, recorded, conflicts, seals, unavailable atomic.Uint64
+	}
+
+	// Counts holds what the ledger counted since its start.
+	Counts struct {
+		// Begins and Granted count local callers' intents.
+		Begins, Granted uint64
+		// Forwarded counts calls sent to another owner, and Fallbacks those of them that
+		// were then served here.
+		Forwarded, Fallbacks uint64
+		// Abandoned counts attempts that were not granted in time; NotAbandoned those of
+		// them that could not be recorded as such.
+		Abandoned, NotAbandoned uint64
+		// Reads counts reads of a head, Writes those of heads and segments, WriteBytes
+		// their bytes, Conflicts writes that failed on the version, Seals segments.
+		Reads, Writes, WriteBytes, Conflicts, Seals uint64
+		// Recorded counts the requests that took part in a successful write.
+		Recorded uint64
+		// Unavailable counts intents that were refused because of the store.
+		Unavailable uint64
+	}
+)
+
+// init makes the parts that Run and the methods share.
+func (l *Ledger) init() {
+	l.start.Do(func() {
+		l.stopped = make(chan struct{})
+		l.background = make(chan struct{}, maxAbandoning)
+		for i := range l.shards {
+			l.shards[i] = newShard(i, l)
+		}
+	})
+}
+
+// Run serves the shards until ctx ends. It is called once.
+func (l *Ledger) Run(ctx context.Context) {
+	l.init()
+	var wg sync.WaitGroup
+	for _, s := range l.shards {
+		wg.Go(func() { s.run(ctx) })
+		wg.Go(func() { s.clean(ctx) })
+	}
+	wg.Wait()
+	close(l.stopped)
+}
+
+// Counts returns what the ledger counted since its start.
+func (l *Ledger) Counts() Counts {
+	c := &l.counts
+	return Counts{
+		Begins: c.begins.Load(), Granted: c.granted.Load(),
+		Forwarded: c.forwarded.Load(), Fallbacks: c.fallbacks.Load(),
+		Abandoned: c.abandoned.Load(), NotAbandoned: c.notAbandoned.Load(),
+		Reads: c.reads.Load(), Writes: c.writes.Load(), WriteBytes: c.writeBytes.Load(),
+		Conflicts: c.conflicts.Load(), Seals: c.seals.Load(), Recorded: c.recorded.Load(),
+		Unavailable: c.unavailable.Load(),
+	}
+}
+
+// Begin asks to run the action. The grant of an attempt that was not granted shows
+// the recorded attempt. Errors are of this package's kinds.
+func (l *Ledger) Begin(ctx context.Context, key marigoldcroft.ActionKey, bodyHash [32]byte) (marigoldcroft.ActionGrant, error) {
+	l.init()
+	l.counts.begins.Add(1)
+	key, err := normalKey(key)
+	if err != nil {
+		return marigoldcroft.ActionGrant{}, err
+	}
+	attempt := l.attempt(key, uuid.NewString())
+	answer, open := l.begin(ctx, key, attempt, bodyHash[:])
+	granted := answer.kind == replyGranted && ctx.Err() == nil
+	if !granted && (open || answer.kind == replyGranted) {
+		l.abandon(ctx, key, attempt.GetAttemptId())
+	}
+	if granted {
+		l.counts.granted.Add(1)
+		return marigoldcroft.ActionGrant{Granted: true, AttemptID: attempt.GetAttemptId(), State: marigoldcroft.ActionStarted}, nil
+	}
+	return l.notGranted(ctx, answer)
+}
+
+func (l *Ledger) notGranted(ctx context.Context, answer reply) (marigoldcroft.ActionGrant, error) {
+	switch answer.kind {
+	case replyState:
+		return marigoldcroft.ActionGrant{
+			AttemptID: answer.record.GetAttempt().GetAttemptId(),
+			State:     actionStates[answer.record.GetState()],
+			Outcome:   outcomeFrom(answer.record.GetOutcome()),
+		}, nil
+	case replyMismatch:
+		return marigoldcroft.ActionGrant{}, marigoldcroft.NewFailure("begin", KindReused, nil)
+	case replyExpired:
+		return marigoldcroft.ActionGrant{}, marigoldcroft.NewFailure("begin", KindKeyAge,
+			errors.Newf("keys are accepted from %s old to %s in the future", Retention, maxKeyLead))
+	case replyNotRun:
+		l.counts.unavailable.Add(1)
+		return marigoldcroft.ActionGrant{}, marigoldcroft.NewFailure("begin", KindNotRun, nil)
+	}
+	l.counts.unavailable.Add(1)
+	return marigoldcroft.ActionGrant{}, marigoldcroft.NewFailure("begin", KindUnavailable, ctx.Err())
+}
+
+func (l *Ledger) attempt(key marigoldcroft.ActionKey, id string) *mcmessage.LedgerAttempt {
+	return &mcmessage.LedgerAttempt{
+		Team: key.Team(), Service: key.Service(), Key: key.Key(), AttemptId: id,
+		Executor: l.Identity.Instance(), ExecutorIncarnation: l.Identity.Incarnation(),
+	}
+}
+
+// begin asks the shard's owner and, if that gives no answer, claims the shard here,
+// with the same attempt id: a record that the owner made meanwhile is then a grant.
+// The second result is true when the attempt may have been or may yet be recorded.
+func (l *Ledger) begin(ctx context.Context, key marigoldcroft.ActionKey, attempt *mcmessage.LedgerAttempt, bodyHash []byte) (reply, bool) {
+	open := false
+	if client := l.owner(Shard(key)); client != nil {
+		answer, err := l.forwardBegin(ctx, client, attempt, bodyHash)
+		if err == nil && answer.kind != replyUnavailable && answer.kind != replyOpen {
+			return answer, false
+		}
+		open = err != nil || answer.kind == replyOpen
+		l.counts.fallbacks.Add(1)
+	}
+	answer, openHere := l.local(ctx, Shard(key), &request{kind: requestBegin, attempt: attempt, bodyHash: bodyHash})
+	return answer, open || openHere
+}
+
+// owner returns a client of the shard's owner, or nil if that is this instance or
+// cannot be dialled.
+func (l *Ledger) owner(shard int) mcmessage.LedgerServiceClient {
+	if l.Peers == nil {
+		return nil
+	}
+	name := l.Peers.Owner(shard)
+	if name == "" || name == l.Identity.Instance() {
+		return nil
+	}
+	client, err := l.Peers.Client(name)
+	if err != nil {
+		l.Log.Warn().Int("shard", shard).Str("owner", name).Err(err).Msg("ledgerOwnerUnreachable")
+		return nil
+	}
+	l.counts.forwarded.Add(1)
+	return client
+}
+
+func (l *Ledger) forwardBegin(ctx context.Context, client mcmessage.LedgerServiceClient, attempt *mcmessage.LedgerAttempt, bodyHash []byte) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, ForwardTimeout)
+	defer cancel()
+	answer, err := client.Begin(ctx, &mcmessage.LedgerBeginRequest{
+		Deployment: l.Identity.Deployment(), Attempt: attempt, BodyHash: bodyHash,
+	})
+	if err != nil {
+		return reply{}, err
+	}
+	return replyFrom(answer), nil
+}
+
+// local hands a request to the shard's core here. The second result is true when the
+// request may have been or may yet be recorded although the reply does not say so.
+func (l *Ledger) local(ctx context.Context, number int, r *request) (reply, bool) {
+	s := l.shards[number]
+	r.call = l.lastCall.Add(1)
+	answer := make(chan reply, 1)
+	if !s.inbox.TryPut(command{request: r, answer: answer}) {
+		return reply{kind: replyUnavailable}, false
+	}
+	select {
+	case got := <-answer:
+		return got, got.kind == replyOpen
+	case <-ctx.Done():
+		return reply{kind: replyUnavailable}, !l.cancel(s, r.call)
+	case <-l.stopped:
+		return reply{kind: replyOpen}, true
+	}
+}
+
+// cancel drops a call and tells whether it certainly left no record.
+func (l *Ledger) cancel(s *shard, call uint64) bool {
+	clean := make(chan bool, 1)
+	if !s.inbox.TryPut(command{cancel: call, clean: clean}) {
+		return false
+	}
+	select {
+	case ok := <-clean:
+		return ok
+	case <-l.stopped:
+		return false
+	}
+}
+
+// abandon records in the background that the attempt never runs.
+func (l *Ledger) abandon(ctx context.Context, key marigoldcroft.ActionKey, attemptID string) {
+	l.counts.abandoned.Add(1)
+	select {
+	case l.background <- struct{}{}:
+	default:
+		l.notAbandoned(key, errors.Newf("%d attempts are being abandoned", maxAbandoning))
+		return
+	}
+	go func() {
+		defer func() { <-l.background }()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonLimit)
+		defer cancel()
+		err := l.finishUntil(ctx, key, attemptID, marigoldcroft.ActionAbandoned, marigoldcroft.ActionOutcome{})
+		if err != nil {
+			l.notAbandoned(key, err)
+		}
+	}()
+}
+
+func (l *Ledger) notAbandoned(key marigoldcroft.ActionKey, err error) {
+	l.counts.notAbandoned.Add(1)
+	l.Log.Error().Str("team", key.Team()).Str("service", key.Service()).Str("key", key.Key()).Err(err).Msg("ledgerNotAbandoned")
+}
+
+// finishUntil repeats Finish until it is answered or ctx ends.
+func (l *Ledger) finishUntil(ctx context.Context, key marigoldcroft.ActionKey, attemptID string, state marigoldcroft.ActionState, outcome marigoldcroft.ActionOutcome) error {
+	for attempt := 0; ; attempt++ {
+		err := l.Finish(ctx, key, attemptID, state, outcome)
+		if err == nil || !IsKind(err, KindUnavailable) {
+			return err
+		}
+		mean := min(abandonBase<<min(attempt, 10), abandonMax)
+		timer := time.NewTimer(mean/2 + rand.N(mean))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return err
+		case <-l.stopped:
+			timer.Stop()
+			return err
+		}
+	}
+}
+
+// Finish records what became of an attempt. It may be repeated after an error of the
+// kind unavailable.
+func (l *Ledger) Finish(ctx context.Context, key marigoldcroft.ActionKey, attemptID string, state marigoldcroft.ActionState, outcome marigoldcroft.ActionOutcome) error {
+	l.init()
+	key, err := normalKey(key)
+	if err != nil {
+		return err
+	}
+	stored, ok := messageStates[state]
+	if !ok {
+		return marigoldcroft.NewFailure("finish", KindNotRecorded, errors.Newf("state %q does not end an attempt", state))
+	}
+	attempt := l.attempt(key, attemptID)
+	var message *mcmessage.LedgerOutcome
+	if state == marigoldcroft.ActionDone {
+		message = outcomeOf(outcome)
+	}
+	answer := l.finish(ctx, Shard(key), attempt, stored, message)
+	switch answer.kind {
+	case replyRecorded:
+		return nil
+	case replyNotRecorded:
+		return marigoldcroft.NewFailure("finish", KindNotRecorded,
+			errors.Newf("state %s is recorded for the key", strconv.Quote(string(actionStates[answer.record.GetState()]))))
+	}
+	return marigoldcroft.NewFailure("finish", KindUnavailable, ctx.Err())
+}
+
+func (l *Ledger) finish(ctx context.Context, shard int, attempt *mcmessage.LedgerAttempt, state mcmessage.LedgerState, outcome *mcmessage.LedgerOutcome) reply {
+	if client := l.owner(shard); client != nil {
+		forwardCtx, cancel := context.WithTimeout(ctx, ForwardTimeout)
+		answer, err := client.Finish(forwardCtx, &mcmessage.LedgerFinishRequest{
+			Deployment: l.Identity.Deployment(), Attempt: attempt, State: state, Outcome: outcome,
+		})
+		cancel()
+		if err == nil && answer.GetRecorded() {
+			return reply{kind: replyRecorded}
+		}
+		if err == nil {
+			return reply{kind: replyNotRecorded, record: &record{State: answer.GetState()}}
+		}
+		l.counts.fallbacks.Add(1)
+	}
+	answer, _ := l.local(ctx, shard, &request{kind: requestFinish, attempt: attempt, state: state, outcome: outcome})
+	return answer
+}
+
+// Release waits for the attempts that are being abandoned and gives up all shards that
+// this instance owns, for a planned stop. Calls that peers forward are refused from
+// then on; local ones are still served and claim their shard again.
+func (l *Ledger) Release(ctx context.Context) error {
+	l.init()
+	l.draining.Store(true)
+	if err := l.waitAbandoned(ctx); err != nil {
+		return err
+	}
+	failed := make([]bool, ShardCount)
+	var wg sync.WaitGroup
+	for i := range l.shards {
+		wg.Go(func() {
+			answer, _ := l.local(ctx, i, &request{kind: requestRelease})
+			failed[i] = answer.kind != replyRecorded
+		})
+	}
+	wg.Wait()
+	count := 0
+	for _, f := range failed {
+		if f {
+			count++
+		}
+	}
+	if count > 0 {
+		return marigoldcroft.NewFailure("release", KindUnavailable, errors.Newf("%d shards were not released", count))
+	}
+	return nil
+}
+
+// waitAbandoned takes all background places, which succeeds once none is in use.
+func (l *Ledger) waitAbandoned(ctx context.Context) error {
+	for taken := range maxAbandoning {
+		select {
+		case l.background <- struct{}{}:
+		case <-ctx.Done():
+			l.freePlaces(taken)
+			return marigoldcroft.NewFailure("release", KindUnavailable, ctx.Err())
+		}
+	}
+	l.freePlaces(maxAbandoning)
+	return nil
+}
+
+func (l *Ledger) freePlaces(n int) {
+	for range n {
+		<-l.background
+	}
+}
+
+// gone tells whether the incarnation has ended. Earlier runs of this instance have.
+func (l *Ledger) gone(e executor) bool {
+	if e.instance == l.Identity.Instance() {
+		return e.incarnation < l.Identity.Incarnation()
+	}
+	return l.Peers != nil && l.Peers.Gone(e.instance, e.incarnation)
+}
+
+var _ marigoldcroft.Ledger = (*Ledger)(nil)
--- /dev/null
+++ b/mcledger/modelcheck_test.go
@@ -0,0 +1,624 @@
+package mcledger
+
+import (
+	"encoding/binary"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcmessage"
+)
+
+// The model check explores all interleavings of two instances, each with its own core,
+// and two callers that use one key, within the bounds of a budget. The cores are the
+// ones that the driver runs; the checker stands in for the store, the messages, the
+// executors and the service. A pause of a process is a state in which others move.
+
+const (
+	attemptIdle = iota
+	attemptWaiting
+	attemptGranted
+	attemptEnded
+)
+
+type (
+	// budget bounds the faults of one exploration.
+	budget struct{ lost, refused, crashes, suspicions, fallbacks int }
+
+	// operation is the store operation under way at one core.
+	operation struct {
+		read     bool
+		id       string
+		expected int
+		next     *head
+		// applied is true once the store has served the operation.
+		applied bool
+		ok      bool
+		seen    stored
+		// unsafe is true if a run had happened or a grant was out when a read was served.
+		unsafe bool
+	}
+
+	stored struct {
+		head    *head
+		version int
+		writeID string
+	}
+
+	instance struct {
+		core        *core
+		incarnation uint64
+		op          *operation
+	}
+
+	attempt struct {
+		home, phase int
+		ran         bool
+		// open is true when a core may still record the attempt after it ended.
+		mailbox []replyKind
+	}
+
+	message struct {
+		to      int
+		request request
+	}
+
+	world struct {
+		store     stored
+		instances [2]instance
+		attempts  [2]attempt
+		messages  []message
+		late      []operation
+		gone      [2]bool
+		crashed   [2]bool
+		runs      int
+		budget    budget
+		trace     []string
+	}
+
+	// checker explores all worlds within a budget.
+	checker struct {
+		// ignoreVersions and earlyReplies seed a fault.
+		ignoreVersions, earlyReplies bool
+		seen                         map[[2]uint64]struct{}
+		queue                        []*world
+		violation                    string
+		only                         string
+		trace                        []string
+		keepTrace                    bool
+		buffer                       []byte
+		now                          time.Time
+		key                          string
+	}
+)
+
+func newChecker() *checker {
+	return &checker{
+		seen: make(map[[2]uint64]struct{}), buffer: make([]byte, 1, 1024),
+		now: time.UnixMilli(1_700_000_000_000), key: testKey(time.UnixMilli(1_700_000_000_000), 1),
+	}
+}
+
+func testKey(at time.Time, n int) string {
+	return fmt.Sprintf("%08x-%04x-7000-8000-%012x", at.UnixMilli()>>16, at.UnixMilli()&0xffff, n)
+}
+
+func (c *checker) run(b budget) int {
+	first := &world{budget: b}
+	for i := range first.instances {
+		first.instances[i].incarnation = 1
+		first.instances[i].core = newCore(first.executor(i))
+		first.attempts[i].home = i
+	}
+	c.push(first, "start")
+	for len(c.queue) > 0 && c.violation == "" {
+		// Depth first keeps the queue short; breadth first gives the shortest trace.
+		i := len(c.queue) - 1
+		if c.keepTrace {
+			i = 0
+		}
+		w := c.queue[i]
+		c.queue = slices.Delete(c.queue, i, i+1)
+		c.expand(w)
+	}
+	return len(c.seen)
+}
+
+func (w *world) executor(i int) executor {
+	return executor{instance: string(rune('A' + i)), incarnation: w.instances[i].incarnation}
+}
+
+func (c *checker) env(w *world) environment {
+	return environment{now: c.now, gone: func(e executor) bool {
+		return e.incarnation == 1 && w.gone[e.instance[0]-'A']
+	}}
+}
+
+// expand pushes each world that one step leads to.
+func (c *checker) expand(w *world) {
+	for i := range w.instances {
+		c.expandStore(w, i)
+		c.expandInstance(w, i)
+	}
+	for i := range w.attempts {
+		c.expandAttempt(w, i)
+	}
+	for i, m := range w.messages {
+		n := w.clone()
+		n.messages = slices.Delete(n.messages, i, i+1)
+		r := m.request
+		c.apply(n, m.to, n.instances[m.to].core.submit(c.env(n), &r), nil)
+		c.push(n, fmt.Sprintf("deliver %s of attempt %d to %d", kindName(r), r.call, m.to))
+	}
+	for i, op := range w.late {
+		n := w.clone()
+		n.late = slices.Delete(n.late, i, i+1)
+		c.applyWrite(n, &op)
+		c.push(n, "late write "+op.id+" arrives")
+	}
+}
+
+func kindName(r request) string {
+	if r.kind == requestBegin {
+		return "begin"
+	}
+	return r.state.String()
+}
+
+func (c *checker) expandStore(w *world, i int) {
+	op := w.instances[i].op
+	if op == nil {
+		if w.instances[i].core.phase == phaseWaiting {
+			n := w.clone()
+			c.apply(n, i, n.instances[i].core.retry(c.env(n)), nil)
+			c.push(n, fmt.Sprintf("retry at %d", i))
+		}
+		return
+	}
+	if !op.applied {
+		n := w.clone()
+		c.serve(n, n.instances[i].op)
+		c.push(n, fmt.Sprintf("store serves %d (read %t)", i, op.read))
+	} else {
+		n := w.clone()
+		c.complete(n, i, c.answer(n, i))
+		c.push(n, fmt.Sprintf("store answers %d", i))
+	}
+	if w.budget.refused > 0 && !op.applied {
+		n := w.clone()
+		n.budget.refused--
+		core := n.instances[i].core
+		if op.read {
+			c.complete(n, i, core.readFailed(c.env(n)))
+		} else {
+			c.complete(n, i, core.refuse(c.env(n)))
+		}
+		c.push(n, fmt.Sprintf("store refuses %d", i))
+	}
+	if w.budget.lost > 0 && !op.read {
+		n := w.clone()
+		n.budget.lost--
+		if !op.applied {
+			n.late = append(n.late, *op)
+		}
+		c.complete(n, i, n.instances[i].core.unknown(c.env(n)))
+		c.push(n, fmt.Sprintf("answer to write of %d lost", i))
+	}
+}
+
+func (c *checker) serve(w *world, op *operation) {
+	op.applied = true
+	if !op.read {
+		op.ok = c.applyWrite(w, op)
+		op.seen.version = w.store.version
+		return
+	}
+	op.seen = w.store
+	op.unsafe = w.runs > 0
+	for _, a := range w.attempts {
+		op.unsafe = op.unsafe || a.phase == attemptGranted
+	}
+}
+
+// answer hands the result of a served operation to its core.
+func (c *checker) answer(w *world, i int) output {
+	op, core, env := w.instances[i].op, w.instances[i].core, c.env(w)
+	switch {
+	case op.read:
+		state := headState{version: versionOf(op.seen.version), writeID: op.seen.writeID, head: op.seen.head}
+		return core.headRead(env, state)
+	case op.ok:
+		return core.written(env, versionOf(op.seen.version))
+	}
+	return core.conflicted(env)
+}
+
+func versionOf(n int) marigoldcroft.Version {
+	if n == 0 {
+		return ""
+	}
+	return marigoldcroft.Version(fmt.Sprint(n))
+}
+
+// applyWrite is the store's conditional write; it checks that outcomes stay.
+func (c *checker) applyWrite(w *world, op *operation) bool {
+	if op.expected != w.store.version && !c.ignoreVersions {
+		return false
+	}
+	if before := w.store.record(); before != nil {
+		after := op.next.records[c.id()]
+		same := after != nil && after.GetState() == before.GetState() &&
+			after.GetAttempt().GetAttemptId() == before.GetAttempt().GetAttemptId()
+		resolved := after != nil && before.GetState() == stateUnknown && after.GetState() == stateDone
+		if (before.GetState() == stateDone || before.GetState() == stateUnknown) && !same && !resolved {
+			c.fail("a recorded outcome changed")
+		}
+	}
+	w.store = stored{head: op.next, version: w.store.version + 1, writeID: op.id}
+	if r := w.store.record(); r.GetState() == stateAbandoned && w.attempts[r.GetAttempt().GetAttemptId()[0]-'0'].ran {
+		c.fail("an attempt that ran is recorded as abandoned")
+	}
+	return true
+}
+
+func (s stored) record() *record {
+	if s.head == nil {
+		return nil
+	}
+	for _, r := range s.head.records {
+		return r
+	}
+	return nil
+}
+
+func (c *checker) id() string { return recordID("t", "s", c.key) }
+
+func (c *checker) complete(w *world, i int, out output) {
+	op := w.instances[i].op
+	w.instances[i].op = nil
+	c.apply(w, i, out, op)
+}
+
+// apply takes the output of a step of core i after the operation op.
+func (c *checker) apply(w *world, i int, out output, op *operation) {
+	replies := out.replies
+	if out.write != nil {
+		expected := 0
+		_, _ = fmt.Sscan(string(out.write.expected), &expected)
+		w.instances[i].op = &operation{id: out.write.id, expected: expected, next: out.write.next}
+		if c.earlyReplies {
+			for _, e := range out.write.batch {
+				replies = append(replies, e.reply)
+			}
+		}
+	}
+	if out.read {
+		w.instances[i].op = &operation{read: true}
+	}
+	for _, r := range replies {
+		if r.kind == replyNotRun && (op == nil || !op.read || op.unsafe) {
+			c.fail("not run was answered although the key ran or was in flight")
+		}
+		if r.kind == replyState && r.record.GetState() == stateDone && w.runs == 0 {
+			c.fail("an outcome was answered although nothing ran")
+		}
+		if r.kind != replyRecorded && r.kind != replyNotRecorded {
+			a := &w.attempts[r.call]
+			// All replies but a grant end the attempt in the same way.
+			kind := r.kind
+			if kind != replyGranted {
+				kind = replyState
+			}
+			if a.phase == attemptWaiting && !slices.Contains(a.mailbox, kind) {
+				a.mailbox = append(a.mailbox, kind)
+			}
+		}
+	}
+	core := w.instances[i].core
+	if len(core.pending) > 0 && core.phase == phaseIdle {
+		c.fail("a request waits and nothing is under way")
+	}
+}
+
+func (c *checker) expandInstance(w *world, i int) {
+	if w.budget.crashes > 0 && !w.crashed[i] {
+		n := w.clone()
+		n.budget.crashes--
+		n.crashed[i] = true
+		if op := n.instances[i].op; op != nil && !op.read && !op.applied {
+			n.late = append(n.late, *op)
+		}
+		n.instances[i] = instance{incarnation: 2}
+		n.instances[i].core = newCore(n.executor(i))
+		n.attempts[i].phase, n.attempts[i].mailbox = attemptEnded, nil
+		c.push(n, fmt.Sprintf("instance %d crashes", i))
+	}
+	if !w.gone[i] && (w.crashed[i] || w.budget.suspicions > 0) {
+		n := w.clone()
+		n.gone[i] = true
+		if !w.crashed[i] {
+			n.budget.suspicions--
+		}
+		c.push(n, fmt.Sprintf("the run of %d counts as gone", i))
+	}
+}
+
+func (c *checker) expandAttempt(w *world, i int) {
+	a := &w.attempts[i]
+	step := func(name string, change func(n *world, a *attempt)) {
+		n := w.clone()
+		change(n, &n.attempts[i])
+		c.push(n, fmt.Sprintf("attempt %d: %s", i, name))
+	}
+	finish := func(n *world, state mcmessage.LedgerState) {
+		n.attempts[i].phase = attemptEnded
+		c.send(n, i, n.attempts[i].home, request{kind: requestFinish, state: state})
+	}
+	switch a.phase {
+	case attemptIdle:
+		if w.crashed[a.home] {
+			return
+		}
+		for to := range w.instances {
+			step("begin", func(n *world, a *attempt) {
+				a.phase = attemptWaiting
+				c.send(n, i, to, request{kind: requestBegin, bodyHash: []byte{1}})
+			})
+		}
+	case attemptWaiting:
+		if w.budget.fallbacks > 0 {
+			step("fall back", func(n *world, _ *attempt) {
+				n.budget.fallbacks--
+				c.send(n, i, a.home, request{kind: requestBegin, bodyHash: []byte{1}})
+			})
+		}
+		step("give up", func(n *world, _ *attempt) { finish(n, stateAbandoned) })
+		for j, kind := range a.mailbox {
+			step("take reply", func(_ *world, a *attempt) {
+				a.mailbox = slices.Delete(a.mailbox, j, j+1)
+				a.phase = attemptEnded
+				if kind == replyGranted {
+					a.phase = attemptGranted
+				}
+			})
+		}
+	case attemptGranted:
+		if r := w.store.record(); r.GetState() == stateAbandoned && r.GetAttempt().GetAttemptId() == fmt.Sprint(i) {
+			c.fail("a granted attempt is recorded as abandoned")
+		}
+		ran := func(n *world) {
+			n.runs++
+			n.attempts[i].ran = true
+			if n.runs > 1 {
+				c.fail("the action ran twice")
+			}
+		}
+		step("runs", func(n *world, _ *attempt) { ran(n); finish(n, stateDone) })
+		step("runs, answer lost", func(n *world, _ *attempt) { ran(n); finish(n, stateUnknown) })
+		step("call lost", func(n *world, _ *attempt) { finish(n, stateUnknown) })
+		step("not sent", func(n *world, _ *attempt) { finish(n, stateAbandoned) })
+	}
+}
+
+func (c *checker) send(w *world, i, to int, r request) {
+	r.call = uint64(i)
+	r.attempt = &mcmessage.LedgerAttempt{
+		Team: "t", Service: "s", Key: c.key, AttemptId: fmt.Sprint(i),
+		Executor: string(rune('A' + w.attempts[i].home)), ExecutorIncarnation: 1,
+	}
+	w.messages = append(w.messages, message{to, r})
+}
+
+// fail notes the first violation, or the first one of the kind that the test asks for.
+func (c *checker) fail(violation string) {
+	if c.violation == "" && (c.only == "" || c.only == violation) {
+		c.violation = violation
+	}
+}
+
+// push queues the world unless an equal one was seen.
+func (c *checker) push(w *world, step string) {
+	if c.keepTrace {
+		w.trace = append(slices.Clone(w.trace), step)
+	}
+	if c.violation != "" {
+		if c.trace == nil {
+			c.trace = append(w.trace, step)
+		}
+		return
+	}
+	// Writes that can no longer take effect have no future.
+	w.late = slices.DeleteFunc(w.late, func(op operation) bool { return op.expected != w.store.version && !c.ignoreVersions })
+	sum := w.sum(&c.buffer)
+	if _, ok := c.seen[sum]; ok {
+		return
+	}
+	c.seen[sum] = struct{}{}
+	c.queue = append(c.queue, w)
+}
+
+func (w *world) clone() *world {
+	n := *w
+	for i := range n.instances {
+		in := &n.instances[i]
+		in.core = in.core.clone()
+		if in.op != nil {
+			op := *in.op
+			in.op = &op
+		}
+		n.attempts[i].mailbox = slices.Clone(n.attempts[i].mailbox)
+	}
+	n.messages, n.late = slices.Clone(n.messages), slices.Clone(n.late)
+	return &n
+}
+
+func (c *core) clone() *core {
+	n := *c
+	n.pending = nil
+	for _, r := range c.pending {
+		copied := *r
+		n.pending = append(n.pending, &copied)
+	}
+	for _, w := range []**write{&n.writing, &n.unsettled} {
+		if *w == nil {
+			continue
+		}
+		copied := **w
+		copied.batch = nil
+		for _, e := range (*w).batch {
+			r := *e.request
+			copied.batch = append(copied.batch, entry{&r, e.reply})
+		}
+		*w = &copied
+	}
+	return &n
+}
+
+// sum is a 128-bit hash of everything that the future depends on. With the numbers of
+// worlds here, the chance that two collide is below 1e-24.
+func (w *world) sum(buffer *[]byte) [2]uint64 {
+	b := (*buffer)[:1]
+	b = appendHead(appendText(appendInts(b, w.store.version, w.runs), w.store.writeID), w.store.head)
+	b = appendBools(b, w.gone[0], w.gone[1], w.crashed[0], w.crashed[1])
+	b = appendInts(b, w.budget.lost, w.budget.refused, w.budget.crashes, w.budget.suspicions, w.budget.fallbacks)
+	for i := range w.instances {
+		in := &w.instances[i]
+		c := in.core
+		b = appendHead(appendText(appendInts(b, int(in.incarnation), int(c.phase), int(c.writeCount), int(c.seenSequence)), string(c.version)), c.head)
+		b = appendWrite(appendWrite(appendBools(b, c.refused), c.writing), c.unsettled)
+		for _, r := range c.pending {
+			b = appendRequest(b, r)
+		}
+		if op := in.op; op != nil {
+			b = appendBools(b, true, op.read, op.applied, op.ok, op.unsafe)
+			b = appendHead(appendText(appendInts(appendText(b, op.id), op.expected, op.seen.version), op.seen.writeID), op.seen.head)
+		}
+		a := &w.attempts[i]
+		b = appendInts(appendBools(b, false, a.ran), a.phase, len(a.mailbox))
+		for _, kind := range a.mailbox {
+			b = appendInts(b, int(kind))
+		}
+	}
+	// Messages and late writes are sets: their hashes are added up.
+	var messages, late uint64
+	for i := range w.messages {
+		m := &w.messages[i]
+		messages += xxhash.Sum64(appendRequest(appendInts(nil, m.to), &m.request))
+	}
+	for i := range w.late {
+		late += xxhash.Sum64(appendInts(appendText(nil, w.late[i].id), w.late[i].expected))
+	}
+	b = binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(b, messages), late)
+	*buffer = b
+	b[0] = 0
+	first := xxhash.Sum64(b)
+	b[0] = 1
+	return [2]uint64{first, xxhash.Sum64(b)}
+}
+
+func appendInts(b []byte, values ...int) []byte {
+	for _, v := range values {
+		b = binary.AppendVarint(b, int64(v))
+	}
+	return b
+}
+
+func appendBools(b []byte, values ...bool) []byte {
+	for _, v := range values {
+		if v {
+			b = append(b, 1)
+		} else {
+			b = append(b, 0)
+		}
+	}
+	return b
+}
+
+func appendText(b []byte, s string) []byte { return append(append(b, byte(len(s))), s...) }
+
+func appendHead(b []byte, h *head) []byte {
+	if h == nil {
+		return append(b, 0)
+	}
+	b = appendText(appendInts(append(b, 1), int(h.epoch), int(h.owner.incarnation), int(h.sequence)), h.owner.instance)
+	for _, r := range h.records {
+		b = appendText(appendInts(b, int(r.GetState())), r.GetAttempt().GetAttemptId())
+	}
+	return append(b, 2)
+}
+
+func appendRequest(b []byte, r *request) []byte {
+	return appendBools(appendInts(b, int(r.call), int(r.kind), int(r.state)), r.readAfter)
+}
+
+func appendWrite(b []byte, w *write) []byte {
+	if w == nil {
+		return append(b, 0)
+	}
+	b = appendHead(appendText(appendText(appendBools(b, true, w.uncertain), w.id), string(w.expected)), w.next)
+	for _, e := range w.batch {
+		b = appendInts(appendRequest(b, e.request), int(e.reply.kind))
+	}
+	return append(b, 3)
+}
+
+// Guards against a protocol that runs an action twice, changes an outcome, says "not
+// run" of a key that ran or is in flight, or leaves a request waiting for nothing.
+func TestModelCheck(t *testing.T) {
+	budgets := map[string]budget{
+		"no faults":           {},
+		"lost answer":         {lost: 1},
+		"refusal":             {refused: 1},
+		"crash":               {crashes: 1},
+		"wrong suspicion":     {suspicions: 1},
+		"fallback":            {fallbacks: 1},
+		"crash and suspicion": {crashes: 1, suspicions: 1},
+	}
+	// The wide bounds take minutes without the race detector.
+	if os.Getenv("LEDGER_MODEL_CHECK") == "wide" {
+		budgets = map[string]budget{
+			"two lost answers":         {lost: 2},
+			"refusals":                 {refused: 2},
+			"refusal and loss":         {refused: 1, lost: 1},
+			"crash and loss":           {crashes: 1, lost: 1},
+			"suspicion and loss":       {suspicions: 1, lost: 1},
+			"fallback and loss":        {fallbacks: 1, lost: 1},
+			"two crashes":              {crashes: 2},
+			"fallback and two crashes": {fallbacks: 1, crashes: 2},
+		}
+	}
+	for name, b := range budgets {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newChecker()
+			states := c.run(b)
+			t.Logf("%d states", states)
+			require.Empty(t, c.violation, "steps: %s", strings.Join(c.trace, "; "))
+		})
+	}
+}
+
+// Guards against a checker that cannot find faults: each seeded fault of the protocol
+// must show.
+func TestModelCheckFindsSeededFaults(t *testing.T) {
+	for name, seed := range map[string]func(*checker){
+		"write without a version condition": func(c *checker) { c.ignoreVersions = true },
+		"grant before the record is stored": func(c *checker) { c.earlyReplies = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newChecker()
+			c.keepTrace, c.only = true, "the action ran twice"
+			seed(c)
+			c.run(budget{})
+			require.Equal(t, c.only, c.violation)
+			t.Logf("%s: %s", c.violation, strings.Join(c.trace, "; "))
+		})
+	}
+}
--- /dev/null
+++ b/mcledger/server.go
@@ -0,0 +1,122 @@
+package mcledger
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"marigoldcroft"
+	"marigoldcroft/mcmessage"
+)
+
+// Server serves the shards of a ledger to other instances.
+type Server struct {
+	mcmessage.UnimplementedLedgerServiceServer
+	// Ledger must be running.
+	Ledger *Ledger
+}
+
+var replyKinds = map[mcmessage.LedgerRefusal]replyKind{
+	mcmessage.LedgerRefusal_LEDGER_REFUSAL_OPEN:        replyOpen,
+	mcmessage.LedgerRefusal_LEDGER_REFUSAL_UNAVAILABLE: replyUnavailable,
+	mcmessage.LedgerRefusal_LEDGER_REFUSAL_NOT_RUN:     replyNotRun,
+	mcmessage.LedgerRefusal_LEDGER_REFUSAL_EXPIRED:     replyExpired,
+}
+
+var refusals = map[replyKind]mcmessage.LedgerRefusal{
+	replyOpen:        mcmessage.LedgerRefusal_LEDGER_REFUSAL_OPEN,
+	replyUnavailable: mcmessage.LedgerRefusal_LEDGER_REFUSAL_UNAVAILABLE,
+	replyNotRun:      mcmessage.LedgerRefusal_LEDGER_REFUSAL_NOT_RUN,
+	replyExpired:     mcmessage.LedgerRefusal_LEDGER_REFUSAL_EXPIRED,
+}
+
+// Begin asks to run an attempt of the sender.
+func (s *Server) Begin(ctx context.Context, in *mcmessage.LedgerBeginRequest) (*mcmessage.LedgerBeginResponse, error) {
+	number, err := s.check(in.GetDeployment(), in.GetAttempt())
+	if err != nil {
+		return nil, err
+	}
+	if len(in.GetBodyHash()) != 32 {
+		return nil, status.Error(codes.InvalidArgument, "the body hash must have 32 bytes")
+	}
+	answer, open := s.Ledger.local(ctx, number, &request{kind: requestBegin, attempt: in.GetAttempt(), bodyHash: in.GetBodyHash()})
+	if open {
+		answer.kind = replyOpen
+	}
+	response := &mcmessage.LedgerBeginResponse{
+		Granted: answer.kind == replyGranted, BodyMismatch: answer.kind == replyMismatch, Refusal: refusals[answer.kind],
+	}
+	if answer.kind == replyState {
+		response.State = answer.record.GetState()
+		response.Outcome = answer.record.GetOutcome()
+		response.AttemptId = answer.record.GetAttempt().GetAttemptId()
+	}
+	return response, nil
+}
+
+// Finish records what became of an attempt of the sender.
+func (s *Server) Finish(ctx context.Context, in *mcmessage.LedgerFinishRequest) (*mcmessage.LedgerFinishResponse, error) {
+	number, err := s.check(in.GetDeployment(), in.GetAttempt())
+	if err != nil {
+		return nil, err
+	}
+	state := in.GetState()
+	if state != stateDone && state != stateUnknown && state != stateAbandoned {
+		return nil, status.Error(codes.InvalidArgument, "the state does not end an attempt")
+	}
+	outcome := in.GetOutcome()
+	if state != stateDone {
+		outcome = nil
+	} else if len(outcome.GetBody()) > outcomeBytes || len(outcome.GetContentType()) > contentTypeBytes {
+		return nil, status.Error(codes.InvalidArgument, "the outcome is too large")
+	}
+	answer, _ := s.Ledger.local(ctx, number, &request{kind: requestFinish, attempt: in.GetAttempt(), state: state, outcome: outcome})
+	switch answer.kind {
+	case replyRecorded:
+		return &mcmessage.LedgerFinishResponse{Recorded: true}, nil
+	case replyNotRecorded:
+		return &mcmessage.LedgerFinishResponse{State: answer.record.GetState()}, nil
+	}
+	return nil, status.Error(codes.Unavailable, "the outcome could not be recorded")
+}
+
+// check returns the shard of the attempt's key.
+func (s *Server) check(deployment string, attempt *mcmessage.LedgerAttempt) (int, error) {
+	l := s.Ledger
+	l.init()
+	if deployment != l.Identity.Deployment() {
+		return 0, status.Error(codes.PermissionDenied, "another deployment")
+	}
+	if l.draining.Load() {
+		return 0, status.Error(codes.Unavailable, "the instance is stopping")
+	}
+	if n := len(attempt.GetAttemptId()); n == 0 || n > maxAttemptBytes || len(attempt.GetExecutor()) > maxNameBytes {
+		return 0, status.Error(codes.InvalidArgument, "malformed attempt")
+	}
+	key := marigoldcroft.NewActionKey(attempt.GetTeam(), attempt.GetService(), attempt.GetKey())
+	normal, err := normalKey(key)
+	if err != nil || normal != key {
+		return 0, status.Error(codes.InvalidArgument, "malformed key")
+	}
+	return Shard(key), nil
+}
+
+func replyFrom(in *mcmessage.LedgerBeginResponse) reply {
+	switch {
+	case in.GetGranted():
+		return reply{kind: replyGranted}
+	case in.GetBodyMismatch():
+		return reply{kind: replyMismatch}
+	case in.GetRefusal() != mcmessage.LedgerRefusal_LEDGER_REFUSAL_NONE:
+		kind, ok := replyKinds[in.GetRefusal()]
+		if !ok {
+			kind = replyOpen
+		}
+		return reply{kind: kind}
+	}
+	return reply{kind: replyState, record: &record{
+		Attempt: &mcmessage.LedgerAttempt{AttemptId: in.GetAttemptId()},
+		State:   in.GetState(), Outcome: in.GetOutcome(),
+	}}
+}
--- /dev/null
+++ b/mcledger/shard.go
@@ -0,0 +1,271 @@
+package mcledger
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"marigoldcroft"
+	"marigoldcroft/mcring"
+	"marigoldcroft/mcstore"
+)
+
+const (
+	// storeTimeout bounds one store operation of a shard, including the resolution of
+	// a lost answer by mcstore.Client.
+	storeTimeout = 15 * time.Second
+	// segmentReads bounds how often a head is read again because one of its segments
+	// was replaced meanwhile.
+	segmentReads = 3
+	retryBase    = 50 * time.Millisecond
+	retryMax     = 2 * time.Second
+	inboxLength  = 4096
+	removeLength = 256
+)
+
+type (
+	// command is a request of a caller to the shard's goroutine.
+	command struct {
+		request *request
+		// answer receives the reply; it has room for one.
+		answer chan reply
+		// cancel names a call to drop; clean receives whether it certainly left no
+		// record.
+		cancel uint64
+		clean  chan bool
+	}
+
+	// completion takes the result of a store operation into the core.
+	completion func(environment) output
+
+	// shard drives the core of one shard: it runs its store operations, one at a time,
+	// and hands out its replies.
+	shard struct {
+		number  int
+		store   marigoldcroft.ObjectStore
+		gone    func(executor) bool
+		log     zerolog.Logger
+		counts  *counters
+		core    *core
+		inbox   *mcring.Ring[command]
+		remove  *mcring.Ring[string]
+		done    chan completion
+		waiting map[uint64]chan reply
+		// retries is the number of pauses since the last success.
+		retries int
+	}
+)
+
+func newShard(number int, l *Ledger) *shard {
+	return &shard{
+		number: number, store: l.Store, gone: l.gone, log: l.Log, counts: &l.counts,
+		core:  newCore(executor{l.Identity.Instance(), l.Identity.Incarnation()}),
+		inbox: mcring.New[command](inboxLength), remove: mcring.New[string](removeLength),
+		done: make(chan completion, 1), waiting: make(map[uint64]chan reply),
+	}
+}
+
+// run serves the shard until ctx ends. Calls that still wait are then left open.
+func (s *shard) run(ctx context.Context) {
+	var retry <-chan time.Time
+	for {
+		var out output
+		select {
+		case c := <-s.inbox.Items():
+			out = s.take(c)
+		case complete := <-s.done:
+			out = complete(s.environment())
+		case <-retry:
+			out = s.core.retry(s.environment())
+		case <-ctx.Done():
+			s.stop()
+			return
+		}
+		s.perform(ctx, out)
+		if out.retry {
+			retry = time.After(s.pause())
+		}
+	}
+}
+
+// stop waits for the store operation under way, which ends with the context, and
+// leaves the waiting calls open.
+func (s *shard) stop() {
+	if s.core.phase == phaseReading || s.core.phase == phaseWriting {
+		<-s.done
+	}
+	for _, answer := range s.waiting {
+		answer <- reply{kind: replyOpen}
+	}
+}
+
+// pause grows with the retries and is drawn from half to one and a half of its mean.
+func (s *shard) pause() time.Duration {
+	mean := min(retryBase<<min(s.retries, 10), retryMax)
+	s.retries++
+	return mean/2 + rand.N(mean)
+}
+
+func (s *shard) environment() environment { return environment{now: time.Now(), gone: s.gone} }
+
+func (s *shard) take(c command) output {
+	if c.clean != nil {
+		delete(s.waiting, c.cancel)
+		c.clean <- s.core.cancel(c.cancel)
+		return output{}
+	}
+	s.waiting[c.request.call] = c.answer
+	return s.core.submit(s.environment(), c.request)
+}
+
+func (s *shard) perform(ctx context.Context, out output) {
+	for _, r := range out.replies {
+		if answer, ok := s.waiting[r.call]; ok {
+			delete(s.waiting, r.call)
+			answer <- r
+		}
+	}
+	for _, name := range out.remove {
+		s.remove.PutNewest(name)
+	}
+	switch {
+	case out.read:
+		known := s.core.segmentNames()
+		go func() { s.done <- s.readHead(ctx, known) }()
+	case out.write != nil:
+		// The encoding reads records only; the core may drop requests meanwhile.
+		w := out.write
+		id, expected, next, sealed, size := w.id, w.expected, w.next, w.sealed, len(w.batch)
+		go func() { s.done <- s.writeHead(ctx, id, expected, next, sealed, size) }()
+	}
+}
+
+// readHead reads the head and those of its segments that are not known.
+func (s *shard) readHead(ctx context.Context, known map[string]bool) completion {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	s.counts.reads.Add(1)
+	for range segmentReads {
+		state, err := s.readOnce(ctx, known)
+		if err == nil {
+			return func(env environment) output {
+				s.retries = 0
+				return s.core.headRead(env, state)
+			}
+		}
+		if !mcstore.IsNotFound(err) {
+			s.log.Warn().Int("shard", s.number).Err(err).Msg("ledgerReadFailed")
+			break
+		}
+	}
+	return s.core.readFailed
+}
+
+func (s *shard) readOnce(ctx context.Context, known map[string]bool) (headState, error) {
+	object, err := s.store.Get(ctx, headKey(s.number))
+	if mcstore.IsNotFound(err) {
+		return headState{}, nil
+	}
+	if err != nil {
+		return headState{}, err
+	}
+	state := headState{version: object.Version(), writeID: object.WriteID()}
+	if state.head, err = decodeHead(object.Value()); err != nil {
+		return headState{}, err
+	}
+	for _, e := range state.head.segments {
+		if known[e.GetName()] {
+			continue
+		}
+		object, err := s.store.Get(ctx, segmentKey(s.number, e.GetName()))
+		if err != nil {
+			return headState{}, err
+		}
+		content, err := decodeSegment(e.GetName(), object.Value())
+		if err != nil {
+			return headState{}, err
+		}
+		state.segments = append(state.segments, content)
+	}
+	return state, nil
+}
+
+// writeHead writes the sealed segment, if any, and then the head.
+func (s *shard) writeHead(ctx context.Context, id string, expected marigoldcroft.Version, next *head, sealed *segment, size int) completion {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if sealed != nil {
+		if err := s.writeSegment(ctx, id, sealed); err != nil {
+			s.log.Warn().Int("shard", s.number).Err(err).Msg("ledgerSealFailed")
+			return s.core.refuse
+		}
+	}
+	value, err := next.encode()
+	if err != nil {
+		s.log.Error().Int("shard", s.number).Err(err).Msg("ledgerEncodeFailed")
+		return s.core.refuse
+	}
+	s.counts.writes.Add(1)
+	s.counts.writeBytes.Add(uint64(len(value)))
+	version, err := s.store.Put(ctx, headKey(s.number), value, expected, id)
+	switch {
+	case err == nil:
+		s.counts.recorded.Add(uint64(size))
+		return func(env environment) output {
+			s.retries = 0
+			return s.core.written(env, version)
+		}
+	case mcstore.IsConflict(err):
+		s.counts.conflicts.Add(1)
+		return s.core.conflicted
+	}
+	s.log.Warn().Int("shard", s.number).Err(err).Msg("ledgerWriteFailed")
+	if hadNoEffect(err) {
+		return s.core.refuse
+	}
+	return s.core.unknown
+}
+
+func (s *shard) writeSegment(ctx context.Context, id string, sealed *segment) error {
+	value, err := sealed.encode()
+	if err != nil {
+		return err
+	}
+	s.counts.writes.Add(1)
+	s.counts.seals.Add(1)
+	s.counts.writeBytes.Add(uint64(len(value)))
+	_, err = s.store.Put(ctx, segmentKey(s.number, sealed.name), value, "", id)
+	return err
+}
+
+// hadNoEffect tells whether a failed write certainly had no effect. An error of no
+// known kind leaves that open.
+func hadNoEffect(err error) bool {
+	switch marigoldcroft.FailureKind[mcstore.Kind](err) {
+	case mcstore.KindUnavailable, mcstore.KindBudget, mcstore.KindTooLarge, mcstore.KindBadKey:
+		return true
+	}
+	return false
+}
+
+// clean removes segment objects that nothing refers to, until ctx ends. What it does
+// not remove costs space only.
+func (s *shard) clean(ctx context.Context) {
+	for {
+		select {
+		case name := <-s.remove.Items():
+			key := segmentKey(s.number, name)
+			entries, err := s.store.List(ctx, key, "", 1)
+			if err == nil && len(entries) == 1 && entries[0].Key == key {
+				err = s.store.Delete(ctx, key, entries[0].Version, "remove-"+name)
+			}
+			if err != nil && ctx.Err() == nil {
+				s.log.Warn().Int("shard", s.number).Str("segment", name).Err(err).Msg("ledgerRemoveFailed")
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
