Test attempts and joins of the gateway

Cause: the flights had no tests of their own. Change: tables of attempts, hedges, recalls, bounded waits, joins at one and two gateways and suspects, under synctest; a hedged attempt that loses no longer delays the end of the one that won.

--- /dev/null
+++ b/mcgateway/attempt_test.go
@@ -0,0 +1,186 @@
+package mcgateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcgateway"
+)
+
+const deterministic = `,"seed":1,"temperature":0`
+
+// outcome is the problem in a body, whole or as the event of a stream.
+func outcome(t *testing.T, text string) mcgateway.Problem {
+	t.Helper()
+	var event struct{ Error *mcgateway.Problem }
+	problem := mcgateway.Problem{}
+	if _, data, ok := strings.Cut(text, "event: error\ndata: "); ok {
+		event.Error = &problem
+		require.NoError(t, json.Unmarshal([]byte(strings.TrimSpace(data)), &event))
+		require.NotContains(t, text, "[DONE]")
+		return problem
+	}
+	require.NoError(t, json.Unmarshal([]byte(text), &problem))
+	return problem
+}
+
+// Guards, for each way in which an attempt can end, against a wrong or truncated
+// answer, work that runs twice without leave, a hold that is kept, and a false notRun.
+func TestAttempts(t *testing.T) {
+	type script = map[string][]string
+	for name, c := range map[string]struct {
+		script script
+		body   string
+		// text is the whole answer, or the part before the error with the code.
+		text   string
+		code   mcgateway.Code
+		notRun bool
+		calls  string
+	}{
+		"whole":                      {script{"a": {"x y z"}}, body("caption", ""), "xyz", "", false, "generate a"},
+		"dies before first token":    {script{"a": {"!stream_broken", "!!stream_not_found"}, "b": {"x y"}}, body("caption", ""), "xy", "", false, "generate a resume0 a generate b"},
+		"crossed answer":             {script{"a": {"x !answer_of_another_stream"}, "b": {"x y"}}, body("caption", deterministic), "xy", "", false, "generate a generate b"},
+		"crossed at once":            {script{"a": {"!answer_of_another_stream"}, "b": {"x y"}}, body("caption", ""), "xy", "", false, "generate a generate b"},
+		"truncated, resumed":         {script{"a": {"x !stream_broken", "y z"}}, body("caption", ""), "xyz", "", false, "generate a resume1 a"},
+		"broken again and again":     {script{"a": {"!stream_broken"}, "b": {"x y"}}, body("caption", ""), "xy", "", false, "generate a resume0 a resume0 a resume0 a generate b"},
+		"truncated, not resumable":   {script{"a": {"x !stream_broken", "!!stream_not_found"}, "b": {"x y"}}, body("caption", ""), "x", mcgateway.CodeUpstreamFailed, false, "generate a resume1 a"},
+		"seed without temperature 0": {script{"a": {"x !stream_broken", "!!stream_not_found"}, "b": {"x y"}}, body("caption", `,"seed":1,"temperature":0.5`), "x", mcgateway.CodeUpstreamFailed, false, "generate a resume1 a"},
+		"deterministic restart":      {script{"a": {"x y !stream_broken", "!!stream_not_found"}, "b": {"xy z"}}, body("caption", deterministic), "xyz", "", false, "generate a resume2 a generate b"},
+		"restart diverges":           {script{"a": {"x y !stream_broken", "!!stream_not_found"}, "b": {"x q z"}}, body("caption", deterministic), "xy", mcgateway.CodeUpstreamFailed, false, "generate a resume2 a generate b"},
+		"restart ends early":         {script{"a": {"x y !stream_broken", "!!stream_not_found"}, "b": {"x"}}, body("caption", deterministic), "xy", mcgateway.CodeUpstreamFailed, false, "generate a resume2 a generate b"},
+		"at most once runs once":     {script{"a": {"!stream_broken", "!!stream_not_found"}, "b": {"x"}}, body("print", ""), "", mcgateway.CodeUpstreamFailed, false, "generate a resume0 a"},
+		"at most once, not sent":     {script{"a": {"!!unreachable"}, "b": {"x"}}, body("print", ""), "x", "", false, "generate a generate b"},
+		"at most once, declined":     {script{"a": {"!!refused"}, "b": {"x"}}, body("print", ""), "x", "", false, "generate a generate b"},
+		"nothing reachable":          {script{"a": {"!!unreachable"}, "b": {"!!unreachable"}}, body("caption", ""), "", mcgateway.CodeOverloaded, true, "generate a generate b"},
+		"refused after it may have run": {
+			script{"a": {"!stream_broken", "!!stream_not_found"}, "b": {"!!unreachable"}},
+			body("caption", ""),
+			"", mcgateway.CodeOverloaded, false, "generate a resume0 a generate b",
+		},
+		"engine rejects the request": {script{"a": {"!!invalid_request"}}, body("caption", ""), "", mcgateway.CodeBadRequest, true, "generate a"},
+		"engine hangs":               {script{"a": {"..."}}, body("caption", ""), "", mcgateway.CodeDeadline, false, "generate a"},
+		"engine hangs mid-stream":    {script{"a": {"x ..."}}, body("caption", ""), "x", mcgateway.CodeDeadline, false, "generate a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, run func(*bench) *bench) {
+				b := run(newBench(c.script))
+				begun := time.Now()
+				w := b.chat(t.Context(), strings.Replace(c.body, "{", `{"stream":true,`, 1))
+				require.LessOrEqual(t, time.Since(begun), time.Minute)
+				b.Wait()
+				require.Equal(t, c.text, text(w), w.Body)
+				require.Equal(t, c.calls, strings.Join(b.engine.calls, " "))
+				require.Empty(t, b.scheduler.held)
+				if c.code == "" {
+					require.Contains(t, w.Body.String(), "data: [DONE]")
+					return
+				}
+				problem := outcome(t, w.Body.String())
+				require.Equal(t, c.code, problem.Code)
+				require.Equal(t, c.notRun, problem.NotRun)
+			})
+		})
+	}
+}
+
+// Guards against retries that multiply the load of a group in trouble: of many failing
+// requests only the floor of the budget is tried again.
+func TestRetriesStayInBudget(t *testing.T) {
+	bubble(t, func(t *testing.T, run func(*bench) *bench) {
+		b := run(newBench(map[string][]string{"a": {"!!refused"}, "b": {"!!refused"}}))
+		for range 50 {
+			b.chat(t.Context(), body("caption", ""))
+		}
+		require.LessOrEqual(t, len(b.engine.calls), 50+5)
+	})
+}
+
+// Guards against a hedge that runs work twice to its end, that is missing for a late
+// first token, or that runs for work that may not run twice.
+func TestHedge(t *testing.T) {
+	for template, calls := range map[string]string{"caption": "generate a generate b", "print": "generate a"} {
+		bubble(t, func(t *testing.T, run func(*bench) *bench) {
+			b := newBench(map[string][]string{"a": {"~ x y"}, "b": {"x y"}})
+			b.scheduler.predicted = 100 * time.Millisecond
+			begun := time.Now()
+			w := run(b).chat(t.Context(), body(template, ""))
+			took := time.Since(begun)
+			b.Wait()
+			require.Equal(t, "xy", text(w))
+			require.Equal(t, calls, strings.Join(b.engine.calls, " "))
+			require.Equal(t, template == "caption", took < time.Second)
+			require.Empty(t, b.scheduler.held)
+		})
+	}
+}
+
+// Guards against work that is lost when the scheduler takes it back before its first
+// token, and against a notRun after that.
+func TestRecalledWorkRunsAgain(t *testing.T) {
+	for again, code := range map[marigoldcroft.Action]mcgateway.Code{
+		marigoldcroft.ActionDispatch: "", marigoldcroft.ActionExpire: mcgateway.CodeDeadline,
+	} {
+		bubble(t, func(t *testing.T, run func(*bench) *bench) {
+			b := run(newBench(map[string][]string{"a": {"...", "x y"}}))
+			go func() {
+				time.Sleep(time.Second)
+				b.scheduler.decide(marigoldcroft.ActionRecall, "")
+				time.Sleep(time.Second)
+				b.scheduler.decide(again, "a")
+			}()
+			w := b.chat(t.Context(), body("caption", ""))
+			if code == "" {
+				require.Equal(t, "xy", text(w))
+				return
+			}
+			problem := outcome(t, w.Body.String())
+			require.Equal(t, code, problem.Code)
+			require.False(t, problem.NotRun)
+		})
+	}
+}
+
+// Guards against a request that outlives its deadline or its caller because something
+// that it waits for does not answer, and against what it then still holds.
+func TestEveryWaitIsBounded(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(b *bench)
+		leave   time.Duration
+		notRun  bool
+	}{
+		"scheduler hangs":      {func(b *bench) { b.scheduler.hang = make(chan struct{}) }, time.Hour, true},
+		"queued for ever":      {func(b *bench) { b.scheduler.queue = true }, time.Hour, true},
+		"caller leaves queue":  {func(b *bench) { b.scheduler.queue = true }, time.Second, true},
+		"caller leaves engine": {func(*bench) {}, time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, run func(*bench) *bench) {
+				b := run(newBench(map[string][]string{"a": {"..."}}))
+				c.prepare(b)
+				ctx, cancel := context.WithTimeout(t.Context(), c.leave)
+				defer cancel()
+				begun := time.Now()
+				problem := outcome(t, b.chat(ctx, body("caption", ""), "X-Deadline-Ms", "5000").Body.String())
+				require.Equal(t, min(c.leave, 5*time.Second), time.Since(begun))
+				require.Equal(t, c.notRun, problem.NotRun)
+				if b.scheduler.hang != nil {
+					close(b.scheduler.hang)
+				}
+				synctest.Wait()
+				require.Empty(t, b.scheduler.held)
+				if c.notRun {
+					require.Empty(t, b.engine.calls)
+				} else {
+					require.Equal(t, 1, b.engine.ends)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/mcgateway/join_test.go
@@ -0,0 +1,220 @@
+package mcgateway_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/test/bufconn"
+
+	"marigoldcroft"
+	"marigoldcroft/mcgateway"
+	"marigoldcroft/mcmessage"
+	"marigoldcroft/mcquarantine"
+)
+
+// peerFunc is a home that behaves as the test says.
+type peerFunc func(*mcmessage.JoinRequest, grpc.ServerStreamingServer[mcmessage.JoinChunk]) error
+
+type peerServer struct {
+	mcmessage.UnimplementedStreamServiceServer
+
+	join peerFunc
+}
+
+func (p peerServer) Join(in *mcmessage.JoinRequest, stream grpc.ServerStreamingServer[mcmessage.JoinChunk]) error {
+	return p.join(in, stream)
+}
+
+// link serves the peer in memory and returns a client of it.
+func link(t *testing.T, peer mcmessage.StreamServiceServer) mcmessage.StreamServiceClient {
+	t.Helper()
+	const bufferBytes = 1 << 16
+	listener := bufconn.Listen(bufferBytes)
+	server := grpc.NewServer()
+	mcmessage.RegisterStreamServiceServer(server, peer)
+	done := make(chan struct{})
+	go func() { defer close(done); _ = server.Serve(listener) }()
+	conn, err := grpc.NewClient("passthrough:peer", grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close(); server.Stop(); <-done })
+	return mcmessage.NewStreamServiceClient(conn)
+}
+
+// Guards against a joiner that loses the start of the answer, a run that ends with its
+// first caller, one that goes on for nobody, and an answer to another body.
+func TestTwinsShareOneRun(t *testing.T) {
+	bubble(t, func(t *testing.T, run func(*bench) *bench) {
+		b := run(newBench(map[string][]string{"a": {"x ~ y ~ z", "..."}}))
+		first, leave := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		defer leave()
+		go b.chat(first, body("caption", ""), "Idempotency-Key", "k")
+		time.Sleep(1200 * time.Millisecond)
+		other := outcome(t, b.chat(t.Context(), body("caption", deterministic), "Idempotency-Key", "k").Body.String())
+		require.Equal(t, mcgateway.CodeKeyReused, other.Code)
+		require.True(t, other.NotRun)
+		require.Equal(t, "xyz", text(b.chat(t.Context(), body("caption", `,"stream":true`), "Idempotency-Key", "k")))
+		require.Len(t, b.engine.calls, 1)
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		go b.chat(ctx, body("caption", deterministic))
+		b.chat(ctx, body("caption", deterministic))
+		synctest.Wait()
+		require.Len(t, b.engine.calls, 2, "same body, no key")
+		require.Equal(t, 2, b.engine.ends, "the run goes on for nobody")
+		require.Empty(t, b.scheduler.held)
+	})
+}
+
+// Guards against a joiner that fails because its twin had less time.
+func TestJoinerOutlivesItsTwin(t *testing.T) {
+	bubble(t, func(t *testing.T, run func(*bench) *bench) {
+		b := newBench(map[string][]string{"a": {"x y"}})
+		b.scheduler.queue = true
+		run(b)
+		go b.chat(t.Context(), body("caption", ""), "Idempotency-Key", "k", "X-Deadline-Ms", "5000")
+		synctest.Wait()
+		late := make(chan *httptest.ResponseRecorder)
+		go func() { late <- b.chat(t.Context(), body("caption", ""), "Idempotency-Key", "k") }()
+		for _, action := range []marigoldcroft.Action{marigoldcroft.ActionExpire, marigoldcroft.ActionDispatch} {
+			synctest.Wait()
+			b.scheduler.decide(action, "a")
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, "xy", text(<-late))
+	})
+}
+
+// Guards against twins at two instances that run twice, and, for each way in which the
+// home can fail, against lost, mixed up or doubled parts of the answer.
+func TestJoinAtHome(t *testing.T) {
+	accept := func(chunks ...*mcmessage.JoinChunk) peerFunc {
+		return func(_ *mcmessage.JoinRequest, s grpc.ServerStreamingServer[mcmessage.JoinChunk]) error {
+			_ = s.SendHeader(metadata.Pairs("accepted", "1"))
+			for _, c := range chunks {
+				_ = s.Send(c)
+			}
+			return nil
+		}
+	}
+	hang := func(_ *mcmessage.JoinRequest, s grpc.ServerStreamingServer[mcmessage.JoinChunk]) error {
+		<-s.Context().Done()
+		return nil
+	}
+	refuse := accept(&mcmessage.JoinChunk{ErrorCode: "overloaded", NotRun: true})
+	fail := accept(&mcmessage.JoinChunk{ErrorCode: "upstreamFailed"})
+	x := &mcmessage.JoinChunk{Text: "x"}
+	const keyed = `,"stream":true`
+	for name, c := range map[string]struct {
+		peer  peerFunc
+		extra string
+		text  string
+		code  mcgateway.Code
+		local int
+	}{
+		"unreachable":             {nil, keyed, "xyz", "", 1},
+		"hangs":                   {hang, keyed, "xyz", "", 1},
+		"refuses":                 {refuse, keyed, "xyz", "", 1},
+		"fails":                   {fail, keyed, "", mcgateway.CodeUpstreamFailed, 0},
+		"lost before first token": {accept(), keyed, "xyz", "", 1},
+		"lost mid-stream":         {accept(x), keyed, "x", mcgateway.CodeUpstreamFailed, 0},
+		"lost, deterministic":     {accept(x), keyed + deterministic, "xyz", "", 1},
+		"part of another place":   {accept(&mcmessage.JoinChunk{Text: "q", Sequence: 5}), keyed, "xyz", "", 1},
+		"whole":                   {accept(x, &mcmessage.JoinChunk{Sequence: 1, End: true, FinishReason: "stop"}), keyed, "x", "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, run func(*bench) *bench) {
+				b := run(newBench(map[string][]string{"a": {"x y z"}}))
+				b.Home = func(string) (mcmessage.StreamServiceClient, bool) { return nil, false }
+				if c.peer != nil {
+					client := link(t, peerServer{join: c.peer})
+					b.Home = func(string) (mcmessage.StreamServiceClient, bool) { return client, false }
+				}
+				w := b.chat(t.Context(), body("caption", c.extra), "Idempotency-Key", "k")
+				require.Equal(t, c.text, text(w), w.Body)
+				require.Len(t, b.engine.calls, c.local)
+				if c.code != "" {
+					require.Equal(t, c.code, outcome(t, w.Body.String()).Code)
+				}
+			})
+		})
+	}
+}
+
+// Guards against two runs of one request that enters through two instances.
+func TestJoinThroughTwoGateways(t *testing.T) {
+	bubble(t, func(t *testing.T, run func(*bench) *bench) {
+		home, entry := run(newBench(map[string][]string{"a": {"x ~ y ~ z"}})), run(newBench(map[string][]string{"a": {"never"}}))
+		client := link(t, &mcgateway.StreamServer{Gateway: home.Gateway})
+		entry.Home = func(string) (mcmessage.StreamServiceClient, bool) { return client, false }
+		ctx, leave := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		defer leave()
+		go home.chat(ctx, body("caption", ""), "Idempotency-Key", "k")
+		time.Sleep(1200 * time.Millisecond)
+		require.Equal(t, "xyz", text(entry.chat(t.Context(), body("caption", ""), "Idempotency-Key", "k")))
+		require.Len(t, home.engine.calls, 1)
+		require.Empty(t, entry.engine.calls)
+		gone, leave := context.WithTimeout(t.Context(), time.Second)
+		defer leave()
+		home.engine.script["a"] = []string{"..."}
+		entry.chat(gone, body("caption", ""), "Idempotency-Key", "k2")
+		synctest.Wait()
+		require.Empty(t, home.scheduler.held, "the caller of the other instance is gone")
+	})
+}
+
+// Guards against a suspect that runs anywhere but alone at its home, and a false notRun
+// when the home may have begun.
+func TestSuspectRunsOnlyAtHome(t *testing.T) {
+	for name, c := range map[string]struct {
+		peer   string
+		text   string
+		notRun bool
+	}{
+		"self": {"self", "xy", false}, "unreachable": {"none", "", true},
+		"peer": {"gateway", "xy", false}, "peer hangs": {"hang", "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, run func(*bench) *bench) {
+				home, entry := run(newBench(map[string][]string{"a": {"x y"}})), run(newBench(map[string][]string{"a": {"x y"}}))
+				var client mcmessage.StreamServiceClient
+				switch c.peer {
+				case "gateway":
+					client = link(t, &mcgateway.StreamServer{Gateway: home.Gateway})
+				case "hang":
+					client = link(t, peerServer{join: func(_ *mcmessage.JoinRequest, s grpc.ServerStreamingServer[mcmessage.JoinChunk]) error {
+						<-s.Context().Done()
+						return nil
+					}})
+				}
+				var suspect mcquarantine.Fingerprint
+				entry.SuspectHome = func(f mcquarantine.Fingerprint) (mcmessage.StreamServiceClient, bool) {
+					suspect = f
+					return client, c.peer == "self"
+				}
+				entry.chat(t.Context(), body("caption", ""))
+				accuse(entry, entry.engine.sent[0])
+				entry.engine.calls = nil
+				w := entry.chat(t.Context(), body("caption", ""))
+				require.NotZero(t, suspect)
+				require.Equal(t, c.text, text(w), w.Body)
+				if c.text == "" {
+					require.Equal(t, 503, w.Code)
+					require.Equal(t, c.notRun, outcome(t, w.Body.String()).NotRun)
+				}
+				require.Equal(t, c.peer == "self", len(entry.engine.calls) == 1)
+				require.Equal(t, map[string]int{"self": 1}[c.peer], entry.scheduler.alone)
+				require.Equal(t, map[string]int{"gateway": 1}[c.peer], home.scheduler.alone)
+			})
+		})
+	}
+}
--- a/mcgateway/race.go
+++ b/mcgateway/race.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,7 +29,7 @@
 
 // race runs the attempt and, when its first token is late, a second one. It returns
 // the end of the attempt whose answer was delivered, or else of the one that failed
-// last, after both have released what they held.
+// last. An engine that does not end the other one at once holds up nobody.
 func (r *run) race(ctx context.Context, first *attempt) ended {
 	ends := make(chan ended, 2)
 	running := 0
@@ -36,7 +37,11 @@
 		running++
 		a.ctx, a.cancel = context.WithCancelCause(ctx)
 		r.join(a)
-		go func() { ends <- ended{a, a.serve()} }()
+		r.gateway.active.Add(1)
+		go func() {
+			defer r.gateway.active.Done()
+			ends <- ended{a, a.serve()}
+		}()
 	}
 	start(first)
 	var late <-chan time.Time
@@ -54,8 +59,9 @@
 		case e := <-ends:
 			running--
 			r.note(e)
-			if last.attempt == nil || !r.won(last.attempt) {
-				last = e
+			last = e
+			if r.won(e.attempt) {
+				return last
 			}
 		}
 	}
@@ -107,6 +113,9 @@
 	if a.recalled {
 		return errRecalled
 	}
+	if !slices.Contains(r.racing, a) {
+		return errHedged
+	}
 	if r.winner == nil {
 		r.winner = a
 	}
