--- /dev/null
+++ b/mcadmin/client.go
@@ -0,0 +1,172 @@
+package mcadmin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldcroft"
+	"marigoldcroft/mcconfig"
+)
+
+const (
+	// callTimeout bounds one call; an edit may resolve lost answers for 15 s.
+	callTimeout = 20 * time.Second
+	// maxAnswerBytes holds a list of 1,000 objects.
+	maxAnswerBytes = 16 << 20
+)
+
+// Client calls the operators' interface of one instance.
+type Client struct {
+	// Address is the base URL, such as http://127.0.0.1:7003.
+	Address string
+	HTTP    *http.Client
+}
+
+// RemoteError is an error that the instance answered, with the conflicts if any.
+type RemoteError struct{ problem Problem }
+
+// Error returns the message of the instance.
+func (e *RemoteError) Error() string { return e.problem.Message }
+
+// Kind returns the kind of the error.
+func (e *RemoteError) Kind() Kind { return e.problem.Kind }
+
+// Conflicts returns the objects that another change reached first.
+func (e *RemoteError) Conflicts() []mcconfig.Conflict { return e.problem.Conflicts }
+
+// Apply sends an operator file.
+func (c *Client) Apply(ctx context.Context, file string, text []byte, dryRun bool) (mcconfig.Result, error) {
+	query := url.Values{"file": {file}, "dryRun": {strconv.FormatBool(dryRun)}}
+	return call[mcconfig.Result](ctx, c, http.MethodPost, "apply?"+query.Encode(), text)
+}
+
+// Delete removes an object.
+func (c *Client) Delete(ctx context.Context, name mcconfig.ObjectName) (mcconfig.Result, error) {
+	return call[mcconfig.Result](ctx, c, http.MethodDelete, objectPath(name), nil)
+}
+
+// Rollback stores the content of an older revision as a new change.
+func (c *Client) Rollback(ctx context.Context, name mcconfig.ObjectName, to uint64) (mcconfig.Result, error) {
+	path := objectPath(name) + "/rollback?to=" + strconv.FormatUint(to, 10)
+	return call[mcconfig.Result](ctx, c, http.MethodPost, path, nil)
+}
+
+// Command sends a command that answers nothing but its success. The path is relative
+// to the interface, such as endpoints/engine-1/leave.
+func (c *Client) Command(ctx context.Context, path string) error {
+	_, err := call[done](ctx, c, http.MethodPost, path, nil)
+	return err
+}
+
+// Get returns an object in force.
+func (c *Client) Get(ctx context.Context, name mcconfig.ObjectName) (mcconfig.Entry, error) {
+	return call[mcconfig.Entry](ctx, c, http.MethodGet, objectPath(name), nil)
+}
+
+// List returns all objects of a kind in force.
+func (c *Client) List(ctx context.Context, kind mcconfig.ObjectKind) ([]mcconfig.Entry, error) {
+	var all []mcconfig.Entry
+	after := ""
+	for {
+		path := "config/" + url.PathEscape(string(kind)) + "?after=" + url.QueryEscape(after)
+		page, err := call[[]mcconfig.Entry](ctx, c, http.MethodGet, path, nil)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page...)
+		if len(page) < listLimit {
+			return all, nil
+		}
+		after = page[len(page)-1].Name
+	}
+}
+
+// History returns the contents of an object, the newest first.
+func (c *Client) History(ctx context.Context, name mcconfig.ObjectName) ([]mcconfig.Entry, error) {
+	return call[[]mcconfig.Entry](ctx, c, http.MethodGet, objectPath(name)+"/history", nil)
+}
+
+// Status returns what the instance knows of the deployment.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return call[Status](ctx, c, http.MethodGet, "status", nil)
+}
+
+// Explain returns what the scheduler would decide now.
+func (c *Client) Explain(ctx context.Context, team, template string, tokens int64) (Explanation, error) {
+	query := url.Values{"team": {team}, "template": {template}, "tokens": {strconv.FormatInt(tokens, 10)}}
+	return call[Explanation](ctx, c, http.MethodGet, "explain?"+query.Encode(), nil)
+}
+
+// Job returns the status of a durable job.
+func (c *Client) Job(ctx context.Context, id string) (marigoldcroft.JobStatus, error) {
+	return call[marigoldcroft.JobStatus](ctx, c, http.MethodGet, "jobs/"+url.PathEscape(id), nil)
+}
+
+// WaitInForce waits until the revision is in force at all known instances or wait has
+// passed, and returns how many have it and the names of those that do not.
+func (c *Client) WaitInForce(ctx context.Context, revision uint64, wait time.Duration) (reached int, missing []string, err error) {
+	end := time.Now().Add(wait)
+	for {
+		status, err := c.Status(ctx)
+		if err != nil {
+			return 0, nil, err
+		}
+		reached, missing = notInForce(status, revision)
+		if len(missing) == 0 || !time.Now().Before(end) {
+			return reached, missing, nil
+		}
+		select {
+		case <-ctx.Done():
+			return reached, missing, nil
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func objectPath(name mcconfig.ObjectName) string {
+	return "config/" + url.PathEscape(string(name.Kind)) + "/" + url.PathEscape(name.Name)
+}
+
+// call sends one request and decodes its answer.
+func call[T any](ctx context.Context, c *Client, method, path string, body []byte) (T, error) {
+	var value T
+	operation := method + " " + path
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, c.Address+"/admin/v1/"+path, bytes.NewReader(body))
+	if err != nil {
+		return value, marigoldcroft.NewFailure(operation, KindInvalid, err)
+	}
+	response, err := c.HTTP.Do(r)
+	if err != nil {
+		return value, marigoldcroft.NewFailure(operation, KindUnreachable, err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return value, marigoldcroft.NewFailure(operation, KindUnreachable, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return value, remoteError(operation, response.StatusCode, text)
+	}
+	if err := json.Unmarshal(text, &value); err != nil {
+		return value, marigoldcroft.NewFailure(operation, KindUnreachable, err)
+	}
+	return value, nil
+}
+
+func remoteError(operation string, status int, text []byte) error {
+	var problem Problem
+	if err := json.Unmarshal(text, &problem); err != nil || problem.Kind == "" {
+		return marigoldcroft.NewFailure(operation, KindUnreachable, errors.Newf("status %d: %.200s", status, text))
+	}
+	return &RemoteError{problem: problem}
+}
--- /dev/null
+++ b/mcadmin/server.go
@@ -0,0 +1,159 @@
+package mcadmin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"marigoldcroft"
+	"marigoldcroft/mcconfig"
+)
+
+const (
+	listLimit = 1000
+	// maxTokens bounds the prompt length that explain accepts.
+	maxTokens = 10_000_000
+)
+
+// Server serves operators. Its exported fields are set before Handler is called; Jobs
+// and JobQuery may be nil.
+type Server struct {
+	Editor   *mcconfig.Editor
+	Query    *mcconfig.Query
+	Command  InstanceCommand
+	Instance InstanceQuery
+	Jobs     marigoldcroft.JobCommand
+	JobQuery marigoldcroft.JobQuery
+	Logger   zerolog.Logger
+}
+
+// action serves one request and returns the answer's value.
+type action func(r *http.Request) (any, error)
+
+// Handler returns the operators' HTTP interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	commands := map[string]action{
+		"POST /admin/v1/apply":                          s.apply,
+		"DELETE /admin/v1/config/{kind}/{name}":         s.remove,
+		"POST /admin/v1/config/{kind}/{name}/rollback":  s.rollback,
+		"POST /admin/v1/instances/{name}/drain":         s.drain,
+		"POST /admin/v1/endpoints/{name}/leave":         s.setLeaving(true),
+		"POST /admin/v1/endpoints/{name}/join":          s.setLeaving(false),
+		"POST /admin/v1/quarantine/{fingerprint}/clear": s.clearQuarantine,
+		"POST /admin/v1/jobs/{id}/cancel":               s.cancelJob,
+	}
+	queries := map[string]action{
+		"GET /admin/v1/config/{kind}":                s.list,
+		"GET /admin/v1/config/{kind}/{name}":         s.get,
+		"GET /admin/v1/config/{kind}/{name}/history": s.history,
+		"GET /admin/v1/status":                       func(*http.Request) (any, error) { return s.Instance.Status(), nil },
+		"GET /admin/v1/explain":                      s.explain,
+		"GET /admin/v1/jobs/{id}":                    s.job,
+	}
+	for pattern, a := range commands {
+		mux.HandleFunc(pattern, s.serve("operatorCommand", a))
+	}
+	for pattern, a := range queries {
+		mux.HandleFunc(pattern, s.serve("operatorQuery", a))
+	}
+	return mux
+}
+
+// serve runs an action and writes its answer or its problem.
+func (s *Server) serve(event string, a action) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, mcconfig.MaxFileBytes)
+		value, err := a(r)
+		line := s.Logger.Info()
+		if event == "operatorQuery" {
+			line = s.Logger.Debug()
+		}
+		line.Str("path", r.URL.Path).Str("remote", r.RemoteAddr).AnErr("error", err).Msg(event)
+		w.Header().Set("Content-Type", "application/json")
+		if err != nil {
+			problem := problemOf(err)
+			w.WriteHeader(statusOf[problem.Kind])
+			value = problem
+		}
+		// An operator that is gone cannot be told.
+		_ = json.NewEncoder(w).Encode(value)
+	}
+}
+
+var statusOf = map[Kind]int{
+	KindInvalid:     http.StatusBadRequest,
+	KindNotFound:    http.StatusNotFound,
+	KindConflict:    http.StatusConflict,
+	KindUnknown:     http.StatusGatewayTimeout,
+	KindUnavailable: http.StatusServiceUnavailable,
+	KindUnreachable: http.StatusBadGateway,
+}
+
+// problemOf translates the errors of the parts.
+func problemOf(err error) Problem {
+	problem := Problem{Kind: KindUnavailable, Message: err.Error()}
+	var conflict *mcconfig.ConflictError
+	if errors.As(err, &conflict) {
+		problem.Conflicts = conflict.Conflicts()
+	}
+	if kind := marigoldcroft.FailureKind[Kind](err); kind != "" {
+		problem.Kind = kind
+		return problem
+	}
+	switch {
+	case mcconfig.IsInvalid(err):
+		problem.Kind = KindInvalid
+	case mcconfig.IsConflict(err):
+		problem.Kind = KindConflict
+	case mcconfig.IsNotFound(err):
+		problem.Kind = KindNotFound
+	case mcconfig.IsUnknown(err):
+		problem.Kind = KindUnknown
+	}
+	return problem
+}
+
+func invalid(field string, err error) error {
+	return marigoldcroft.NewFailure("read field "+field, KindInvalid, err)
+}
+
+func nameOf(r *http.Request) (mcconfig.ObjectName, error) {
+	kind, err := mcconfig.ParseKind(r.PathValue("kind"))
+	return mcconfig.ObjectName{Kind: kind, Name: r.PathValue("name")}, err
+}
+
+func number(r *http.Request, field string, limit uint64) (uint64, error) {
+	n, err := strconv.ParseUint(r.URL.Query().Get(field), 10, 64)
+	if err == nil && n > limit {
+		err = errors.Newf("%d is over the limit %d", n, limit)
+	}
+	if err != nil {
+		return 0, invalid(field, err)
+	}
+	return n, nil
+}
+
+func readAll(r *http.Request) ([]byte, error) {
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, invalid("body", err)
+	}
+	return text, nil
+}
+
+func fileName(r *http.Request) string {
+	if name := r.URL.Query().Get("file"); name != "" {
+		return name
+	}
+	return "file"
+}
+
+func noJobs() error {
+	return marigoldcroft.NewFailure("jobs", KindNotFound, fmt.Errorf("this instance serves no jobs"))
+}
--- a/mccommand/main.go
+++ b/mccommand/main.go
@@ -9,10 +9,11 @@
 
 // The exit codes of every verb.
 const (
-	exitDone       = mcverb.ExitDone
-	exitFailed     = mcverb.ExitFailed
-	exitUsage      = mcverb.ExitUsage
-	exitConflict   = mcverb.ExitConflict
+	exitDone     = mcverb.ExitDone
+	exitFailed   = mcverb.ExitFailed
+	exitUsage    = mcverb.ExitUsage
+	exitConflict = mcverb.ExitConflict
+	// exitNotInForce means accepted, but not yet in force everywhere.
 	exitNotInForce = mcverb.ExitNotInForce
 )
 
@@ -23,7 +24,11 @@
 
 // verbs is the lookup table, in the order of the help text.
 func verbs() []Verb {
-	return []Verb{serveVerb(), settingsVerb(), versionVerb()}
+	return []Verb{
+		serveVerb(), applyVerb(), deleteVerb(), rollbackVerb(), drainVerb(), endpointVerb(), jobVerb(), quarantineVerb(),
+		getVerb(), historyVerb(), statusVerb(), explainVerb(), validateVerb(),
+		settingsVerb(), completionVerb(), versionVerb(),
+	}
 }
 
 // Main runs the verb that arguments name and returns the exit code.
--- /dev/null
+++ b/mccommand/verb_endpoint.go
@@ -0,0 +1,36 @@
+package mccommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/url"
+
+	"marigoldcroft/mcadmin"
+)
+
+func endpointVerb() Verb {
+	return Verb{
+		Name:    "endpoint",
+		Summary: "mark an endpoint as leaving, or as joined again",
+		Example: "marigoldcroft endpoint leave engine-3",
+		Run:     runEndpoint,
+	}
+}
+
+func runEndpoint(arguments []string, stdout, stderr io.Writer) int {
+	action, name := "", ""
+	o := newOperator(endpointVerb(), stdout, stderr)
+	o.parser.AddPositionalValue(&action, "leave|join", 1, true, "what the endpoint does")
+	o.parser.AddPositionalValue(&name, "NAME", 2, true, "name of the endpoint")
+	return o.run(arguments, func(ctx context.Context, client *mcadmin.Client) error {
+		if action != "leave" && action != "join" {
+			return usage("leave and join are allowed, got " + action)
+		}
+		if err := client.Command(ctx, "endpoints/"+url.PathEscape(name)+"/"+action); err != nil {
+			return err
+		}
+		fmt.Fprintf(o.stdout, "endpoint %s: %s\n", name, action)
+		return nil
+	})
+}
--- /dev/null
+++ b/mccommand/verb_quarantine.go
@@ -0,0 +1,36 @@
+package mccommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/url"
+
+	"marigoldcroft/mcadmin"
+)
+
+func quarantineVerb() Verb {
+	return Verb{
+		Name:    "quarantine",
+		Summary: "let a quarantined request run again",
+		Example: "marigoldcroft quarantine clear 9c0f3a5d2b7e1846",
+		Run:     runQuarantine,
+	}
+}
+
+func runQuarantine(arguments []string, stdout, stderr io.Writer) int {
+	action, id := "", ""
+	o := newOperator(quarantineVerb(), stdout, stderr)
+	o.parser.AddPositionalValue(&action, "clear", 1, true, "what to do")
+	o.parser.AddPositionalValue(&id, "ID", 2, true, "fingerprint from the caller's error, in hex")
+	return o.run(arguments, func(ctx context.Context, client *mcadmin.Client) error {
+		if action != "clear" {
+			return usage("clear is allowed, got " + action)
+		}
+		if err := client.Command(ctx, "quarantine/"+url.PathEscape(id)+"/clear"); err != nil {
+			return err
+		}
+		fmt.Fprintf(o.stdout, "fingerprint %s is cleared\n", id)
+		return nil
+	})
+}
--- /dev/null
+++ b/mcentry/admin.go
@@ -0,0 +1,194 @@
+package mcentry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"marigoldcroft"
+	"marigoldcroft/mcadmin"
+	"marigoldcroft/mcconfig"
+	"marigoldcroft/mcmember"
+	"marigoldcroft/mcmessage"
+	"marigoldcroft/mcquarantine"
+	"marigoldcroft/mcstore"
+)
+
+// stateNames are the operators' words for the states of members.
+var stateNames = map[mcmessage.MemberState]string{
+	mcmessage.MemberState_MEMBER_STATE_LIVE:     "live",
+	mcmessage.MemberState_MEMBER_STATE_DRAINING: "draining",
+	mcmessage.MemberState_MEMBER_STATE_GONE:     "gone",
+	mcmessage.MemberState_MEMBER_STATE_SUSPECT:  "suspect",
+}
+
+var breakerNames = map[mcstore.BreakerState]string{
+	mcstore.BreakerClosed:   "reachable",
+	mcstore.BreakerHalfOpen: "probing",
+	mcstore.BreakerOpen:     "unreachable",
+}
+
+// operations gives operators the commands and queries of this instance.
+type operations struct{ entry *Entry }
+
+// Drain begins the planned stop of this instance, or passes the command on.
+func (o *operations) Drain(ctx context.Context, instance string) error {
+	if instance == o.entry.Settings.Instance {
+		o.entry.drainOnce.Do(func() { close(o.entry.drain) })
+		return nil
+	}
+	for _, view := range o.entry.membership.live() {
+		if view.Instance == instance {
+			return o.entry.adminClient(view.AdminAddress).Command(ctx, "instances/"+url.PathEscape(instance)+"/drain")
+		}
+	}
+	return marigoldcroft.NewFailure("drain "+instance, mcadmin.KindNotFound, nil)
+}
+
+// SetLeaving sets or clears the operators' mark of an endpoint.
+func (o *operations) SetLeaving(endpoint string, leaving bool) error {
+	if _, known := o.entry.membership.member.Endpoint(endpoint); !known {
+		return marigoldcroft.NewFailure("mark "+endpoint, mcadmin.KindNotFound, nil)
+	}
+	o.entry.membership.member.SetLeaving(endpoint, leaving)
+	return nil
+}
+
+// ClearQuarantine lets a quarantined request run again everywhere.
+func (o *operations) ClearQuarantine(fingerprint uint64) error {
+	o.entry.mergeOwnQuarantine()
+	entry := o.entry.suspects.Clear(time.Now(), mcquarantine.Fingerprint(fingerprint))
+	if entry == nil {
+		return marigoldcroft.NewFailure("clear quarantine", mcadmin.KindNotFound, errors.Newf("no entry for fingerprint %x", fingerprint))
+	}
+	o.entry.membership.announce([]*mcmessage.QuarantineEntry{entry})
+	return nil
+}
+
+func (e *Entry) mergeOwnQuarantine() {
+	e.suspects.Merge(time.Now(), e.membership.member.QuarantineEntries())
+}
+
+// Status returns what this instance knows of the deployment.
+func (o *operations) Status() mcadmin.Status {
+	e := o.entry
+	traffic := e.membership.member.Traffic()
+	return mcadmin.Status{
+		Instance: e.Settings.Instance, DataCentre: e.Settings.DataCentre, Region: e.Settings.Region,
+		Incarnation: e.identity.Incarnation(), Draining: e.gateway.Draining(),
+		InFlight: e.gateway.InFlight(), Queued: e.scheduler.Queued(),
+		Store: breakerNames[e.store.Breaker()], Config: e.follower.Status(),
+		Members: memberStatuses(e), Endpoints: endpointStatuses(e.membership.member.Endpoints()),
+		Control: mcadmin.ControlStatus{
+			BytesPerSecond: traffic.BytesPerSecond, Budget: traffic.Budget, IntervalMs: traffic.Interval.Milliseconds(),
+		},
+	}
+}
+
+func memberStatuses(e *Entry) []mcadmin.MemberStatus {
+	var statuses []mcadmin.MemberStatus
+	for _, view := range e.membership.member.Members() {
+		status := mcadmin.MemberStatus{
+			Instance: view.Instance, DataCentre: view.DataCentre, State: stateNames[view.State],
+			Revision: view.ConfigRevision, AgeMs: view.Age.Milliseconds(),
+		}
+		if view.Instance == e.Settings.Instance {
+			status.Revision, status.AgeMs = e.follower.Current().Revision(), 0
+		}
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
+
+func endpointStatuses(views []mcmember.EndpointView) []mcadmin.EndpointStatus {
+	statuses := make([]mcadmin.EndpointStatus, 0, len(views))
+	for _, view := range views {
+		state := "live"
+		switch {
+		case view.Down:
+			state = "down"
+		case view.Leaving:
+			state = "leaving"
+		case !view.Listed:
+			state = "not listed"
+		}
+		statuses = append(statuses, mcadmin.EndpointStatus{
+			Name: view.Endpoint.Name(), Kind: string(view.Endpoint.Kind()), Pool: view.Endpoint.Pool(), State: state,
+			Running: view.Report.Running, Waiting: view.Report.Waiting, AgeMs: view.Age.Milliseconds(),
+		})
+	}
+	return statuses
+}
+
+// Explain returns what the scheduler would decide now.
+func (o *operations) Explain(teamName, templateName string, tokens int64) (mcadmin.Explanation, error) {
+	config := o.entry.follower.Current()
+	team, ok := config.Team(teamName)
+	if !ok {
+		return mcadmin.Explanation{}, marigoldcroft.NewFailure("explain team "+teamName, mcadmin.KindNotFound, nil)
+	}
+	template, ok := config.Template(templateName)
+	if !ok || template.Model() == "" {
+		return mcadmin.Explanation{}, marigoldcroft.NewFailure("explain model template "+templateName, mcadmin.KindNotFound, nil)
+	}
+	now := time.Now()
+	decision := o.entry.scheduler.Explain(now, marigoldcroft.Work{
+		ID: marigoldcroft.NewStreamID("explain-"+uuid.NewString(), 1), Team: team.Name(), Model: template.Model(),
+		Urgency: template.Urgency(), Weight: team.Weight(), Deadline: now.Add(template.Deadline()),
+		PromptTokens: tokens, OutputTokens: int64(template.MaxOutputTokens()),
+	})
+	return mcadmin.Explanation{
+		Action: decision.Action.String(), Reason: string(decision.Reason), Endpoint: decision.Endpoint,
+		Class: decision.Class.String(), StartMs: milliseconds(decision.PredictedStart),
+		FirstTokenMs: milliseconds(decision.PredictedFirstToken), RetryAfterMs: decision.RetryAfter.Milliseconds(),
+		Revision: config.Revision(),
+	}, nil
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// adminServer returns the HTTP server for operators, over mutual TLS when it is set.
+func (e *Entry) adminServer() *http.Server {
+	o := &operations{entry: e}
+	handler := (&mcadmin.Server{
+		Editor: e.Editor(), Query: &mcconfig.Query{Store: e.store, Follower: e.follower}, Command: o, Instance: o,
+		Jobs: e.gateway.Jobs, JobQuery: e.gateway.JobStatus, Logger: e.logger,
+	}).Handler()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes}
+	if e.credentials != nil {
+		server.TLSConfig = e.credentials.HTTPServer()
+	}
+	return server
+}
+
+// adminClient calls the operators' interface of another instance.
+func (e *Entry) adminClient(address string) *mcadmin.Client {
+	if e.credentials == nil {
+		return &mcadmin.Client{Address: "http://" + address, HTTP: http.DefaultClient}
+	}
+	transport := &http.Transport{TLSClientConfig: e.credentials.HTTPClient(), DisableKeepAlives: true}
+	return &mcadmin.Client{Address: "https://" + address, HTTP: &http.Client{Transport: transport}}
+}
+
+// serveAdmin serves operators until ctx ends.
+func (e *Entry) serveAdmin(ctx context.Context) error {
+	server := e.adminServer()
+	go func() {
+		<-ctx.Done()
+		// The listener is closed in any case.
+		_ = server.Close()
+	}()
+	serve := server.Serve
+	if server.TLSConfig != nil {
+		serve = func(l net.Listener) error { return server.ServeTLS(l, "", "") }
+	}
+	if err := serve(e.admin); !errors.Is(err, http.ErrServerClosed) {
+		return marigoldcroft.NewFailure("serve operators", KindServe, err)
+	}
+	return nil
+}
--- a/mcentry/build.go
+++ b/mcentry/build.go
@@ -21,8 +21,8 @@
 	"marigoldcroft/mcstore"
 )
 
-// credentials returns those of mutual TLS, or nil when the settings name no files.
-func (e *Entry) credentials() (*mcpeer.Credentials, error) {
+// readCredentials returns those of mutual TLS, or nil when the settings name no files.
+func (e *Entry) readCredentials() (*mcpeer.Credentials, error) {
 	t := e.Settings.TLS
 	if t.CertificateFile == "" {
 		return nil, nil
@@ -68,7 +68,7 @@
 		Identity: e.identity, PeerAddress: peerAddress, Credentials: credentials, TracerProvider: e.tracing, Faults: e.Faults,
 	}
 	member := &mcmember.Member{
-		Self:      mcmember.Self{Identity: e.identity, PeerAddress: peerAddress, AdminAddress: e.Settings.AdminAddress},
+		Self:      mcmember.Self{Identity: e.identity, PeerAddress: peerAddress, AdminAddress: e.AdminAddress()},
 		Transport: pool, List: &mcplatform.InstanceList{Address: e.Settings.InstanceList, HTTP: client},
 		Loader: e.engine, Logger: e.logger, Meter: controlMeter{e.metrics}, Seed: seed,
 		InFlight: e.scheduler.InFlight, Usage: func() []marigoldcroft.TeamUsage { return e.limiter.Usage() },
--- a/mcentry/entry.go
+++ b/mcentry/entry.go
@@ -74,6 +74,11 @@
 	peers      *mcpeer.Server
 
 	callers     net.Listener
+	admin       net.Listener
+	credentials *mcpeer.Credentials
+	// drain is closed when an operator asks for the planned stop.
+	drain       chan struct{}
+	drainOnce   sync.Once
 	peerAddress string
 	duties      sync.WaitGroup
 }
@@ -105,10 +110,12 @@
 
 // open opens the listeners and builds the parts, which need the listeners' addresses.
 func (e *Entry) open(seed uint64) error {
-	credentials, err := e.credentials()
+	e.drain = make(chan struct{})
+	credentials, err := e.readCredentials()
 	if err != nil {
 		return err
 	}
+	e.credentials = credentials
 	e.peers = &mcpeer.Server{
 		Address: e.Settings.PeerAddress, Identity: e.identity, Credentials: credentials,
 		TracerProvider: e.tracing, Faults: e.Faults, Logger: e.logger, Register: e.registerServices,
@@ -120,6 +127,9 @@
 	if e.callers, err = net.Listen("tcp", e.Settings.CallerAddress); err != nil {
 		return marigoldcroft.NewFailure("listen for callers", KindStart, err)
 	}
+	if e.admin, err = net.Listen("tcp", e.Settings.AdminAddress); err != nil {
+		return marigoldcroft.NewFailure("listen for operators", KindStart, err)
+	}
 	e.peerAddress = peerAddress
 	if err := e.buildParts(seed, peerAddress, credentials); err != nil {
 		return marigoldcroft.NewFailure("start", KindStart, err)
@@ -143,6 +153,7 @@
 	e.duties.Go(func() { e.follow(duties) })
 	e.duties.Go(func() { e.ended("membership", e.membership.member.Run(duties)) })
 	e.duties.Go(func() { e.ended("peerServer", e.peers.Run(duties)) })
+	e.duties.Go(func() { e.ended("adminServer", e.serveAdmin(duties)) })
 	server := &http.Server{
 		Handler: e.gateway.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes,
@@ -154,6 +165,7 @@
 	case err := <-served:
 		return marigoldcroft.NewFailure("serve callers", KindServe, err)
 	case <-ctx.Done():
+	case <-e.drain:
 	}
 	return e.stop(server)
 }
@@ -182,3 +194,6 @@
 
 // PeerAddress returns the address that peers reach, after Start.
 func (e *Entry) PeerAddress() string { return e.peerAddress }
+
+// AdminAddress returns the address that operators reach, after Start.
+func (e *Entry) AdminAddress() string { return e.admin.Addr().String() }
--- a/scheduler.go
+++ b/scheduler.go
@@ -50,6 +50,11 @@
 // String returns the metric label of the class.
 func (c Class) String() string { return [...]string{"short", "long", "huge"}[c] }
 
+// String returns the word for the action.
+func (a Action) String() string {
+	return [...]string{"dispatch", "wait", "refuse", "expire", "recall"}[a]
+}
+
 // Work is what a scheduler needs to know of one attempt of a request.
 type Work struct {
 	ID       StreamID
