Route calls of plain services, at most once where the template says so

Cause: only model requests were served. Change: /v1/services/{service}/{path}: repeatable calls try up to three endpoints within the retry budget, others run through the ledger's executor; a refusal before the ledger was read leaves the outcome of a keyed call open.

--- a/mcgateway/gateway.go
+++ b/mcgateway/gateway.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"marigoldcroft"
+	"marigoldcroft/mcledger"
 	"marigoldcroft/mclimit"
 	"marigoldcroft/mcmessage"
 	"marigoldcroft/mcobserve"
@@ -65,6 +66,13 @@
 	Jobs      marigoldcroft.JobCommand
 	JobStatus marigoldcroft.JobQuery
 
+	// Service calls plain services; calls of them get 404 while it is nil. Services
+	// returns the endpoints of a service, the least loaded first.
+	Service  marigoldcroft.Service
+	Services func(service string) []marigoldcroft.Endpoint
+	// Actions runs the calls that may run at most once.
+	Actions *mcledger.Executor
+
 	// draining is true from the start of a planned stop.
 	draining atomic.Bool
 	inFlight atomic.Int64
@@ -80,6 +88,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", g.entry("model", g.serveChat))
 	mux.HandleFunc("POST /v1/jobs", g.entry("job", g.serveJobSubmit))
 	mux.HandleFunc("GET /v1/jobs/{id}", g.entry("jobQuery", g.serveJobQuery))
+	mux.HandleFunc("/v1/services/{service}/{path...}", g.entry(kindService, g.serveService))
 	mux.HandleFunc("GET /healthz", g.serveHealth)
 	mux.HandleFunc("GET /readyz", g.serveReady)
 	mux.Handle("GET /metrics", g.Metrics.Handler())
@@ -111,8 +120,14 @@
 	class string
 	// streamed is true when the answer began and its problem was sent as an event.
 	streamed bool
+	// keyKnown is true when a problem's NotRun speaks of the idempotency key and not
+	// only of this try.
+	keyKnown bool
 }
 
+// kindService is the kind of requests for plain services.
+const kindService = "service"
+
 // handler serves one exchange; a problem is sent unless the answer has begun.
 type handler func(x *exchange) *Problem
 
@@ -163,6 +178,9 @@
 func (g *Gateway) end(x *exchange, kind string, problem *Problem) {
 	code := "ok"
 	if problem != nil {
+		if kind == kindService {
+			leaveOpen(x, problem)
+		}
 		problem.RequestID = x.id
 		code = string(problem.Code)
 		if !x.streamed {
--- /dev/null
+++ b/mcgateway/service.go
@@ -0,0 +1,184 @@
+package mcgateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"marigoldcroft"
+	"marigoldcroft/mcledger"
+)
+
+// maxServiceAttempts bounds the attempts of one repeatable call.
+const maxServiceAttempts = 3
+
+// forwardedHeaders are the only ones that reach a plain service.
+var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language"}
+
+// serviceCall is a checked call of a plain service.
+type serviceCall struct {
+	template  marigoldcroft.Template
+	call      marigoldcroft.ServiceCall
+	endpoints []marigoldcroft.Endpoint
+}
+
+// serveService routes a call to a plain service: repeatable calls are tried again, the
+// others go through the ledger.
+func (g *Gateway) serveService(x *exchange) *Problem {
+	if g.Service == nil {
+		return notRun(CodeNotFound, "this instance serves no plain services")
+	}
+	s, problem := g.decodeService(x)
+	if problem != nil {
+		return problem
+	}
+	end, problem := deadline(x.r.Header, x.start, s.template)
+	if problem != nil {
+		return problem
+	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), end)
+	defer cancel()
+	ctx, span := g.Tracer.Start(ctx, "service call", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("service", s.template.Service())))
+	defer span.End()
+	if problem := g.admitService(x); problem != nil {
+		return problem
+	}
+	defer g.finishService(x)
+	if s.template.Repeat() == marigoldcroft.RepeatAtMostOnce {
+		return g.runOnce(ctx, x, s)
+	}
+	return g.runRepeatable(ctx, x, s)
+}
+
+func (g *Gateway) decodeService(x *exchange) (*serviceCall, *Problem) {
+	t, problem := template(x, "")
+	if problem != nil {
+		return nil, problem
+	}
+	service := x.r.PathValue("service")
+	if t.Service() != service {
+		return nil, notRun(CodeBadRequest, "template "+t.Name()+" is not for the service "+strconv.Quote(service))
+	}
+	body, problem := g.readBody(x)
+	if problem != nil {
+		return nil, problem
+	}
+	key := x.r.Header.Get(headerKey)
+	if key == "" && t.Repeat() == marigoldcroft.RepeatAtMostOnce {
+		return nil, notRun(CodeBadRequest, "header "+headerKey+" is needed: template "+t.Name()+" runs at most once")
+	}
+	path := "/" + x.r.PathValue("path")
+	if x.r.URL.RawQuery != "" {
+		path += "?" + x.r.URL.RawQuery
+	}
+	header := make(http.Header)
+	for _, name := range forwardedHeaders {
+		if value := x.r.Header.Get(name); value != "" {
+			header.Set(name, value)
+		}
+	}
+	return &serviceCall{
+		template:  t,
+		call:      marigoldcroft.ServiceCall{RequestID: x.id, Key: key, Method: x.r.Method, Path: path, Header: header, Body: body},
+		endpoints: g.Services(service),
+	}, nil
+}
+
+// leaveOpen corrects a refusal that came before the ledger was read: an earlier try of
+// the same key may have run, so that only the outcome "unknown" is true.
+func leaveOpen(x *exchange, problem *Problem) {
+	if x.r.Header.Get(headerKey) != "" && !x.keyKnown && problem.NotRun {
+		problem.NotRun, problem.Outcome = false, OutcomeUnknown
+	}
+}
+
+// admitService applies the team's limits.
+func (g *Gateway) admitService(x *exchange) *Problem {
+	if g.Teams == nil {
+		return nil
+	}
+	verdict := g.Teams.Admit(time.Now(), x.team, 0, false)
+	if verdict.Allowed() {
+		return nil
+	}
+	g.Metrics.Refusals.WithLabelValues(string(verdict.Reason)).Inc()
+	return notRun(CodeTeamLimit, "refused by the limit "+string(verdict.Reason)+" of the team").after(verdict.RetryAfter)
+}
+
+func (g *Gateway) finishService(x *exchange) {
+	if g.Teams != nil {
+		g.Teams.Finish(time.Now(), x.team.Name(), 0, 0, false)
+	}
+}
+
+// runRepeatable tries one endpoint after another.
+func (g *Gateway) runRepeatable(ctx context.Context, x *exchange, s *serviceCall) *Problem {
+	x.keyKnown = true
+	problem := notRun(CodeOverloaded, "no endpoint serves this service now")
+	for i, endpoint := range s.endpoints {
+		if i == maxServiceAttempts || i > 0 && !g.retries.Take(time.Now(), s.template.Service()) {
+			break
+		}
+		answer, err := g.Service.Call(ctx, endpoint, s.call)
+		if err == nil {
+			g.retries.Succeeded(time.Now(), s.template.Service())
+			writeAnswer(x.w, answer)
+			return nil
+		}
+		g.Metrics.Attempts.WithLabelValues("serviceFailed").Inc()
+		if ctx.Err() != nil {
+			return failed(CodeDeadline, "the request's time ended before the service answered")
+		}
+		problem = failed(CodeUpstreamFailed, err.Error())
+	}
+	return problem
+}
+
+// runOnce runs the call through the ledger.
+func (g *Gateway) runOnce(ctx context.Context, x *exchange, s *serviceCall) *Problem {
+	result := g.Actions.Execute(ctx, mcledger.Call{
+		Key:  marigoldcroft.NewActionKey(x.team.Name(), s.template.Service(), s.call.Key),
+		Call: s.call, Endpoints: s.endpoints,
+	})
+	g.Metrics.Actions.WithLabelValues(string(result.Kind)).Inc()
+	if result.Kind == mcledger.ResultRan || result.Kind == mcledger.ResultRecorded {
+		x.w.Header().Set("X-Action", string(result.Kind))
+		if result.BodyOmitted {
+			x.w.Header().Set("X-Body-Omitted", "true")
+		}
+		writeAnswer(x.w, result.Answer)
+		return nil
+	}
+	x.keyKnown = true
+	_, code := result.HTTP()
+	message := "the action: " + string(result.Kind)
+	if result.Err != nil {
+		message += ": " + result.Err.Error()
+	}
+	return &Problem{Code: codeOf(result.Kind, code), Message: message, NotRun: result.NotRun, Outcome: Outcome(result.Outcome())}
+}
+
+// codeOf returns codes that tell an open outcome from a failed endpoint.
+func codeOf(kind mcledger.ResultKind, code string) Code {
+	switch kind {
+	case mcledger.ResultUnknown:
+		return CodeOutcomeUnknown
+	case mcledger.ResultInFlight:
+		return CodeInFlight
+	}
+	return Code(code)
+}
+
+func writeAnswer(w http.ResponseWriter, answer marigoldcroft.ServiceAnswer) {
+	if kind := answer.Header.Get("Content-Type"); kind != "" {
+		w.Header().Set("Content-Type", kind)
+	}
+	w.WriteHeader(answer.Status)
+	// A caller that is gone cannot be told.
+	_, _ = w.Write(answer.Body)
+}
