Restart unseen answers; test splits and crashing prompts

Cause: an engine's death failed whole answers although their callers had seen nothing; splits and quarantine were not tested against engines. Change: a flight drops its answer and begins again while no caller was given a part of it; tests split prompts under synctest and crash stand-in engines over loopback behind two gateways.

--- a/mcgateway/answer.go
+++ b/mcgateway/answer.go
@@ -5,14 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 )
 
 type (
 	// wholeSink collects an answer that is sent in one piece.
 	wholeSink struct {
-		text      strings.Builder
+		textSink
+
+		began     bool
 		firstSeen func()
 	}
 
@@ -54,12 +55,11 @@
 	}
 )
 
-func (s *wholeSink) token(text string) error {
-	if s.text.Len() == 0 {
+func (s *wholeSink) first() {
+	if !s.began {
+		s.began = true
 		s.firstSeen()
 	}
-	s.text.WriteString(text)
-	return nil
 }
 
 func (s *streamSink) token(text string) error {
--- a/mcgateway/attempt_test.go
+++ b/mcgateway/attempt_test.go
@@ -48,13 +48,13 @@
 		"dies before first token":    {script{"a": {"!stream_broken", "!!stream_not_found"}, "b": {"x y"}}, body("caption", ""), "xy", "", false, "generate a resume0 a generate b"},
 		"crossed answer":             {script{"a": {"x !answer_of_another_stream"}, "b": {"x y"}}, body("caption", deterministic), "xy", "", false, "generate a generate b"},
 		"crossed at once":            {script{"a": {"!answer_of_another_stream"}, "b": {"x y"}}, body("caption", ""), "xy", "", false, "generate a generate b"},
-		"truncated, resumed":         {script{"a": {"x !stream_broken", "y z"}}, body("caption", ""), "xyz", "", false, "generate a resume1 a"},
+		"truncated, resumed":         {script{"a": {"x ~ !stream_broken", "y z"}}, body("caption", ""), "xyz", "", false, "generate a resume1 a"},
 		"broken again and again":     {script{"a": {"!stream_broken"}, "b": {"x y"}}, body("caption", ""), "xy", "", false, "generate a resume0 a resume0 a resume0 a generate b"},
-		"truncated, not resumable":   {script{"a": {"x !stream_broken", "!!stream_not_found"}, "b": {"x y"}}, body("caption", ""), "x", mcgateway.CodeUpstreamFailed, false, "generate a resume1 a"},
-		"seed without temperature 0": {script{"a": {"x !stream_broken", "!!stream_not_found"}, "b": {"x y"}}, body("caption", `,"seed":1,"temperature":0.5`), "x", mcgateway.CodeUpstreamFailed, false, "generate a resume1 a"},
-		"deterministic restart":      {script{"a": {"x y !stream_broken", "!!stream_not_found"}, "b": {"xy z"}}, body("caption", deterministic), "xyz", "", false, "generate a resume2 a generate b"},
-		"restart diverges":           {script{"a": {"x y !stream_broken", "!!stream_not_found"}, "b": {"x q z"}}, body("caption", deterministic), "xy", mcgateway.CodeUpstreamFailed, false, "generate a resume2 a generate b"},
-		"restart ends early":         {script{"a": {"x y !stream_broken", "!!stream_not_found"}, "b": {"x"}}, body("caption", deterministic), "xy", mcgateway.CodeUpstreamFailed, false, "generate a resume2 a generate b"},
+		"truncated, not resumable":   {script{"a": {"x ~ !stream_broken", "!!stream_not_found"}, "b": {"x y"}}, body("caption", ""), "x", mcgateway.CodeUpstreamFailed, false, "generate a resume1 a"},
+		"seed without temperature 0": {script{"a": {"x ~ !stream_broken", "!!stream_not_found"}, "b": {"x y"}}, body("caption", `,"seed":1,"temperature":0.5`), "x", mcgateway.CodeUpstreamFailed, false, "generate a resume1 a"},
+		"deterministic restart":      {script{"a": {"x y ~ !stream_broken", "!!stream_not_found"}, "b": {"xy z"}}, body("caption", deterministic), "xyz", "", false, "generate a resume2 a generate b"},
+		"restart diverges":           {script{"a": {"x y ~ !stream_broken", "!!stream_not_found"}, "b": {"x q z"}}, body("caption", deterministic), "xy", mcgateway.CodeUpstreamFailed, false, "generate a resume2 a generate b"},
+		"restart ends early":         {script{"a": {"x y ~ !stream_broken", "!!stream_not_found"}, "b": {"x"}}, body("caption", deterministic), "xy", mcgateway.CodeUpstreamFailed, false, "generate a resume2 a generate b"},
 		"at most once runs once":     {script{"a": {"!stream_broken", "!!stream_not_found"}, "b": {"x"}}, body("print", ""), "", mcgateway.CodeUpstreamFailed, false, "generate a resume0 a"},
 		"at most once, not sent":     {script{"a": {"!!unreachable"}, "b": {"x"}}, body("print", ""), "x", "", false, "generate a generate b"},
 		"at most once, declined":     {script{"a": {"!!refused"}, "b": {"x"}}, body("print", ""), "x", "", false, "generate a generate b"},
@@ -90,6 +90,15 @@
 	}
 }
 
+// Guards against a whole answer that fails, or holds a part twice, for an engine that
+// died when its caller had seen nothing yet.
+func TestUnseenAnswerBeginsAgain(t *testing.T) {
+	bubble(t, func(t *testing.T, run func(*bench) *bench) {
+		b := run(newBench(map[string][]string{"a": {"x ~ y !stream_broken", "!!stream_not_found"}, "b": {"q z"}}))
+		require.Equal(t, "qz", text(b.chat(t.Context(), body("caption", ""))))
+	})
+}
+
 // Guards against retries that multiply the load of a group in trouble: of many failing
 // requests only the floor of the budget is tried again.
 func TestRetriesStayInBudget(t *testing.T) {
--- /dev/null
+++ b/mcgateway/crash_test.go
@@ -0,0 +1,142 @@
+package mcgateway_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcengine"
+	"marigoldcroft/mcgateway"
+	"marigoldcroft/mcmessage"
+	"marigoldcroft/mcquarantine"
+	"marigoldcroft/mcscheduler"
+	"marigoldcroft/mcstandin"
+)
+
+// fleet runs stand-in engines on loopback that end like a process when they crash.
+func fleet(t *testing.T, n int, lost *atomic.Int32) (map[string]marigoldcroft.Endpoint, []*mcstandin.Engine) {
+	endpoints := make(map[string]marigoldcroft.Endpoint)
+	var engines []*mcstandin.Engine
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for i := range n {
+		name := string(rune('a' + i))
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		e := &mcstandin.Engine{Settings: mcstandin.EngineSettings{
+			Name: name, Model: "m", PrefillRate: 1e6, TokenTime: time.Millisecond, KVCapacity: 100_000, ReportLag: time.Millisecond,
+		}}
+		server := &http.Server{Handler: e.Handler()}
+		e.Crash = func() {
+			lost.Add(1)
+			_ = server.Close()
+		}
+		e.SetFaults(mcstandin.EngineFaults{CrashOn: "poison"})
+		go e.Run(ctx)
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(func() { _ = server.Close() })
+		engines = append(engines, e)
+		endpoints[name] = marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{Name: name, Kind: marigoldcroft.EndpointEngine, Pool: "m", Address: "http://" + listener.Addr().String()})
+	}
+	return endpoints, engines
+}
+
+// Guards against one prompt that takes down the fleet through two gateways, innocent
+// requests that fail or stay quarantined with it, and engine memory that is kept.
+func TestCrashingPromptIsQuarantined(t *testing.T) {
+	const engines, innocents = 6, 4
+	var lost atomic.Int32
+	endpoints, standins := fleet(t, engines, &lost)
+	client := &http.Client{Transport: mcengine.NewTransport()}
+	defer client.CloseIdleConnections()
+	gateways := make([]*bench, 2)
+	for i := range gateways {
+		b := newBench(nil)
+		b.Dispatcher.Scheduler = newScheduler(t, endpoints)
+		go b.Dispatcher.Run(t.Context())
+		b.Gateway.Engine = &mcengine.Client{HTTP: client}
+		b.Identity = marigoldcroft.NewIdentity("test", "r", "dc", fmt.Sprint(i), time.Unix(1, 0), 0)
+		b.Endpoint = func(name string) (marigoldcroft.Endpoint, bool) { e, ok := endpoints[name]; return e, ok }
+		gateways[i] = b
+	}
+	home := link(t, &mcgateway.StreamServer{Gateway: gateways[0].Gateway})
+	for i, b := range gateways {
+		b.SuspectHome = func(mcquarantine.Fingerprint) (mcmessage.StreamServiceClient, bool) { return home, i == 0 }
+		b.Announce = func(_ context.Context, entries []*mcmessage.QuarantineEntry) {
+			gateways[1-i].Suspects.Merge(time.Now(), entries)
+		}
+	}
+	done := make(chan string, innocents)
+	for i := range innocents {
+		go func() {
+			done <- gateways[i%2].chat(t.Context(), body("caption", fmt.Sprintf(`,"temperature":0.%d`, i+1))).Body.String()
+		}()
+	}
+	poison := `{"model":"caption","messages":[{"role":"user","content":"poison"}]}`
+	for i := range 10 {
+		w := gateways[(i+1)%2].chat(t.Context(), poison)
+		require.NotEqual(t, http.StatusOK, w.Code)
+		if i > 0 {
+			require.Equal(t, mcgateway.CodeQuarantined, outcome(t, w.Body.String()).Code, "try %d", i)
+			require.True(t, outcome(t, w.Body.String()).NotRun)
+		}
+	}
+	require.LessOrEqual(t, lost.Load(), int32(3))
+	for range innocents {
+		require.Contains(t, <-done, " w99")
+	}
+	for _, b := range gateways {
+		b.Wait()
+		require.Empty(t, b.Dispatcher.Scheduler.InFlight())
+		quarantined := 0
+		for _, e := range b.Suspects.Entries(time.Now()) {
+			require.True(t, e.Quarantined || e.Cleared, "an innocent request stays a suspect")
+			if e.Quarantined {
+				quarantined++
+			}
+		}
+		require.Equal(t, 1, quarantined)
+	}
+	for _, e := range standins {
+		require.Eventually(t, func() bool { return e.KVUsed() == 0 }, 10*time.Second, time.Millisecond)
+	}
+}
+
+// newScheduler returns the product's scheduler with a report of each endpoint.
+func newScheduler(t *testing.T, endpoints map[string]marigoldcroft.Endpoint) marigoldcroft.Scheduler {
+	s, err := mcscheduler.New(mcscheduler.PolicyLengthAware, mcscheduler.Default())
+	require.NoError(t, err)
+	now := time.Now()
+	s.SetEndpoints(now, slices.Collect(maps.Values(endpoints)))
+	for name := range endpoints {
+		s.Observe(now, marigoldcroft.LoadReport{Endpoint: name, Incarnation: 1, Time: now, KVCapacityTokens: 100_000})
+	}
+	return s
+}
+
+// Guards against an accusation for streams that are merely cut: the engine lives, so
+// the answer fails but nobody is a suspect.
+func TestCutStreamAccusesNobody(t *testing.T) {
+	var lost atomic.Int32
+	endpoints, standins := fleet(t, 1, &lost)
+	standins[0].SetFaults(mcstandin.EngineFaults{BreakAfter: 3})
+	client := &http.Client{Transport: mcengine.NewTransport()}
+	defer client.CloseIdleConnections()
+	b := newBench(nil)
+	b.scheduler.endpoints = []string{"a"}
+	b.Gateway.Engine = &mcengine.Client{HTTP: client}
+	b.Endpoint = func(name string) (marigoldcroft.Endpoint, bool) { e, ok := endpoints[name]; return e, ok }
+	w := b.chat(t.Context(), body("caption", `,"stream":true`))
+	require.Equal(t, mcgateway.CodeUpstreamFailed, outcome(t, w.Body.String()).Code)
+	require.Empty(t, b.Suspects.Entries(time.Now()))
+	b.Wait()
+}
--- a/mcgateway/execute.go
+++ b/mcgateway/execute.go
@@ -99,7 +99,7 @@
 	go func() {
 		defer g.active.Done()
 		defer cancel()
-		r := &run{gateway: g, request: request, out: f}
+		r := &run{gateway: g, request: request, out: f, discard: f.discard}
 		problem := r.produce(ctx)
 		g.flights.remove(key, f)
 		f.finish(r.end, problem, r.class)
--- a/mcgateway/flight.go
+++ b/mcgateway/flight.go
@@ -17,6 +17,14 @@
 		token(text string) error
 	}
 
+	// patientSink wants nothing but a whole answer. Until all of it is there, the run
+	// may drop what it has and begin again.
+	patientSink interface {
+		sink
+		// first is called at the first token.
+		first()
+	}
+
 	// answerEnd is what a whole answer ends with.
 	answerEnd struct {
 		finish       string
@@ -35,8 +43,10 @@
 		mu      sync.Mutex
 		joiners int
 		// begun is true once work may have been sent to an engine or a peer.
-		begun   bool
-		chunks  []string
+		begun  bool
+		chunks []string
+		// shown is true once a part was passed on that cannot be taken back.
+		shown   bool
 		ended   bool
 		end     answerEnd
 		problem *Problem
@@ -148,19 +158,39 @@
 	f.changed = make(chan struct{})
 }
 
-// after returns what came after the first n chunks.
-func (f *flight) after(n int) (chunks []string, ended bool, changed <-chan struct{}) {
+// discard drops the answer so far, unless a part of it was passed on.
+func (f *flight) discard() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.chunks[n:], f.ended, f.changed
+	if f.shown {
+		return false
+	}
+	f.chunks = nil
+	return true
+}
+
+// after returns what came after the first n chunks. A patient reader gets nothing
+// before the end, but learns that there is something.
+func (f *flight) after(n int, patient bool) (chunks []string, some, ended bool, changed <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if some = len(f.chunks) > n; !patient || f.ended {
+		chunks = f.chunks[n:]
+		f.shown = f.shown || some
+	}
+	return chunks, some, f.ended, f.changed
 }
 
 // follow copies the answer to out until it ends or ctx does, whatever the run waits
 // for. It returns the number of parts that were copied.
 func (f *flight) follow(ctx context.Context, out sink) (int, answerEnd, *Problem) {
+	patient, isPatient := out.(patientSink)
 	n := 0
 	for {
-		chunks, ended, changed := f.after(n)
+		chunks, some, ended, changed := f.after(n, isPatient)
+		if some && isPatient {
+			patient.first()
+		}
 		for _, text := range chunks {
 			if err := out.token(text); err != nil {
 				f.leave()
--- a/mcgateway/handon.go
+++ b/mcgateway/handon.go
@@ -113,7 +113,7 @@
 	if alone {
 		return r.truthful(notRun(CodeOverloaded, messageNoHome).after(homeRetryAfter)), true
 	}
-	if r.started && !r.request.deterministic() {
+	if !r.restartable() {
 		return r.truthful(notRun(CodeUpstreamFailed, "the instance that ran the request was lost")), true
 	}
 	r.reset()
--- a/mcgateway/jobs.go
+++ b/mcgateway/jobs.go
@@ -84,7 +84,7 @@
 	return nil
 }
 
-// textSink collects a job's answer.
+// textSink collects an answer that is wanted whole.
 type textSink struct{ text strings.Builder }
 
 func (s *textSink) token(text string) error {
@@ -92,6 +92,8 @@
 	return nil
 }
 
+func (*textSink) first() {}
+
 // RunJob runs the body of a job as its team and template say until its deadline. A
 // refusal that says notRun is no end: the job waits and is tried again. An error is a
 // *Problem.
--- a/mcgateway/join_test.go
+++ b/mcgateway/join_test.go
@@ -38,7 +38,7 @@
 	t.Helper()
 	const bufferBytes = 1 << 16
 	listener := bufconn.Listen(bufferBytes)
-	server := grpc.NewServer()
+	server := grpc.NewServer(grpc.WaitForHandlers(true))
 	mcmessage.RegisterStreamServiceServer(server, peer)
 	done := make(chan struct{})
 	go func() { defer close(done); _ = server.Serve(listener) }()
@@ -102,6 +102,7 @@
 			_ = s.SendHeader(metadata.Pairs("accepted", "1"))
 			for _, c := range chunks {
 				_ = s.Send(c)
+				time.Sleep(time.Second)
 			}
 			return nil
 		}
--- a/mcgateway/race.go
+++ b/mcgateway/race.go
@@ -141,9 +141,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.winner, r.racing = nil, nil
-	if r.discard != nil {
-		r.discard()
-		r.started, r.seen = false, ""
-	}
 	r.replay = r.seen
 }
--- a/mcgateway/run.go
+++ b/mcgateway/run.go
@@ -40,9 +40,8 @@
 		ran bool
 		// started is true once a token was delivered.
 		started bool
-		// discard drops the answer so far, which nobody has seen; nil means that the
-		// caller may have seen it.
-		discard func()
+		// discard drops the answer so far; it fails when a caller has seen part of it.
+		discard func() bool
 		// serial is true for a segment that runs while no other one does; suspended for
 		// one that must be before it is tried again.
 		serial, suspended bool
@@ -171,14 +170,27 @@
 	switch {
 	case errors.Is(err, errDiverged):
 		return false
-	case r.started && r.discard == nil && !r.request.deterministic():
-		return false
 	case kind == mcengine.KindUnreachable && !r.started:
 		return true
 	case kind != mcengine.KindRefused && !r.request.idempotent():
 		return false
+	case !r.gateway.retries.Take(time.Now(), r.request.template.Model()):
+		return false
+	}
+	return r.restartable()
+}
+
+// restartable tells whether the answer may begin again: the caller has seen nothing of
+// it, or another engine will repeat what was seen.
+func (r *run) restartable() bool {
+	if !r.started || r.request.deterministic() {
+		return true
+	}
+	if !r.discard() {
+		return false
 	}
-	return r.gateway.retries.Take(time.Now(), r.request.template.Model())
+	r.started = false
+	return true
 }
 
 // note keeps what the end of an attempt says about the endpoint and about whether the
--- a/mcgateway/split.go
+++ b/mcgateway/split.go
@@ -92,7 +92,7 @@
 		}
 		out := &segmentOutput{of: s.run.out}
 		r := s.part(fmt.Sprintf("s%d.%d", i+1, try), messages, out)
-		r.discard = out.text.Reset
+		r.discard = func() bool { out.text.Reset(); return true }
 		problem := s.generate(ctx, r)
 		s.note(r, i)
 		if problem == nil {
@@ -139,7 +139,7 @@
 func (s *splitRun) combine(ctx context.Context, answers []string) *Problem {
 	r := s.run
 	last := s.part("c", r.request.combineMessages(answers), r.out)
-	last.ran = true
+	last.ran, last.discard = true, r.discard
 	problem := last.generate(ctx)
 	r.end = last.end
 	for _, end := range s.ends {
--- /dev/null
+++ b/mcgateway/split_test.go
@@ -0,0 +1,72 @@
+package mcgateway_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft/mcgateway"
+)
+
+// Guards against a split that loses text between segments, runs more of them than
+// allowed, loses the whole for one failing segment, mixes a partial answer in, or
+// outlives its deadline.
+func TestSplit(t *testing.T) {
+	const capacity = 2000
+	content := strings.Repeat("0123456789é", 2000)
+	ask := `{"model":"dossier","max_tokens":100,"messages":[{"role":"system","content":"Rules."},{"role":"user","content":"` + content + `"}]}`
+	for name, c := range map[string]struct {
+		script map[string][]string
+		ask    string
+		text   string
+		code   mcgateway.Code
+		notRun bool
+	}{
+		"whole":                  {map[string][]string{"a": {"~ whole"}}, ask, "whole", "", false},
+		"segment declined":       {map[string][]string{"a": {"!!refused", "~ whole"}, "b": {"~ whole"}}, ask, "whole", "", false},
+		"segment breaks":         {map[string][]string{"a": {"part !answer_of_another_stream", "~ whole"}, "b": {"~ whole"}}, ask, "whole", "", false},
+		"segment fails for good": {map[string][]string{"a": {"!answer_of_another_stream"}}, ask, "", mcgateway.CodeUpstreamFailed, false},
+		"hangs":                  {map[string][]string{"a": {"..."}}, ask, "", mcgateway.CodeDeadline, false},
+		"nothing reachable":      {map[string][]string{"a": {"!!unreachable"}}, ask, "", mcgateway.CodeOverloaded, true},
+		"template refuses":       {map[string][]string{"a": {"whole"}}, strings.Replace(ask, "dossier", "caption", 1), "", mcgateway.CodeTooLarge, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, run func(*bench) *bench) {
+				b := newBench(c.script)
+				b.LargestEngine = func(string) int64 { return capacity }
+				begun := time.Now()
+				w := run(b).chat(t.Context(), c.ask)
+				require.LessOrEqual(t, time.Since(begun), time.Minute)
+				b.Wait()
+				require.Empty(t, b.scheduler.held)
+				require.LessOrEqual(t, b.scheduler.most, 3)
+				if c.code != "" {
+					problem := outcome(t, w.Body.String())
+					require.Equal(t, c.code, problem.Code, problem.Message)
+					require.Equal(t, c.notRun, problem.NotRun)
+					return
+				}
+				require.Equal(t, c.text, text(w), w.Body)
+				seen := make(map[string]bool)
+				covered := 0
+				for _, sent := range b.engine.sent[:len(b.engine.sent)-1] {
+					require.Equal(t, "Rules.", sent.Messages[0].Content)
+					part := sent.Messages[1].Content
+					require.LessOrEqual(t, len(part)/4+sent.MaxOutputTokens, capacity)
+					require.Contains(t, content, part)
+					if !seen[part] {
+						covered += len(part)
+					}
+					seen[part] = true
+				}
+				require.Greater(t, covered, len(content))
+				last := b.engine.sent[len(b.engine.sent)-1].Messages
+				require.Equal(t, "Combine.", last[0].Content)
+				require.Equal(t, len(seen), strings.Count(last[1].Content, "whole"))
+				require.NotContains(t, last[1].Content, "part")
+			})
+		})
+	}
+}
