--- a/mcgateway/chat.go
+++ b/mcgateway/chat.go
@@ -1,6 +1,7 @@
 package mcgateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -124,11 +125,24 @@
 func parseChat(body []byte) (chatRequest, *Problem) {
 	var in chatRequest
 	if err := json.Unmarshal(body, &in); err != nil {
-		return chatRequest{}, notRun(CodeBadRequest, "body: "+err.Error())
+		return chatRequest{}, notRun(CodeBadRequest, malformed(err))
 	}
 	return in, nil
 }
 
+// malformed names the field or the place in the body that cannot be decoded.
+func malformed(err error) string {
+	var typed *json.UnmarshalTypeError
+	if errors.As(err, &typed) {
+		return fmt.Sprintf("%s: a %s is not allowed here", cmp.Or(typed.Field, "body"), typed.Value)
+	}
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return fmt.Sprintf("body: no JSON at byte %d: %v", syntax.Offset, syntax)
+	}
+	return "body: " + err.Error()
+}
+
 func (g *Gateway) readBody(x *exchange) ([]byte, *Problem) {
 	control := http.NewResponseController(x.w)
 	// Response writers without deadlines are those of tests, which need none.
--- a/mcgateway/harness_test.go
+++ b/mcgateway/harness_test.go
@@ -80,7 +80,8 @@
 	due       []marigoldcroft.Decision
 	queue     bool
 	hang      chan struct{}
-	refuse    marigoldcroft.Reason
+	// refusals is the number of submissions to refuse.
+	refusals int
 }
 
 func (s *scheduler) Submit(_ time.Time, work marigoldcroft.Work) marigoldcroft.Decision {
@@ -90,8 +91,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	decision := marigoldcroft.Decision{ID: work.ID, Action: marigoldcroft.ActionRefuse, Reason: marigoldcroft.ReasonNoEndpoint, RetryAfter: time.Second}
-	if s.refuse != "" {
-		decision.Reason = s.refuse
+	if s.refusals > 0 {
+		s.refusals--
 		return decision
 	}
 	if work.Alone {
--- /dev/null
+++ b/mclimit/example_test.go
@@ -0,0 +1,31 @@
+package mclimit_test
+
+import (
+	"fmt"
+	"time"
+
+	"marigoldcroft"
+	"marigoldcroft/mclimit"
+)
+
+// The limits work without the daemon: a program of its own asks before each request
+// and tells the end. With peers, it would also call SetMembers, ObservePeer and, once
+// an exchange interval, Rebalance and Usage.
+func Example() {
+	limiter := &mclimit.Limiter{}
+	team := marigoldcroft.NewTeam(marigoldcroft.TeamSpec{Name: "studio", TokensPerSecond: 1000, BurstTokens: 1500})
+	now := time.Unix(1_800_000_000, 0)
+	for range 3 {
+		verdict := limiter.Admit(now, team, 1000, false)
+		fmt.Println(verdict.Allowed(), verdict.Reason, verdict.RetryAfter)
+		if verdict.Allowed() {
+			limiter.Finish(now, "studio", 1000, 1000, false)
+		}
+	}
+	fmt.Println(limiter.Admit(now.Add(time.Second), team, 1000, false).Allowed())
+	// Output:
+	// true  0s
+	// true  0s
+	// false teamTokenRate 501ms
+	// true
+}
