Test planned stops and leaving endpoints with real processes

Cause: nothing showed that a rolling restart cuts off no request and that a leaving endpoint gets nothing while the store is down. Change: the load generator can follow /readyz as the platform's balancer does; process tests build the binary and run three instances over stand-ins.

--- /dev/null
+++ b/cmd/marigoldcroft/process_test.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcload"
+	"marigoldcroft/mcstandin"
+)
+
+const (
+	startLimit = 30 * time.Second
+	testKey    = "copo-key"
+)
+
+// fleet is a set of real entry processes over stand-ins in the test process.
+type fleet struct {
+	t       *testing.T
+	binary  string
+	store   *mcstandin.ObjectStore
+	engines []*mcstandin.Engine
+	list    *mcstandin.InstanceList
+	entries []*process
+}
+
+// process is one entry instance.
+type process struct {
+	caller, admin, settings string
+	command                 *exec.Cmd
+}
+
+func newFleet(t *testing.T, entries, engines int) *fleet {
+	f := &fleet{t: t, binary: build(t), store: mcstandin.NewObjectStore(1), list: &mcstandin.InstanceList{}}
+	var listing marigoldcroft.InstanceListing
+	for i := range engines {
+		e := &mcstandin.Engine{Crash: func() {}, Settings: mcstandin.EngineSettings{
+			Name: fmt.Sprintf("engine-%d", i+1), Model: "caption", PrefillRate: 200_000, TokenTime: 2 * time.Millisecond,
+			KVCapacity: 450_000, CacheCapacity: 50_000, ReportLag: 200 * time.Millisecond,
+		}}
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go e.Run(ctx)
+		f.engines = append(f.engines, e)
+		listing.Endpoints = append(listing.Endpoints, marigoldcroft.ListedEndpoint{
+			Name: e.Settings.Name, Kind: marigoldcroft.EndpointEngine, Address: f.serve(e.Handler()), DataCentre: "a", Pool: "caption",
+		})
+	}
+	storeAddress, listAddress := f.serve(f.store), f.serve(f.list.Handler())
+	for i := range entries {
+		p := &process{caller: freeAddress(t), admin: freeAddress(t)}
+		peer := freeAddress(t)
+		p.settings = filepath.Join(t.TempDir(), "entry.yaml")
+		text := fmt.Sprintf(`{deployment: test, region: r, dataCentre: a, instance: a-%d, callerAddress: "%s", peerAddress: "%s", adminAddress: "%s",
+objectStore: "%s", instanceList: "%s", stop: {lameDuck: 500ms, limit: 60s}, log: {level: warn}}`,
+			i+1, p.caller, peer, p.admin, storeAddress, listAddress)
+		require.NoError(t, os.WriteFile(p.settings, []byte(text), 0o600))
+		listing.Instances = append(listing.Instances, marigoldcroft.ListedInstance{Name: fmt.Sprintf("a-%d", i+1), DataCentre: "a", Region: "r", PeerAddress: peer})
+		f.entries = append(f.entries, p)
+	}
+	f.list.Show(listing)
+	for _, p := range f.entries {
+		f.start(p)
+	}
+	t.Cleanup(f.killAll)
+	return f
+}
+
+func build(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "marigoldcroft")
+	output, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	require.NoError(t, err, string(output))
+	return binary
+}
+
+func (f *fleet) serve(h http.Handler) string {
+	server := httptest.NewServer(h)
+	f.t.Cleanup(server.CloseClientConnections)
+	return server.URL
+}
+
+func (f *fleet) start(p *process) {
+	p.command = exec.Command(f.binary, "serve", "--config", p.settings)
+	p.command.Stdout, p.command.Stderr = os.Stderr, os.Stderr
+	require.NoError(f.t, p.command.Start())
+}
+
+// stop begins a planned stop and waits for its end.
+func (f *fleet) stop(p *process) {
+	require.NoError(f.t, p.command.Process.Signal(syscall.SIGTERM))
+	require.NoError(f.t, p.command.Wait(), "a planned stop must end without a failure")
+}
+
+func (f *fleet) killAll() {
+	for _, p := range f.entries {
+		// A process that has ended already needs no end.
+		_ = p.command.Process.Kill()
+		_ = p.command.Wait()
+	}
+}
+
+func (f *fleet) waitReady(p *process) {
+	require.Eventually(f.t, func() bool {
+		response, err := http.Get("http://" + p.caller + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}, startLimit, 20*time.Millisecond, "instance %s is not ready", p.caller)
+}
+
+// operate runs an operators' verb against the first instance.
+func (f *fleet) operate(arguments ...string) (string, error) {
+	output, err := exec.Command(f.binary, append(arguments, "--server", f.entries[0].admin)...).CombinedOutput()
+	return string(output), err
+}
+
+func (f *fleet) configure() {
+	require.Eventually(f.t, func() bool {
+		_, err := f.operate("apply", "-f", "../../examples/copo-andino.yaml")
+		return err == nil
+	}, startLimit, 100*time.Millisecond, "the configuration is not accepted")
+	for _, p := range f.entries {
+		f.waitReady(p)
+	}
+}
+
+func (f *fleet) targets() []string {
+	var targets []string
+	for _, p := range f.entries {
+		targets = append(targets, "http://"+p.caller)
+	}
+	return targets
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (f *fleet) load(seed uint64, d time.Duration) mcload.Settings {
+	return mcload.Settings{
+		Targets: f.targets(), Key: testKey, Seed: seed, Rate: 30, Duration: d, RetryNow: true, HealthChecks: true,
+		Classes: []mcload.Class{
+			{Name: "short", Template: "caption", Weight: 0.95, MinTokens: 1000, MaxTokens: 4000, OutputTokens: 20, Deadline: 10 * time.Second},
+			{Name: "long", Template: "comparison", Weight: 0.05, MinTokens: 100_000, MaxTokens: 300_000, OutputTokens: 20, Deadline: time.Minute},
+		},
+	}
+}
+
+func requireAllWhole(t *testing.T, report *mcload.Report, seed uint64) {
+	for _, row := range report.Rows() {
+		require.Equal(t, row.Callers, row.Outcomes[mcload.OutcomeWhole],
+			"seed %d class %s: %v %v", seed, row.Class, row.Outcomes, row.Codes)
+	}
+}
+
+// Guards against a planned stop that cuts off a request: every instance is restarted
+// in turn under load, and each request still gets its whole answer.
+func TestRollingRestartFailsNoRequest(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	f.configure()
+	const seed = 11
+	done := make(chan *mcload.Report, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { done <- mcload.Run(ctx, f.load(seed, 12*time.Second)) }()
+	for _, p := range f.entries {
+		f.stop(p)
+		f.start(p)
+		f.waitReady(p)
+	}
+	requireAllWhole(t, <-done, seed)
+}
+
+// Guards against new work on an endpoint 3 s after an operator marked it as leaving,
+// while the object store is down.
+func TestLeavingEndpointGetsNothing(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	f.configure()
+	f.store.SetFaults(mcstandin.ObjectStoreFaults{Outage: true})
+	const seed = 12
+	done := make(chan *mcload.Report, 1)
+	go func() { done <- mcload.Run(context.Background(), f.load(seed, 8*time.Second)) }()
+	leaving := f.engines[0]
+	require.Eventually(t, func() bool { return leaving.Served() > 0 }, startLimit, 10*time.Millisecond, "the engine never got work")
+	output, err := f.operate("endpoint", "leave", "engine-1")
+	require.NoError(t, err, output)
+	const promised = 3 * time.Second
+	<-time.After(promised)
+	served := leaving.Served()
+	requireAllWhole(t, <-done, seed)
+	require.Equal(t, served, leaving.Served(), "the leaving engine got new work more than %s after the mark", promised)
+	status, err := f.operate("status")
+	require.NoError(t, err, status)
+	require.True(t, strings.Contains(status, "leaving"), status)
+}
--- a/mcload/caller.go
+++ b/mcload/caller.go
@@ -59,6 +59,7 @@
 	caller struct {
 		settings *Settings
 		client   *http.Client
+		balancer *balancer
 		class    Class
 		prompt   string
 		seed     uint64
@@ -139,7 +140,7 @@
 }
 
 func (c *caller) try(ctx context.Context, body []byte, n int) try {
-	target := c.settings.Targets[(c.seed+uint64(n))%uint64(len(c.settings.Targets))]
+	target := c.balancer.pick(c.seed + uint64(n))
 	begun := time.Now()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, target+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
--- a/mcload/run.go
+++ b/mcload/run.go
@@ -24,6 +24,7 @@
 		report:   newReport(),
 		rng:      rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
 		slots:    make(chan struct{}, settings.MaxCallers),
+		balancer: newBalancer(settings.Targets),
 		client: &http.Client{Transport: &http.Transport{
 			MaxIdleConns: maxIdleConnections, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true,
 		}},
@@ -41,12 +42,20 @@
 	rng      *rand.Rand
 	filler   string
 	client   *http.Client
+	balancer *balancer
 	// slots holds one token for each caller at work.
 	slots   chan struct{}
 	callers sync.WaitGroup
 }
 
 func (g *generator) run(ctx context.Context) {
+	checks, endChecks := context.WithCancel(ctx)
+	var checking sync.WaitGroup
+	if g.settings.HealthChecks {
+		checking.Go(func() { g.balancer.check(checks) })
+	}
+	defer checking.Wait()
+	defer endChecks()
 	start := time.Now()
 	residents, stop := context.WithCancel(ctx)
 	for range g.settings.Resident {
@@ -84,7 +93,7 @@
 
 func (g *generator) caller(class Class, rng *rand.Rand) *caller {
 	return &caller{
-		settings: g.settings, client: g.client, class: class,
+		settings: g.settings, client: g.client, balancer: g.balancer, class: class,
 		prompt: newPrompt(rng, g.filler, class), seed: rng.Uint64(),
 	}
 }
--- a/mcload/settings.go
+++ b/mcload/settings.go
@@ -56,6 +56,9 @@
 		// Resident keeps this many requests of the class ResidentClass running.
 		Resident      int
 		ResidentClass Class
+		// HealthChecks sends requests only to targets that answer /readyz, as the
+		// platform's balancer does.
+		HealthChecks bool
 		// Direct is the model name when the target is an engine instead of an entry instance.
 		Direct string
 	}
