Test rules, segments, retention, restore and release of the ledger

Cause: sealing, the retention floor, the age check and a store that comes back with an older state were not covered.

--- /dev/null
+++ b/mcledger/core_test.go
@@ -0,0 +1,259 @@
+package mcledger
+
+import (
+	"context"
+	"crypto/sha256"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcmessage"
+)
+
+// Guards against rules that grant a key twice, change an outcome or lose one.
+func TestRules(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	const a, b = "attempt-a", "attempt-b"
+	attempt := func(id string) *mcmessage.LedgerAttempt {
+		return &mcmessage.LedgerAttempt{Key: testKey(now, 1), AttemptId: id, Executor: id}
+	}
+	begin := func(id string) *request {
+		return &request{kind: requestBegin, attempt: attempt(id), bodyHash: []byte("h")}
+	}
+	stranger := begin(a)
+	stranger.attempt.Executor = "other"
+	finish := func(id string, state mcmessage.LedgerState) *request {
+		return &request{kind: requestFinish, attempt: attempt(id), state: state}
+	}
+	for _, c := range []struct {
+		name   string
+		state  mcmessage.LedgerState // of attempt a; none for no record
+		hash   string
+		r      *request
+		reply  replyKind
+		after  mcmessage.LedgerState // none for no change
+		isGone bool
+	}{
+		{"first begin", stateNone, "", begin(a), replyGranted, stateStarted, false},
+		{"begin again", stateStarted, "h", begin(a), replyGranted, stateNone, false},
+		{"attempt of another executor", stateStarted, "h", stranger, replyState, stateNone, false},
+		{"second caller", stateStarted, "h", begin(b), replyState, stateNone, false},
+		{"second caller, executor gone", stateStarted, "h", begin(b), replyState, stateUnknown, true},
+		{"other body", stateStarted, "x", begin(b), replyMismatch, stateNone, true},
+		{"after done", stateDone, "h", begin(b), replyState, stateNone, true},
+		{"after unknown", stateUnknown, "h", begin(b), replyState, stateNone, true},
+		{"after abandoned", stateAbandoned, "h", begin(b), replyGranted, stateStarted, false},
+		{"abandoned attempt arrives late", stateAbandoned, "", begin(a), replyState, stateNone, false},
+		{"done", stateStarted, "h", finish(a, stateDone), replyRecorded, stateDone, false},
+		{"done again", stateDone, "h", finish(a, stateDone), replyRecorded, stateNone, false},
+		{"unknown after done", stateDone, "h", finish(a, stateUnknown), replyNotRecorded, stateNone, false},
+		{"resolved", stateUnknown, "h", finish(a, stateDone), replyRecorded, stateDone, false},
+		{"abandoned after unknown", stateUnknown, "h", finish(a, stateAbandoned), replyNotRecorded, stateNone, false},
+		{"abandoned before its begin", stateNone, "", finish(a, stateAbandoned), replyRecorded, stateAbandoned, false},
+		{"outcome without a record", stateNone, "", finish(a, stateDone), replyRecorded, stateDone, false},
+		{"outcome of another attempt", stateStarted, "h", finish(b, stateDone), replyNotRecorded, stateNone, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			env := environment{now: now, gone: func(executor) bool { return c.isGone }}
+			var r *record
+			if c.state != stateNone {
+				r = &record{Attempt: attempt(a), State: c.state, BodyHash: []byte(c.hash)}
+			}
+			judge := judgeFinish
+			if c.r.kind == requestBegin {
+				judge = judgeBegin
+			}
+			v := judge(env, r, c.r, 0)
+			require.Equal(t, c.reply, v.reply)
+			require.Equal(t, c.after, v.after.GetState())
+		})
+	}
+}
+
+// Guards against keys that the ledger accepts although it may have forgotten them, and
+// against two spellings of one key that run twice.
+func TestKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := startLedger(t, newCluster(t.Context()))
+		start := time.Now()
+		at := func(d time.Duration) string { return testKey(start.Add(d), 1) }
+		for _, c := range []struct {
+			key  string
+			kind Kind
+		}{
+			{at(0), ""},
+			{at(-Retention + time.Minute), ""},
+			{at(-Retention - time.Second), KindKeyAge},
+			{at(maxKeyLead - time.Second), ""},
+			{at(maxKeyLead + time.Minute), KindKeyAge},
+			{"", KindBadKey},
+			{"order-1", KindBadKey},
+			{uuid.NewString(), KindBadKey},
+		} {
+			_, err := l.Begin(t.Context(), marigoldcroft.NewActionKey("t", "s", c.key), [32]byte{1})
+			require.Equal(t, c.kind, marigoldcroft.FailureKind[Kind](err), "key %q", c.key)
+		}
+		grant, err := l.Begin(t.Context(), marigoldcroft.NewActionKey("t", "s", strings.ToUpper(at(0))), [32]byte{1})
+		require.NoError(t, err)
+		require.False(t, grant.Granted)
+	})
+}
+
+// startLedger returns a running ledger over the store of c, apart from its nodes.
+func startLedger(t *testing.T, c *cluster) *Ledger {
+	l := &Ledger{Store: c, Identity: marigoldcroft.NewIdentity("d", "r", "dc", "C", time.Now(), 1)}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go l.Run(ctx)
+	return l
+}
+
+// Guards against records that are lost or changed when they are sealed, merged, read
+// by a new owner or removed after the retention, and against objects left behind.
+func TestSegments(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := newCluster(ctx)
+		const actions = 400
+		begin := func(l *Ledger, key string) marigoldcroft.ActionGrant {
+			grant, err := l.Begin(ctx, marigoldcroft.NewActionKey("t", "s", key), sha256.Sum256([]byte(key)))
+			require.NoError(t, err)
+			return grant
+		}
+		// All keys are in one shard, so that it seals and merges.
+		var keys []string
+		for n := 0; len(keys) < actions; n++ {
+			if key := testKey(time.Now(), n); Shard(marigoldcroft.NewActionKey("t", "s", key)) == 0 {
+				keys = append(keys, key)
+			}
+		}
+		body := []byte(strings.Repeat("x", 8<<10))
+		first := c.nodes[1].ledger
+		for i, key := range keys {
+			// Some seals lose their answer, in which case their segment must stay.
+			if i%10 == 0 {
+				c.puts = []string{"lost after", "lost after"}
+			}
+			grant := begin(first, key)
+			require.True(t, grant.Granted)
+			err := first.Finish(ctx, marigoldcroft.NewActionKey("t", "s", key), grant.AttemptID, marigoldcroft.ActionDone,
+				marigoldcroft.ActionOutcome{Status: 200 + i, Body: body})
+			require.NoError(t, err)
+		}
+		require.Greater(t, first.Counts().Seals, uint64(10))
+		check := func(l *Ledger) {
+			for i, key := range keys {
+				grant := begin(l, key)
+				require.Equal(t, marigoldcroft.ActionDone, grant.State)
+				require.Equal(t, 200+i, grant.Outcome.Status)
+			}
+		}
+		check(first)
+		second := startLedger(t, c)
+		check(second)
+		time.Sleep(time.Minute)
+		entries, err := c.List(ctx, "ledger/0/", "", 1000)
+		require.NoError(t, err)
+		state, err := c.Get(ctx, headKey(0))
+		require.NoError(t, err)
+		h, err := decodeHead(state.Value())
+		require.NoError(t, err)
+		require.Len(t, entries, 1+len(h.segments), "the head and the segments that it names")
+		require.LessOrEqual(t, len(h.segments), 2*actions*len(body)/segmentBytes+1)
+
+		time.Sleep(Retention + time.Hour)
+		require.True(t, begin(second, keyInShard(0)).Granted)
+		time.Sleep(time.Minute)
+		entries, err = c.List(ctx, "ledger/0/", "", 1000)
+		require.NoError(t, err)
+		require.Len(t, entries, 1, "segments are removed after the retention")
+	})
+}
+
+// Guards against the removal of a segment whose head was written by an earlier copy of
+// a write that was sent again.
+func TestConflictAfterLostAnswer(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	env := environment{now: now, gone: func(executor) bool { return false }}
+	full := newHead()
+	for n := range 20 {
+		attempt := &mcmessage.LedgerAttempt{Key: testKey(now, n), AttemptId: "a"}
+		full.set(idOf(attempt), &record{Attempt: attempt, State: stateDone, Outcome: &mcmessage.LedgerOutcome{Body: make([]byte, 8<<10)}})
+	}
+	c := newCore(executor{instance: "A", incarnation: 1})
+	require.True(t, c.submit(env, &request{attempt: &mcmessage.LedgerAttempt{Key: testKey(now, 99), AttemptId: "b"}, bodyHash: []byte{1}}).read)
+	w := c.headRead(env, headState{head: full, version: "1"}).write
+	require.NotNil(t, w.sealed)
+	require.True(t, c.unknown(env).read)
+	require.Equal(t, w, c.headRead(env, headState{head: full, version: "1"}).write, "the same write is sent again")
+	out := c.conflicted(env)
+	require.Empty(t, out.remove)
+	out = c.headRead(env, headState{head: w.next, version: "2", writeID: w.id})
+	require.Equal(t, replyGranted, out.replies[0].kind)
+}
+
+func keyInShard(shard int) string {
+	for n := 1 << 20; ; n++ {
+		if key := testKey(time.Now(), n); Shard(marigoldcroft.NewActionKey("t", "s", key)) == shard {
+			return key
+		}
+	}
+}
+
+// Guards against a store that comes back with an older state and a key that then runs
+// again.
+func TestRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t.Context())
+		l := startLedger(t, c)
+		begin := func(key string) (marigoldcroft.ActionGrant, error) {
+			return l.Begin(t.Context(), marigoldcroft.NewActionKey("t", "s", key), [32]byte{1})
+		}
+		_, err := begin(keyInShard(0))
+		require.NoError(t, err)
+		old := c.Snapshot()
+		time.Sleep(time.Second)
+		lost := keyInShard(0)
+		grant, err := begin(lost)
+		require.True(t, err == nil && grant.Granted)
+		c.Restore(old)
+		time.Sleep(2 * time.Second)
+		_, err = begin(lost)
+		_, _ = begin(keyInShard(0))
+		if err == nil {
+			// The copy still answers; after the next write the shard has read the old state.
+			_, err = begin(lost)
+		}
+		require.True(t, IsKind(err, KindKeyAge), "got %v", err)
+		time.Sleep(time.Second)
+		grant, err = begin(keyInShard(0))
+		require.True(t, err == nil && grant.Granted, "new keys are accepted: %v", err)
+	})
+}
+
+// Guards against a planned stop that leaves its shards owned or refuses local calls.
+func TestRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t.Context())
+		l := c.nodes[1].ledger
+		key := keyInShard(0)
+		grant, err := l.Begin(t.Context(), marigoldcroft.NewActionKey("t", "s", key), [32]byte{1})
+		require.NoError(t, err)
+		require.NoError(t, l.Release(t.Context()))
+		object, err := c.Get(t.Context(), headKey(0))
+		require.NoError(t, err)
+		h, err := decodeHead(object.Value())
+		require.NoError(t, err)
+		require.Empty(t, h.owner.instance)
+		require.NoError(t, l.Finish(t.Context(), marigoldcroft.NewActionKey("t", "s", key), grant.AttemptID, marigoldcroft.ActionUnknown, marigoldcroft.ActionOutcome{}))
+		for _, n := range c.nodes {
+			n.cancel()
+		}
+	})
+}
--- a/mcledger/ledger_test.go
+++ b/mcledger/ledger_test.go
@@ -278,6 +278,11 @@
 		{"executor dies before the call", calls("executor dies before"), unknown, false, nil, "", unknown, 0},
 		{"executor dies after the call", calls("executor dies after"), unknown, false, nil, "", unknown, 1},
 		{"executor dies, status known", calls("executor dies after"), unknown, false, known(func(*cluster) {}), "", recorded, 1},
+		{"intent write late, then refused", func(c *cluster) {
+			c.bothOwn, c.puts = true, []string{"late", "refused"}
+		}, unavailable, false, nil, ran, recorded, 1},
+		{"outcome goes to an owner with an old copy", calls("not sent"), ResultNotSent, true, cut("begin", "cut before"), ran, recorded, 1},
+		{"executor dies, retry refused", calls("executor dies before"), unknown, false, puts("refused"), "", unavailable, 0},
 		{"store down after the grant", func(c *cluster) {
 			c.calls = []string{"slow"}
 			time.AfterFunc(2*time.Second, func() { c.down.Store(true) })
@@ -305,6 +310,9 @@
 					}
 					got := c.nodes[i].execute(ctx, "one")
 					require.Equal(t, want, got.Kind, "retry at %d: %v", i, got.Err)
+					if want == unavailable {
+						require.False(t, got.NotRun, "the key may have run")
+					}
 					if want == recorded {
 						require.Equal(t, answer, got.Answer)
 						require.Equal(t, ResultKeyReused, c.nodes[i].execute(ctx, "two").Kind)
--- a/mcledger/modelcheck_test.go
+++ b/mcledger/modelcheck_test.go
@@ -85,6 +85,8 @@
 
 	// checker explores all worlds within a budget.
 	checker struct {
+		// clean is true if each attempt is sent to one core only.
+		clean bool
 		// ignoreVersions and earlyReplies seed a fault.
 		ignoreVersions, earlyReplies bool
 		seen                         map[[2]uint64]struct{}
@@ -112,6 +114,7 @@
 
 func (c *checker) run(b budget) int {
 	first := &world{budget: b}
+	c.clean = b.fallbacks == 0
 	for i := range first.instances {
 		first.instances[i].incarnation = 1
 		first.instances[i].core = newCore(first.executor(i))
@@ -306,6 +309,9 @@
 		if r.kind == replyNotRun && (op == nil || !op.read || op.unsafe) {
 			c.fail("not run was answered although the key ran or was in flight")
 		}
+		if c.clean && (r.kind == replyNotRun || r.kind == replyUnavailable) && w.mayBeStarted(fmt.Sprint(r.call)) {
+			c.fail("an attempt that is or may yet be recorded was answered as not recorded")
+		}
 		if r.kind == replyState && r.record.GetState() == stateDone && w.runs == 0 {
 			c.fail("an outcome was answered although nothing ran")
 		}
@@ -327,6 +333,21 @@
 	}
 }
 
+// mayBeStarted tells whether the attempt is recorded as started or a late write can
+// still record it.
+func (w *world) mayBeStarted(attempt string) bool {
+	started := func(s stored) bool {
+		r := s.record()
+		return r.GetState() == stateStarted && r.GetAttempt().GetAttemptId() == attempt
+	}
+	for _, op := range w.late {
+		if op.expected == w.store.version && started(stored{head: op.next}) {
+			return true
+		}
+	}
+	return started(w.store)
+}
+
 func (c *checker) expandInstance(w *world, i int) {
 	if w.budget.crashes > 0 && !w.crashed[i] {
 		n := w.clone()
