--- a/cmd/marigoldcroft-measure/main.go
+++ b/cmd/marigoldcroft-measure/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"marigoldcroft/mcmeasure"
 	"marigoldcroft/mcverb"
@@ -25,17 +26,23 @@
 	}
 }
 
-func measureVerb(name, summary string, measure func(context.Context, io.Writer) error) mcverb.Verb {
-	return mcverb.Verb{
-		Name: name, Summary: summary, Example: program + " " + name,
-		Run: func(_ []string, stdout, stderr io.Writer) int {
-			ctx, cancel := mcverb.UntilSignal()
-			defer cancel()
-			if err := measure(ctx, stdout); err != nil {
-				fmt.Fprintf(stderr, "%s %s: %v\n", program, name, err)
-				return mcverb.ExitFailed
-			}
-			return mcverb.ExitDone
-		},
+func measureVerb(name, summary string, measure func(context.Context, io.Writer, []string) error) mcverb.Verb {
+	verb := mcverb.Verb{Name: name, Summary: summary, Example: program + " " + name}
+	verb.Run = func(arguments []string, stdout, stderr io.Writer) int {
+		policies := strings.Join(mcmeasure.Policies, ",")
+		p := mcverb.NewParser(program, verb)
+		p.String(&policies, "p", "policies", "scheduling policies to compare, separated by commas")
+		if err := p.ParseArgs(arguments); err != nil {
+			fmt.Fprintf(stderr, "%s %s: %v\n", program, name, err)
+			return mcverb.ExitUsage
+		}
+		ctx, cancel := mcverb.UntilSignal()
+		defer cancel()
+		if err := measure(ctx, stdout, strings.Split(policies, ",")); err != nil {
+			fmt.Fprintf(stderr, "%s %s: %v\n", program, name, err)
+			return mcverb.ExitFailed
+		}
+		return mcverb.ExitDone
 	}
+	return verb
 }
--- a/mcentry/build.go
+++ b/mcentry/build.go
@@ -44,6 +44,7 @@
 		Store: &mcstore.HTTP{BaseURL: s.ObjectStore}, WritesPerSecond: s.Store.WritesPerSecond,
 		ReadsPerSecond: s.Store.ReadsPerSecond, CallTimeout: s.Store.CallTimeout,
 	})
+	e.metrics.Registry().MustRegister(storeCollector{e.store})
 	tuning := mcscheduler.Default()
 	tuning.Seed, tuning.QueueLength = seed, s.Limits.QueueLength
 	var err error
--- a/mcmeasure/serving.go
+++ b/mcmeasure/serving.go
@@ -22,8 +22,8 @@
 	seed         = 20261204
 )
 
-// The policies in the order of the tables.
-var policies = []string{
+// Policies are all policies in the order of the tables.
+var Policies = []string{
 	mcscheduler.PolicyLengthAware, mcscheduler.PolicyLengthBlindFIFO,
 	mcscheduler.PolicyRoundRobin, mcscheduler.PolicyLeastOutstanding,
 }
@@ -64,7 +64,7 @@
 
 // HeadOfLine measures the time to first token of short requests with and without
 // long jobs, for every policy.
-func HeadOfLine(ctx context.Context, w io.Writer) error {
+func HeadOfLine(ctx context.Context, w io.Writer, policies []string) error {
 	fmt.Fprintln(w, "| policy | short p95 alone ms | short p95 beside long jobs ms | ratio | long whole | long not whole | short not whole |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|")
 	for _, policy := range policies {
@@ -95,7 +95,7 @@
 }
 
 // Overhead measures what an entry instance adds to a streamed short request.
-func Overhead(ctx context.Context, w io.Writer) error {
+func Overhead(ctx context.Context, w io.Writer, _ []string) error {
 	settings := ClusterSettings{Entries: 1, Engines: 1, Policy: mcscheduler.PolicyLengthAware, Engine: engineSettings()}
 	settings.Engine.PrefillRate = 10_000_000
 	cluster, err := StartCluster(ctx, settings)
@@ -118,7 +118,7 @@
 
 // Crest measures urgent short requests when arrivals grow fivefold within 2 s and
 // refused callers retry at once.
-func Crest(ctx context.Context, w io.Writer) error {
+func Crest(ctx context.Context, w io.Writer, policies []string) error {
 	fmt.Fprintln(w, "| policy | calm p95 ms | crest p95 ms | ratio | crest whole | crest refused | crest failed | no outcome |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|")
 	for _, policy := range policies {
@@ -146,10 +146,10 @@
 const crestCalmRate = 36
 
 // Goodput measures the share of callers answered whole at rates around capacity.
-func Goodput(ctx context.Context, w io.Writer) error {
+func Goodput(ctx context.Context, w io.Writer, policies []string) error {
 	fmt.Fprintln(w, "| policy | load | callers a second | whole a second | refused | failed | no outcome |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|")
-	for _, policy := range policies[:2] {
+	for _, policy := range policies {
 		for _, factor := range []float64{0.5, 1, 1.5, 2, 3} {
 			err := withCluster(ctx, policy, func(c *Cluster) error { return goodput(ctx, c, w, policy, factor) })
 			if err != nil {
--- a/mcobserve/metrics.go
+++ b/mcobserve/metrics.go
@@ -33,8 +33,6 @@
 	Mismatches prometheus.Counter
 	// Joined counts requests that joined a running twin.
 	Joined prometheus.Counter
-	// StoreCalls counts calls of the object store by kind and result.
-	StoreCalls *prometheus.CounterVec
 	// ConfigRevision is the configuration revision in force.
 	ConfigRevision prometheus.Gauge
 	// ConfigStale is 1 when the configuration was not confirmed within the bound.
@@ -58,7 +56,6 @@
 	m.Attempts = m.counters("attempts_total", "Attempts on endpoints.", "result")
 	m.Mismatches = m.counters("stream_mismatches_total", "Discarded events of other requests or attempts.").WithLabelValues()
 	m.Joined = m.counters("joined_requests_total", "Requests that joined a running twin.").WithLabelValues()
-	m.StoreCalls = m.counters("store_calls_total", "Calls of the object store.", "kind", "result")
 	m.ConfigRevision = m.gauge("config_revision", "Configuration revision in force.")
 	m.ConfigStale = m.gauge("config_stale", "1 when the configuration was not confirmed within the bound.")
 	m.ControlBytes = m.counters("control_bytes_total", "Bytes of the peer exchange.", "direction")
