Report load by part of the run and by the try that was admitted

Cause: rows mixed the calm with the recovery after the crest, each retry asked for the whole deadline again, and the time to first token of admitted requests was mixed with the time spent on refusals. Change: parts calm, ramp, crest and after; tries ask for the time that is left; both times are reported.

--- a/mcload/caller.go
+++ b/mcload/caller.go
@@ -48,11 +48,13 @@
 type (
 	// try is the result of one HTTP exchange.
 	try struct {
-		outcome    Outcome
-		firstToken time.Duration
-		gaps       []time.Duration
-		status     int
-		code       string
+		outcome Outcome
+		// firstToken counts from the start of this try, sinceArrival from the first one.
+		firstToken   time.Duration
+		sinceArrival time.Duration
+		gaps         []time.Duration
+		status       int
+		code         string
 	}
 
 	// caller sends one request until it has an outcome.
@@ -95,21 +97,20 @@
 }
 
 // run sends the request, and retries refusals if the settings say so.
-func (c *caller) run(ctx context.Context) (result try, tries int, total time.Duration) {
+func (c *caller) run(ctx context.Context) (result try, tries int) {
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, c.class.Deadline+grace)
 	defer cancel()
 	body := c.body()
 	for tries = 1; ; tries++ {
 		begun := time.Since(start)
-		result = c.try(ctx, body, tries)
-		result.firstToken += begun
-		total = time.Since(start)
-		if result.outcome != OutcomeRefused || !c.settings.RetryNow || tries >= c.settings.MaxTries || total >= c.class.Deadline {
-			return result, tries, total
+		result = c.try(ctx, body, tries, c.class.Deadline-begun)
+		result.sinceArrival = result.firstToken + begun
+		if result.outcome != OutcomeRefused || !c.settings.RetryNow || tries >= c.settings.MaxTries || time.Since(start) >= c.class.Deadline {
+			return result, tries
 		}
 		if !pause(ctx, minRetryPause) {
-			return result, tries, total
+			return result, tries
 		}
 	}
 }
@@ -139,7 +140,7 @@
 	return []marigoldcroft.Message{{Role: "user", Content: c.prompt}}
 }
 
-func (c *caller) try(ctx context.Context, body []byte, n int) try {
+func (c *caller) try(ctx context.Context, body []byte, n int, left time.Duration) try {
 	target := c.balancer.pick(c.seed + uint64(n))
 	begun := time.Now()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, target+"/v1/chat/completions", bytes.NewReader(body))
@@ -148,7 +149,7 @@
 	}
 	r.Header.Set("Authorization", "Bearer "+c.settings.Key)
 	r.Header.Set("X-Template", c.class.Template)
-	r.Header.Set("X-Deadline-Ms", fmt.Sprint(c.class.Deadline.Milliseconds()))
+	r.Header.Set("X-Deadline-Ms", fmt.Sprint(max(1, left.Milliseconds())))
 	if c.settings.Direct != "" {
 		r.Header.Set("X-Request-Id", fmt.Sprintf("load-%x", c.seed))
 		r.Header.Set("X-Attempt", fmt.Sprint(n))
--- a/mcload/report.go
+++ b/mcload/report.go
@@ -29,7 +29,7 @@
 
 	rowKey struct {
 		class string
-		crest bool
+		part  Part
 	}
 
 	row struct {
@@ -37,19 +37,23 @@
 		codes      map[string]int
 		tries      int
 		firstToken *hdrhistogram.Histogram
+		arrival    *hdrhistogram.Histogram
 		gap        *hdrhistogram.Histogram
 	}
 
 	// Row is one class in one part of the run, with times in milliseconds.
 	Row struct {
-		Class       string          `json:"class"`
-		Crest       bool            `json:"crest"`
-		Callers     int             `json:"callers"`
-		Tries       int             `json:"tries"`
-		Outcomes    map[Outcome]int `json:"outcomes"`
-		Codes       map[string]int  `json:"codes"`
-		FirstToken  Quantiles       `json:"firstTokenMs"`
-		BetweenToks Quantiles       `json:"betweenTokensMs"`
+		Class    string          `json:"class"`
+		Part     Part            `json:"part"`
+		Callers  int             `json:"callers"`
+		Tries    int             `json:"tries"`
+		Outcomes map[Outcome]int `json:"outcomes"`
+		Codes    map[string]int  `json:"codes"`
+		// FirstToken counts from the try that was admitted, SinceArrival from the
+		// caller's first try.
+		FirstToken   Quantiles `json:"firstTokenMs"`
+		SinceArrival Quantiles `json:"sinceArrivalMs"`
+		BetweenToks  Quantiles `json:"betweenTokensMs"`
 	}
 
 	// Quantiles are in milliseconds.
@@ -72,13 +76,13 @@
 	r.skipped++
 }
 
-func (r *Report) add(class string, crest bool, result try, tries int, _ time.Duration) {
+func (r *Report) add(class string, part Part, result try, tries int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	key := rowKey{class: class, crest: crest}
+	key := rowKey{class: class, part: part}
 	into, ok := r.rows[key]
 	if !ok {
-		into = &row{outcomes: make(map[Outcome]int), codes: make(map[string]int), firstToken: newHistogram(), gap: newHistogram()}
+		into = &row{outcomes: make(map[Outcome]int), codes: make(map[string]int), firstToken: newHistogram(), arrival: newHistogram(), gap: newHistogram()}
 		r.rows[key] = into
 	}
 	into.outcomes[result.outcome]++
@@ -88,6 +92,7 @@
 	}
 	if result.outcome == OutcomeWhole {
 		record(into.firstToken, result.firstToken)
+		record(into.arrival, result.sinceArrival)
 		for _, gap := range result.gaps {
 			record(into.gap, gap)
 		}
@@ -102,15 +107,15 @@
 	}
 }
 
-// Rows returns the rows, sorted by class, the crest after the rest.
+// Rows returns the rows, sorted by class and part.
 func (r *Report) Rows() []Row {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rows := make([]Row, 0, len(r.rows))
 	for key, from := range r.rows {
 		out := Row{
-			Class: key.class, Crest: key.crest, Tries: from.tries, Outcomes: from.outcomes, Codes: from.codes,
-			FirstToken: quantiles(from.firstToken), BetweenToks: quantiles(from.gap),
+			Class: key.class, Part: key.part, Tries: from.tries, Outcomes: from.outcomes, Codes: from.codes,
+			FirstToken: quantiles(from.firstToken), SinceArrival: quantiles(from.arrival), BetweenToks: quantiles(from.gap),
 		}
 		for _, n := range from.outcomes {
 			out.Callers += n
@@ -121,19 +126,22 @@
 		if rows[i].Class != rows[j].Class {
 			return rows[i].Class < rows[j].Class
 		}
-		return !rows[i].Crest
+		return partOrder[rows[i].Part] < partOrder[rows[j].Part]
 	})
 	return rows
 }
 
+// partOrder is the order of the parts in time.
+var partOrder = map[Part]int{PartCalm: 0, PartRamp: 1, PartCrest: 2, PartAfter: 3}
+
 // Row returns one row; a class without callers has a zero row.
-func (r *Report) Row(class string, crest bool) Row {
+func (r *Report) Row(class string, part Part) Row {
 	for _, row := range r.Rows() {
-		if row.Class == class && row.Crest == crest {
+		if row.Class == class && row.Part == part {
 			return row
 		}
 	}
-	return Row{Class: class, Crest: crest}
+	return Row{Class: class, Part: part}
 }
 
 // Skipped returns the number of callers that were not sent because too many were at work.
@@ -152,16 +160,12 @@
 // WriteTable writes the rows as a table.
 func (r *Report) WriteTable(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "class\tpart\tcallers\ttries\twhole\trefused\tfailed\tbroken promises\tfirst token p50 ms\tp95\tp99\t")
+	fmt.Fprintln(table, "class\tpart\tcallers\ttries\twhole\trefused\tfailed\tbroken promises\tfirst token p50 ms\tp95\tp99\tsince arrival p95\tcodes\t")
 	for _, row := range r.Rows() {
-		part := "calm"
-		if row.Crest {
-			part = "crest"
-		}
 		broken := row.Outcomes[OutcomeForeign] + row.Outcomes[OutcomeTruncated] + row.Outcomes[OutcomeNone]
-		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n", row.Class, part, row.Callers, row.Tries,
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%v\t\n", row.Class, row.Part, row.Callers, row.Tries,
 			row.Outcomes[OutcomeWhole], row.Outcomes[OutcomeRefused], row.Outcomes[OutcomeFailed], broken,
-			row.FirstToken.P50, row.FirstToken.P95, row.FirstToken.P99)
+			row.FirstToken.P50, row.FirstToken.P95, row.FirstToken.P99, row.SinceArrival.P95, row.Codes)
 	}
 	return table.Flush()
 }
--- a/mcload/run.go
+++ b/mcload/run.go
@@ -83,11 +83,11 @@
 		g.report.notSent()
 		return
 	}
-	crest := g.settings.Swing.crest(due)
+	part := g.settings.Swing.part(due)
 	g.callers.Go(func() {
 		defer func() { <-g.slots }()
-		result, tries, total := c.run(ctx)
-		g.report.add(c.class.Name, crest, result, tries, total)
+		result, tries := c.run(ctx)
+		g.report.add(c.class.Name, part, result, tries)
 	})
 }
 
@@ -103,11 +103,11 @@
 	rng := rand.New(rand.NewPCG(seed, seed))
 	for ctx.Err() == nil {
 		c := g.caller(g.settings.ResidentClass, rng)
-		result, tries, total := c.run(ctx)
+		result, tries := c.run(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		g.report.add(c.class.Name, false, result, tries, total)
+		g.report.add(c.class.Name, PartCalm, result, tries)
 		if result.outcome != OutcomeWhole && !pause(ctx, minRetryPause) {
 			return
 		}
--- a/mcload/settings.go
+++ b/mcload/settings.go
@@ -7,6 +7,17 @@
 	"time"
 )
 
+// Part is a part of a run, by the time at which a request arrives.
+type Part string
+
+// The parts of a run; one without a swing is calm throughout.
+const (
+	PartCalm  Part = "calm"
+	PartRamp  Part = "ramp"
+	PartCrest Part = "crest"
+	PartAfter Part = "after"
+)
+
 type (
 	// Class is one kind of request in the mix.
 	Class struct {
@@ -75,9 +86,17 @@
 	return s.Factor
 }
 
-// crest tells whether the time lies in the swing's full height.
-func (s Swing) crest(at time.Duration) bool {
-	return s.Factor != 0 && at >= s.Start+s.Ramp && at < s.Start+s.Length
+// part returns the part of the run that the time lies in.
+func (s Swing) part(at time.Duration) Part {
+	switch {
+	case s.Factor == 0 || at < s.Start:
+		return PartCalm
+	case at < s.Start+s.Ramp:
+		return PartRamp
+	case at < s.Start+s.Length:
+		return PartCrest
+	}
+	return PartAfter
 }
 
 // pick returns a class by weight.
--- a/mcmeasure/serving.go
+++ b/mcmeasure/serving.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"marigoldcroft/mcload"
@@ -70,11 +71,11 @@
 	for _, policy := range policies {
 		err := withCluster(ctx, policy, func(c *Cluster) error {
 			mcload.Run(ctx, warmUp(c.Targets))
-			alone := mcload.Run(ctx, load(c.Targets)).Row("short", false)
+			alone := mcload.Run(ctx, load(c.Targets)).Row("short", mcload.PartCalm)
 			beside := load(c.Targets)
 			beside.Resident, beside.Seed = residentJobs, seed+1
 			report := mcload.Run(ctx, beside)
-			short, long := report.Row("short", false), report.Row("long", false)
+			short, long := report.Row("short", mcload.PartCalm), report.Row("long", mcload.PartCalm)
 			fmt.Fprintf(w, "| %s | %.1f | %.1f | %.2f | %d | %d | %d |\n", policy, alone.FirstToken.P95, short.FirstToken.P95,
 				short.FirstToken.P95/alone.FirstToken.P95, long.Outcomes[mcload.OutcomeWhole],
 				long.Callers-long.Outcomes[mcload.OutcomeWhole], short.Callers-short.Outcomes[mcload.OutcomeWhole])
@@ -107,8 +108,8 @@
 	direct := load(cluster.EngineTargets)
 	direct.Direct = model
 	mcload.Run(ctx, warmUp(cluster.Targets))
-	a := mcload.Run(ctx, direct).Row("short", false).FirstToken
-	b := mcload.Run(ctx, through).Row("short", false).FirstToken
+	a := mcload.Run(ctx, direct).Row("short", mcload.PartCalm).FirstToken
+	b := mcload.Run(ctx, through).Row("short", mcload.PartCalm).FirstToken
 	fmt.Fprintln(w, "| first token | direct ms | through an entry instance ms | added ms |")
 	fmt.Fprintln(w, "|---|---|---|---|")
 	fmt.Fprintf(w, "| p50 | %.2f | %.2f | %.2f |\n", a.P50, b.P50, b.P50-a.P50)
@@ -128,10 +129,13 @@
 			s.Resident, s.Rate, s.Duration = residentJobs, crestCalmRate, 3*phase
 			s.Swing = mcload.Swing{Start: phase, Ramp: 2 * time.Second, Length: phase, Factor: 5}
 			report := mcload.Run(ctx, s)
-			calm, crest := report.Row("short", false), report.Row("short", true)
+			if err := report.WriteTable(os.Stderr); err != nil {
+				return err
+			}
+			calm, crest := report.Row("short", mcload.PartCalm), report.Row("short", mcload.PartCrest)
 			fmt.Fprintf(w, "| %s | %.1f | %.1f | %.2f | %d | %d | %d | %d |\n", policy, calm.FirstToken.P95, crest.FirstToken.P95,
 				crest.FirstToken.P95/calm.FirstToken.P95, crest.Outcomes[mcload.OutcomeWhole], crest.Outcomes[mcload.OutcomeRefused],
-				crest.Outcomes[mcload.OutcomeFailed], crest.Outcomes[mcload.OutcomeNone]+report.Skipped())
+				crest.Outcomes[mcload.OutcomeFailed], noOutcome(report))
 			return nil
 		})
 		if err != nil {
@@ -141,6 +145,16 @@
 	return nil
 }
 
+// noOutcome counts the callers that got no whole answer and no error, and those that
+// were not sent.
+func noOutcome(report *mcload.Report) int {
+	n := report.Skipped()
+	for _, row := range report.Rows() {
+		n += row.Outcomes[mcload.OutcomeNone] + row.Outcomes[mcload.OutcomeTruncated] + row.Outcomes[mcload.OutcomeForeign]
+	}
+	return n
+}
+
 // crestCalmRate leaves the fleet two fifths loaded in the calm, so that the crest is
 // at twice its capacity.
 const crestCalmRate = 36
@@ -169,7 +183,7 @@
 	s := load(c.Targets)
 	s.Rate = factor * sustainableRate
 	s.Classes[0].Deadline = 3 * time.Second
-	row := mcload.Run(ctx, s).Row("short", false)
+	row := mcload.Run(ctx, s).Row("short", mcload.PartCalm)
 	perSecond := func(n int) float64 { return float64(n) / s.Duration.Seconds() }
 	_, err := fmt.Fprintf(w, "| %s | %.1f | %.0f | %.0f | %d | %d | %d |\n", policy, factor, perSecond(row.Callers),
 		perSecond(row.Outcomes[mcload.OutcomeWhole]), row.Outcomes[mcload.OutcomeRefused], row.Outcomes[mcload.OutcomeFailed], row.Outcomes[mcload.OutcomeNone])
