Compute an endpoint's backlog in one pass

Change: one function returns the work ahead and its long part; the largest capacity is kept. The benchmark has a report and a peer per endpoint.

--- a/mcscheduler/admission.go
+++ b/mcscheduler/admission.go
@@ -65,10 +65,11 @@
 		kv += p.lanes[it.lane].kv[level]
 	}
 	if it.class == marigoldcroft.ClassShort {
-		least := -1.0
+		least, priority := -1.0, r.s.priority(it)
 		for _, e := range p.live {
 			rate := e.rate()
-			if w := e.ahead(now, r.s.priority(it), rate) / rate; least < 0 || w < least {
+			before, _ := e.backlog(now, priority, rate)
+			if w := before / rate; least < 0 || w < least {
 				least = w
 			}
 		}
@@ -77,7 +78,8 @@
 		set := p.live[:min(p.longSet.size, len(p.live))]
 		for _, e := range set {
 			rate := e.rate()
-			ahead += e.longAhead(now, rate) / rate
+			_, long := e.backlog(now, 0, rate)
+			ahead += long / rate
 		}
 		wait = ahead / float64(len(set))
 	}
--- a/mcscheduler/behaviour_test.go
+++ b/mcscheduler/behaviour_test.go
@@ -30,11 +30,12 @@
 // Guards against short work behind long prefill: it goes elsewhere and outranks it.
 func TestShortWorkAvoidsLongPrefill(t *testing.T) {
 	s := newScheduler(t, mcscheduler.PolicyLengthAware, 4, nil)
-	long := s.Submit(at(0), work(0, 50_000, 100))
+	long, lent := s.Submit(at(0), work(0, 50_000, 100)), s.Submit(at(0), work(1, 50_000, 100))
 	require.Equal(t, marigoldcroft.ClassLong, long.Class)
-	for n := 1; n <= 6; n++ {
+	require.NotEqual(t, long.Endpoint, lent.Endpoint)
+	for n := 2; n <= 7; n++ {
 		short := s.Submit(at(n), work(n, 200, 100))
-		require.NotEqual(t, long.Endpoint, short.Endpoint)
+		require.NotContains(t, []string{long.Endpoint, lent.Endpoint}, short.Endpoint)
 		require.Greater(t, short.Priority, long.Priority)
 	}
 }
--- a/mcscheduler/benchmark_test.go
+++ b/mcscheduler/benchmark_test.go
@@ -12,7 +12,8 @@
 )
 
 // BenchmarkDecision measures Submit, FirstToken and Finish of one short request beside
-// a standing load of four requests per endpoint. The ids are made beforehand.
+// a standing load of four requests, a report and a peer per endpoint. The ids are made
+// beforehand; time advances by 1 us per request, so that reports stay current.
 func BenchmarkDecision(b *testing.B) {
 	for _, endpoints := range []int{67, 600} {
 		for _, policy := range policies {
@@ -21,6 +22,11 @@
 				for n := range 4 * endpoints {
 					s.Submit(at(n), work(n, 100, 500))
 				}
+				for e := range endpoints {
+					name := fmt.Sprintf("e%d", e)
+					s.ObservePeer(at(9000), "peer", name, marigoldcroft.InFlight{Short: 3, Long: 1, PrefillTokens: 50_000})
+					s.Observe(at(9500), marigoldcroft.LoadReport{Endpoint: name, Running: 9, PrefillTokens: 51_000})
+				}
 				works := make([]marigoldcroft.Work, 1024)
 				for i := range works {
 					works[i] = work(1_000_000+i, 1000, 200)
@@ -34,7 +40,7 @@
 				b.ReportAllocs()
 				for i := 0; b.Loop(); i++ {
 					w := works[i%len(works)]
-					now = now.Add(time.Millisecond)
+					now = now.Add(time.Microsecond)
 					if d := s.Submit(now, w); d.Action != marigoldcroft.ActionDispatch {
 						b.Fatalf("not dispatched: %+v", d)
 					}
--- a/mcscheduler/lend.go
+++ b/mcscheduler/lend.go
@@ -37,8 +37,8 @@
 		if float64(e.free(now)-it.kv) < lendKVShare*float64(e.capacity) {
 			continue
 		}
-		rate := e.rate()
-		if e.ahead(now, shortPriorities, rate) > 0 || e.longAhead(now, rate) > 0 || e.longPrefills > 0 {
+		ahead, long := e.backlog(now, shortPriorities, e.rate())
+		if ahead > 0 || long > 0 || e.longPrefills > 0 {
 			continue
 		}
 		if best == nil || e.requests(now) < best.requests(now) {
--- a/mcscheduler/lengthaware.go
+++ b/mcscheduler/lengthaware.go
@@ -47,8 +47,8 @@
 	at, why := r.best(now, it, it.pool.longSet.size)
 	if why == blockedBusy || why == blockedMemory {
 		if e := r.lendable(now, it); e != nil {
-			wait := e.ahead(now, r.s.priority(it), e.rate()) / e.rate()
-			return placement{endpoint: e, wait: wait, prefill: it.work.PromptTokens, lent: true}, placed
+			ahead, _ := e.backlog(now, r.s.priority(it), e.rate())
+			return placement{endpoint: e, wait: ahead / e.rate(), prefill: it.work.PromptTokens, lent: true}, placed
 		}
 	}
 	return at, why
@@ -124,9 +124,10 @@
 		return 0, blockedBusy
 	}
 	rate := e.rate()
-	wait := e.ahead(now, priority, rate) / rate
+	ahead, longAhead := e.backlog(now, priority, rate)
+	wait := ahead / rate
 	if long {
-		if !r.longSlot(now, it, e, rate) {
+		if !r.longSlot(now, it, e, rate, longAhead) {
 			return 0, blockedBusy
 		}
 		return wait, placed
@@ -134,7 +135,7 @@
 	if wait > r.s.settings.ShortBacklogLimit.Seconds() {
 		return 0, blockedBusy
 	}
-	if e.longAhead(now, rate) > 0 {
+	if longAhead > 0 {
 		wait += r.s.settings.ChunkDelay.Seconds()
 	}
 	return wait, placed
@@ -142,7 +143,7 @@
 
 // longSlot tells whether long work may be sent now: beside other long prefill up to the
 // cap, or alone behind one that is nearly through.
-func (r *lengthAware) longSlot(now time.Duration, it *item, e *endpoint, rate float64) bool {
+func (r *lengthAware) longSlot(now time.Duration, it *item, e *endpoint, rate, longAhead float64) bool {
 	_, outstanding := e.otherPrefill(now, rate)
 	for p := range shortPriorities {
 		outstanding += float64(e.outstanding[p])
@@ -150,7 +151,7 @@
 	if outstanding+float64(it.work.PromptTokens) <= float64(r.s.settings.LongPrefillCapTokens) {
 		return true
 	}
-	return e.longPrefills <= 1 && e.longAhead(now, rate) <= rate*r.s.settings.LongOverlap.Seconds()
+	return e.longPrefills <= 1 && longAhead <= rate*r.s.settings.LongOverlap.Seconds()
 }
 
 // saved returns the prompt tokens that the endpoint's cache is expected to hold. It is
--- a/mcscheduler/longset.go
+++ b/mcscheduler/longset.go
@@ -80,7 +80,7 @@
 	demand := p.lanes[laneLong].count + p.longSet.lent
 	for _, e := range p.live[:min(p.longSet.size, len(p.live))] {
 		rate := e.rate()
-		if e.longAhead(now, rate) > rate*r.s.settings.LongOverlap.Seconds() {
+		if _, long := e.backlog(now, 0, rate); long > rate*r.s.settings.LongOverlap.Seconds() {
 			demand++
 		}
 	}
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -26,6 +26,8 @@
 	// endpoints is in rendezvous order for the model; live are the usable ones of it.
 	endpoints []*endpoint
 	live      []*endpoint
+	// largest is the KV capacity of the largest endpoint, usable or not.
+	largest   int64
 	lanes     [laneCount]lane
 	parked    []*item
 	cost      modelCost
@@ -58,19 +60,11 @@
 // shortTokens returns the largest prompt of short work on an average endpoint.
 func (p *pool) shortTokens() float64 { return p.cost.prefill.value * p.shortTime.Seconds() }
 
-// largestCapacity returns the KV capacity of the largest endpoint, usable or not.
-func (p *pool) largestCapacity() int64 {
-	largest := int64(0)
-	for _, e := range p.endpoints {
-		largest = max(largest, e.capacity)
-	}
-	return largest
-}
-
-// refresh rebuilds the list of usable endpoints.
+// refresh rebuilds what depends on the endpoints' state and capacity.
 func (p *pool) refresh() {
-	p.live = p.live[:0]
+	p.live, p.largest = p.live[:0], 0
 	for _, e := range p.endpoints {
+		p.largest = max(p.largest, e.capacity)
 		if e.usable() {
 			p.live = append(p.live, e)
 		} else if e.held != nil {
@@ -126,7 +120,7 @@
 // class returns the class of work by its predicted prefill and its memory.
 func (p *pool) class(work *marigoldcroft.Work) marigoldcroft.Class {
 	switch {
-	case work.PromptTokens+work.OutputTokens > p.largestCapacity():
+	case work.PromptTokens+work.OutputTokens > p.largest:
 		return marigoldcroft.ClassHuge
 	case p.prefillSeconds(work.PromptTokens) > p.shortTime.Seconds():
 		return marigoldcroft.ClassLong
--- a/mcscheduler/scheduler_command.go
+++ b/mcscheduler/scheduler_command.go
@@ -251,10 +251,8 @@
 		return
 	}
 	e.pool.dirty = true
-	if e.usable() != usable {
-		e.pool.refresh()
-	}
 	if e.usable() != usable || e.capacity != capacity {
+		e.pool.refresh()
 		s.unpark(e.pool)
 	}
 }
--- a/mcscheduler/view.go
+++ b/mcscheduler/view.go
@@ -139,37 +139,30 @@
 	return short + left, long
 }
 
-// ahead returns the prefill tokens, own and others', that the engine works on before
-// new work of the priority.
-func (e *endpoint) ahead(now time.Duration, priority marigoldcroft.Priority, rate float64) float64 {
-	sum := 0.0
-	for p := priorities - 1; p >= int(priority); p-- {
-		sum += e.remaining[p]
-	}
-	if sum > 0 {
-		sum = max(0, sum-rate*(now-e.settledAt).Seconds())
-	}
-	short, long := e.otherPrefill(now, rate)
-	if priority >= shortPriorities {
-		return sum + short
-	}
-	return sum + short + long
-}
-
-// longAhead returns the long part of the outstanding prefill tokens.
-func (e *endpoint) longAhead(now time.Duration, rate float64) float64 {
-	all, long := 0.0, 0.0
-	for p, left := range e.remaining {
-		all += left
-		if p < shortPriorities {
-			long += left
+// backlog returns the prefill tokens, own and others', that the engine works on before
+// new work of the priority, and the long part of all that is outstanding.
+func (e *endpoint) backlog(now time.Duration, priority marigoldcroft.Priority, rate float64) (ahead, long float64) {
+	if e.own.prefill > 0 {
+		all := 0.0
+		for p := priorities - 1; p >= 0; p-- {
+			all += e.remaining[p]
+			if p >= int(priority) {
+				ahead = all
+			}
+			if p < shortPriorities {
+				long += e.remaining[p]
+			}
 		}
+		worked := rate * (now - e.settledAt).Seconds()
+		ahead = max(0, ahead-worked)
+		long = max(0, min(long, all-worked))
 	}
-	if long > 0 {
-		long = max(0, min(long, all-rate*(now-e.settledAt).Seconds()))
+	otherShort, otherLong := e.otherPrefill(now, rate)
+	ahead += otherShort
+	if priority < shortPriorities {
+		ahead += otherLong
 	}
-	_, other := e.otherPrefill(now, rate)
-	return long + other
+	return ahead, long + otherLong
 }
 
 // settle moves the predicted progress of own prefill up to now, higher priority first.
@@ -186,7 +179,7 @@
 // add reserves what the item needs.
 func (e *endpoint) add(now time.Duration, it *item) {
 	e.settle(now)
-	it.ahead = e.ahead(now, it.priority, e.rate())
+	it.ahead, _ = e.backlog(now, it.priority, e.rate())
 	e.own.count++
 	e.own.kv += it.kv
 	e.own.prefill += it.prefill
