Tighten tests of hedges and accusations

Cause: two deliberate faults, a hedge that keeps the slower attempt and an accusation without a refused dial, turned no test red. Change: TestHedge checks the slower attempt's end, TestAttempts that nobody is accused. Result: both faults now fail; go test -race -count=3 ./mcgateway passes.

--- a/mcgateway/attempt_test.go
+++ b/mcgateway/attempt_test.go
@@ -78,6 +78,7 @@
 				require.Equal(t, c.text, text(w), w.Body)
 				require.Equal(t, c.calls, strings.Join(b.engine.calls, " "))
 				require.Empty(t, b.scheduler.held)
+				require.Empty(t, b.Suspects.Entries(time.Now()), "no endpoint died")
 				if c.code == "" {
 					require.Contains(t, w.Body.String(), "data: [DONE]")
 					return
@@ -111,20 +112,32 @@
 	})
 }
 
-// Guards against a hedge that runs work twice to its end, that is missing for a late
-// first token, or that runs for work that may not run twice.
+// Guards against a hedge that keeps the slower attempt running, that is missing for a
+// late first token, or that runs for work that may not run twice.
 func TestHedge(t *testing.T) {
-	for template, calls := range map[string]string{"caption": "generate a generate b", "print": "generate a"} {
+	for template, c := range map[string]struct {
+		script map[string][]string
+		calls  string
+		took   time.Duration
+	}{
+		"caption": {map[string][]string{"a": {"..."}, "b": {"x ~ y"}}, "generate a generate b", 1300 * time.Millisecond},
+		"print":   {map[string][]string{"a": {"~ x y"}, "b": {"x"}}, "generate a", time.Second},
+	} {
 		bubble(t, func(t *testing.T, run func(*bench) *bench) {
-			b := newBench(map[string][]string{"a": {"~ x y"}, "b": {"x y"}})
+			b := newBench(c.script)
 			b.scheduler.predicted = 100 * time.Millisecond
 			begun := time.Now()
-			w := run(b).chat(t.Context(), body(template, ""))
-			took := time.Since(begun)
+			var slower int
+			time.AfterFunc(800*time.Millisecond, func() {
+				b.engine.mu.Lock()
+				defer b.engine.mu.Unlock()
+				slower = b.engine.ends
+			})
+			require.Equal(t, "xy", text(run(b).chat(t.Context(), body(template, ""))))
+			require.Equal(t, c.took, time.Since(begun))
 			b.Wait()
-			require.Equal(t, "xy", text(w))
-			require.Equal(t, calls, strings.Join(b.engine.calls, " "))
-			require.Equal(t, template == "caption", took < time.Second)
+			require.Equal(t, c.calls, strings.Join(b.engine.calls, " "))
+			require.Equal(t, strings.Count(c.calls, "b"), slower, "the slower attempt runs on")
 			require.Empty(t, b.scheduler.held)
 		})
 	}
