Wait for a suspect twin; bound stalled callers; test crashing splits

Cause: requests with the fingerprint of a running suspect failed although it may be cleared; a crash that hits every segment was untested. Change: such a request waits within its deadline and holds nothing; tests of a home that hangs after taking a request, of a caller that does not read and of a split whose segments all crash.

--- a/mcgateway/attempt_test.go
+++ b/mcgateway/attempt_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -173,23 +176,24 @@
 // that it waits for does not answer, and against what it then still holds.
 func TestEveryWaitIsBounded(t *testing.T) {
 	for name, c := range map[string]struct {
-		prepare func(b *bench)
+		prepare func(t *testing.T, b *bench)
 		leave   time.Duration
 		notRun  bool
 	}{
-		"scheduler hangs":      {func(b *bench) { b.scheduler.hang = make(chan struct{}) }, time.Hour, true},
-		"queued for ever":      {func(b *bench) { b.scheduler.queue = true }, time.Hour, true},
-		"caller leaves queue":  {func(b *bench) { b.scheduler.queue = true }, time.Second, true},
-		"caller leaves engine": {func(*bench) {}, time.Second, false},
+		"scheduler hangs":      {func(_ *testing.T, b *bench) { b.scheduler.hang = make(chan struct{}) }, time.Hour, true},
+		"queued for ever":      {func(_ *testing.T, b *bench) { b.scheduler.queue = true }, time.Hour, true},
+		"home hangs":           {func(t *testing.T, b *bench) { b.Home = hangingHome(t) }, time.Hour, false},
+		"caller leaves queue":  {func(_ *testing.T, b *bench) { b.scheduler.queue = true }, time.Second, true},
+		"caller leaves engine": {func(*testing.T, *bench) {}, time.Second, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, func(t *testing.T, run func(*bench) *bench) {
 				b := run(newBench(map[string][]string{"a": {"..."}}))
-				c.prepare(b)
+				c.prepare(t, b)
 				ctx, cancel := context.WithTimeout(t.Context(), c.leave)
 				defer cancel()
 				begun := time.Now()
-				problem := outcome(t, b.chat(ctx, body("caption", ""), "X-Deadline-Ms", "5000").Body.String())
+				problem := outcome(t, b.chat(ctx, body("caption", ""), "X-Deadline-Ms", "5000", "Idempotency-Key", "k").Body.String())
 				require.Equal(t, min(c.leave, 5*time.Second), time.Since(begun))
 				require.Equal(t, c.notRun, problem.NotRun)
 				if b.scheduler.hang != nil {
@@ -197,12 +201,40 @@
 				}
 				synctest.Wait()
 				require.Empty(t, b.scheduler.held)
+				require.Equal(t, b.engine.ends, len(b.engine.calls))
 				if c.notRun {
 					require.Empty(t, b.engine.calls)
-				} else {
-					require.Equal(t, 1, b.engine.ends)
 				}
 			})
 		})
 	}
 }
+
+// stalledWriter is a connection whose caller does not read: a write ends only at the
+// write deadline.
+type stalledWriter struct {
+	*httptest.ResponseRecorder
+
+	deadline time.Time
+}
+
+func (w *stalledWriter) SetWriteDeadline(t time.Time) error { w.deadline = t; return nil }
+
+func (w *stalledWriter) Write([]byte) (int, error) {
+	time.Sleep(time.Until(w.deadline))
+	return 0, os.ErrDeadlineExceeded
+}
+
+// Guards against a caller that does not read and thereby holds a request for ever.
+func TestStalledCaller(t *testing.T) {
+	bubble(t, func(t *testing.T, run func(*bench) *bench) {
+		b := run(newBench(map[string][]string{"a": {"x y"}}))
+		r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body("caption", `,"stream":true`)))
+		r.Header.Set("Authorization", "Bearer "+callerKey)
+		begun := time.Now()
+		b.Handler().ServeHTTP(&stalledWriter{ResponseRecorder: httptest.NewRecorder()}, r)
+		require.Equal(t, 61*time.Second, time.Since(begun), "deadline and grace")
+		b.Wait()
+		require.Empty(t, b.scheduler.held)
+	})
+}
--- a/mcgateway/crash_test.go
+++ b/mcgateway/crash_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -140,3 +141,27 @@
 	require.Empty(t, b.Suspects.Entries(time.Now()))
 	b.Wait()
 }
+
+// Guards against a split whose segments all crash their engines: they run at once, yet
+// no more than 3 endpoints are lost.
+func TestCrashingSplitIsQuarantined(t *testing.T) {
+	const engines = 6
+	var lost atomic.Int32
+	endpoints, _ := fleet(t, engines, &lost)
+	client := &http.Client{Transport: mcengine.NewTransport()}
+	defer client.CloseIdleConnections()
+	b := newBench(nil)
+	b.Dispatcher.Scheduler = newScheduler(t, endpoints)
+	go b.Dispatcher.Run(t.Context())
+	b.Gateway.Engine = &mcengine.Client{HTTP: client}
+	b.Endpoint = func(name string) (marigoldcroft.Endpoint, bool) { e, ok := endpoints[name]; return e, ok }
+	b.LargestEngine = func(string) int64 { return 2000 }
+	ask := `{"model":"dossier","messages":[{"role":"system","content":"poison"},{"role":"user","content":"` + strings.Repeat("long ", 6000) + `"}]}`
+	for range 5 {
+		require.NotEqual(t, http.StatusOK, b.chat(t.Context(), ask).Code)
+	}
+	require.Equal(t, mcgateway.CodeQuarantined, outcome(t, b.chat(t.Context(), ask).Body.String()).Code)
+	require.LessOrEqual(t, lost.Load(), int32(3))
+	b.Wait()
+	require.Empty(t, b.Dispatcher.Scheduler.InFlight())
+}
--- a/mcgateway/join_test.go
+++ b/mcgateway/join_test.go
@@ -94,6 +94,16 @@
 	})
 }
 
+// hangingHome is a home that takes requests and then does nothing.
+func hangingHome(t *testing.T) func(string) (mcmessage.StreamServiceClient, bool) {
+	client := link(t, peerServer{join: func(_ *mcmessage.JoinRequest, s grpc.ServerStreamingServer[mcmessage.JoinChunk]) error {
+		_ = s.SendHeader(metadata.Pairs("accepted", "1"))
+		<-s.Context().Done()
+		return nil
+	}})
+	return func(string) (mcmessage.StreamServiceClient, bool) { return client, false }
+}
+
 // Guards against twins at two instances that run twice, and, for each way in which the
 // home can fail, against lost, mixed up or doubled parts of the answer.
 func TestJoinAtHome(t *testing.T) {
--- a/mcgateway/run.go
+++ b/mcgateway/run.go
@@ -16,8 +16,9 @@
 const (
 	// maxAttempts bounds the attempts of one request, hedges included.
 	maxAttempts = 4
-	// suspectRetryAfter is when a suspect that runs already is worth asking for again.
-	suspectRetryAfter = time.Second
+	// suspectInterval is how often a request asks whether its running twin, which is
+	// under suspicion, has ended.
+	suspectInterval = 50 * time.Millisecond
 )
 
 type (
@@ -102,7 +103,7 @@
 
 // try makes one attempt, perhaps hedged, and tells whether another one may follow.
 func (r *run) try(ctx context.Context) (*Problem, bool) {
-	alone, problem := r.enter()
+	alone, problem := r.enter(ctx)
 	if problem != nil {
 		return r.truthful(problem), false
 	}
@@ -115,21 +116,26 @@
 	return r.judge(ctx, last.attempt, last.err)
 }
 
-// enter asks the quarantine how the request may run.
-func (r *run) enter() (alone bool, problem *Problem) {
+// enter asks the quarantine how the request may run. While another request with its
+// fingerprint runs as a suspect it waits and holds nothing: when that one finishes, all
+// are cleared.
+func (r *run) enter(ctx context.Context) (alone bool, problem *Problem) {
 	suspects := r.gateway.Suspects
 	if suspects == nil {
 		return r.request.alone, nil
 	}
-	switch suspects.Enter(time.Now(), r.request.fingerprint, r.request.origin) {
-	case mcquarantine.VerdictQuarantined:
-		return false, quarantined()
-	case mcquarantine.VerdictBusy:
-		return false, notRun(CodeOverloaded, "a request with this body is under suspicion of a crash and runs already").after(suspectRetryAfter)
-	case mcquarantine.VerdictAlone:
-		return true, nil
+	for ctx.Err() == nil {
+		switch suspects.Enter(time.Now(), r.request.fingerprint, r.request.origin) {
+		case mcquarantine.VerdictQuarantined:
+			return false, quarantined()
+		case mcquarantine.VerdictAlone:
+			return true, nil
+		case mcquarantine.VerdictRun:
+			return r.request.alone, nil
+		}
+		wait(ctx, suspectInterval)
 	}
-	return r.request.alone, nil
+	return false, notRun(CodeDeadline, "the request's time ended while its twin ran under suspicion of a crash")
 }
 
 func (r *run) leave() {
