Limit the start of interactive short work by its usual first token

Cause: in a scratch trial (16 engines, arrivals x5, retries) the p95 time to first token of admitted short work rose from 0.18 s to 0.57 s with one instance and from 0.33 s to 2.0 s with six, whose views lag by a second. Change: the limit is the usual time to first token, learned over minutes; the prefill that peers have sent unseen is predicted from own prefill and their share of requests in flight.

--- a/mcscheduler/admission.go
+++ b/mcscheduler/admission.go
@@ -23,7 +23,7 @@
 func (r *lengthAware) admit(now time.Duration, it *item, at placement, why blocked) (marigoldcroft.Reason, float64, float64) {
 	p, c := it.pool, &r.s.settings
 	service := it.prefillSeconds
-	start, memory := at.wait, 0.0
+	start, memory := at.wait+at.unseen, 0.0
 	if why == placed {
 		service = float64(at.prefill) / at.endpoint.rate()
 	} else {
@@ -32,8 +32,7 @@
 			return marigoldcroft.ReasonShed, start, start
 		}
 	}
-	if it.class == marigoldcroft.ClassShort && it.urgency() == int(marigoldcroft.UrgencyInteractive) &&
-		start > c.UrgentStartLimit.Seconds() {
+	if it.urgentShort() && start > r.startLimit(it) {
 		return marigoldcroft.ReasonShed, start, start
 	}
 	service += p.decodeSeconds(it.work.OutputTokens)
--- /dev/null
+++ b/mcscheduler/calm.go
@@ -0,0 +1,76 @@
+package mcscheduler
+
+import (
+	"math"
+	"time"
+
+	"marigoldcroft"
+)
+
+const (
+	// calmWindow averages the usual time to first token over minutes, so that a demand
+	// swing of seconds hardly moves it.
+	calmWindow = 5 * time.Minute
+	// calmSamples is the number of first tokens after which the mean is used.
+	calmSamples = 20
+	// calmDeviations above the mean is near the 95th percentile for uniform to
+	// exponential distributions.
+	calmDeviations = 2
+	// sharePrior is added to this instance's count of short requests when the peers'
+	// share is estimated, so that a count of one or two does not exaggerate it.
+	sharePrior = 4
+)
+
+// calm is the usual time to first token of interactive short work, in seconds.
+type calm struct {
+	mean     float64
+	variance float64
+	samples  int
+	at       time.Duration
+}
+
+// observe takes one time to first token. The weight follows the time that has passed and
+// not the number of requests, which is larger in a demand swing.
+func (c *calm) observe(now time.Duration, first float64) {
+	c.samples++
+	weight := 1 - math.Exp(-float64(now-c.at)/float64(calmWindow))
+	if c.samples <= calmSamples {
+		weight = 1 / float64(c.samples)
+	}
+	c.at = now
+	delta := first - c.mean
+	c.mean += weight * delta
+	c.variance += weight * (delta*(first-c.mean) - c.variance)
+}
+
+// startLimit returns the latest predicted start of interactive short work in seconds: as
+// late as its first token usually comes, so that the first token of admitted work comes
+// at most about twice as late as usual.
+func (r *lengthAware) startLimit(it *item) float64 {
+	limit, c := r.s.settings.UrgentStartLimit.Seconds(), &it.pool.calm
+	if c.samples < calmSamples {
+		return limit
+	}
+	usual := c.mean + calmDeviations*math.Sqrt(c.variance)
+	return min(limit, max(usual, it.prefillSeconds, r.s.settings.ChunkDelay.Seconds()))
+}
+
+// unseen predicts the seconds of short prefill that peers have sent to the endpoint
+// beyond what is seen of it, as their word is a second old. Peers are assumed to have
+// prefill outstanding like this instance, in proportion to their short requests in
+// flight, whose number changes slowly. It is the mean of all endpoints and thus affects
+// admission, not the choice.
+func (p *pool) unseen(now time.Duration, e *endpoint) float64 {
+	if p.peerShorts == 0 {
+		return 0
+	}
+	share := float64(p.peerShorts) / float64(p.shorts+sharePrior)
+	rate := e.rate()
+	seen, _ := e.otherPrefill(now, rate)
+	return max(0, float64(p.shortPrefill)*share/float64(len(p.live))-seen) / rate
+}
+
+// urgentShort tells whether the item is interactive short work.
+func (it *item) urgentShort() bool {
+	return it.class == marigoldcroft.ClassShort && it.urgency() == int(marigoldcroft.UrgencyInteractive)
+}
--- a/mcscheduler/lengthaware.go
+++ b/mcscheduler/lengthaware.go
@@ -89,7 +89,8 @@
 	wait, _ := r.wait(now, it, e, priority)
 	saved := r.saved(now, it, known, e)
 	return placement{
-		endpoint: e, wait: wait, prefill: it.work.PromptTokens - int64(saved), affine: saved > 0,
+		endpoint: e, wait: wait, unseen: p.unseen(now, e),
+		prefill: it.work.PromptTokens - int64(saved), affine: saved > 0,
 	}, placed
 }
 
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -33,7 +33,12 @@
 	cost      modelCost
 	shortTime time.Duration
 	longSet   longSet
-	prefixes  prefixTable
+	calm      calm
+	// shorts and peerShorts count own and peers' short work in flight; shortPrefill sums
+	// the own prefill tokens of it before the first token.
+	shorts, peerShorts int
+	shortPrefill       int64
+	prefixes           prefixTable
 	// hold is the queued item that an endpoint is kept for until its memory suffices.
 	hold *item
 	// dirty is set by each change that may let waiting work run.
--- a/mcscheduler/scheduler.go
+++ b/mcscheduler/scheduler.go
@@ -60,8 +60,10 @@
 	// placement is where an item goes and what is predicted of it.
 	placement struct {
 		endpoint *endpoint
-		// wait is in seconds.
+		// wait and unseen are in seconds; unseen is predicted of peers and affects
+		// admission only, as it is the same for all endpoints.
 		wait    float64
+		unseen  float64
 		prefill int64
 		affine  bool
 		lent    bool
@@ -243,8 +245,8 @@
 	}
 	p.prefixes.sent(now, it.work.PrefixHash, at.endpoint)
 	d := it.decision(marigoldcroft.ActionDispatch, marigoldcroft.ReasonNone)
-	d.PredictedStart = seconds(at.wait)
-	d.PredictedFirstToken = seconds(at.wait + float64(at.prefill)/at.endpoint.rate())
+	d.PredictedStart = seconds(at.wait + at.unseen)
+	d.PredictedFirstToken = seconds(at.wait + at.unseen + float64(at.prefill)/at.endpoint.rate())
 	return d
 }
 
--- a/mcscheduler/scheduler_command.go
+++ b/mcscheduler/scheduler_command.go
@@ -208,6 +208,9 @@
 	defer s.mu.Unlock()
 	now := s.enter(t)
 	if it := s.items[id]; it != nil && it.state == stateDispatched {
+		if !it.firstToken && it.urgentShort() {
+			it.pool.calm.observe(now, (now - it.submitted).Seconds())
+		}
 		s.answered(now, it)
 	}
 }
@@ -312,6 +315,8 @@
 	for name, e := range s.endpoints {
 		if kept[name] != e {
 			s.orphan(now, e)
+			e.peers = nil
+			e.sumPeers(now)
 			if e.held != nil {
 				e.pool.release(e.held)
 			}
--- a/mcscheduler/view.go
+++ b/mcscheduler/view.go
@@ -41,6 +41,7 @@
 		previous load
 		base     load
 		long     bool
+		shorts   int
 	}
 
 	// endpoint is the view of one endpoint. What others have there is a report less
@@ -94,7 +95,9 @@
 		peerSum   load
 		peerShort float64
 		peerLong  float64
-		peerAt    time.Duration
+		// peerShorts counts peers' short work in flight.
+		peerShorts int
+		peerAt     time.Duration
 	}
 )
 
@@ -189,6 +192,8 @@
 	it.joinedMark = e.dispatched
 	if it.class == marigoldcroft.ClassShort {
 		e.shorts++
+		e.pool.shorts++
+		e.pool.shortPrefill += it.prefill
 	} else {
 		e.longs++
 		e.longPrefills++
@@ -220,7 +225,9 @@
 	e.own.prefill -= it.prefill
 	e.outstanding[it.priority] -= it.prefill
 	e.remaining[it.priority] = min(e.remaining[it.priority], float64(e.outstanding[it.priority]))
-	if it.class != marigoldcroft.ClassShort {
+	if it.class == marigoldcroft.ClassShort {
+		e.pool.shortPrefill -= it.prefill
+	} else {
 		e.longPrefills--
 	}
 	if e.lent == it {
@@ -235,6 +242,7 @@
 	e.own.kv -= it.kv
 	if it.class == marigoldcroft.ClassShort {
 		e.shorts--
+		e.pool.shorts--
 	} else {
 		e.longs--
 	}
@@ -332,6 +340,7 @@
 		p.previous = p.current
 	}
 	p.at, p.current, p.long = now, current, in.Long > 0
+	p.shorts = in.Short
 	if current == (load{}) && p.base == (load{}) {
 		delete(e.peers, peer)
 	}
@@ -344,10 +353,13 @@
 	e.peerSum, e.peerAt = load{}, now
 	// Whole tokens are summed, as a sum of floats depends on the order of the map.
 	var short, long int64
+	e.pool.peerShorts -= e.peerShorts
+	e.peerShorts = 0
 	rate := e.rate() / float64(max(1, len(e.peers)))
 	for _, p := range e.peers {
 		e.peerSum.count += p.current.count
 		e.peerSum.kv += p.current.kv
+		e.peerShorts += p.shorts
 		left := max(0, p.current.prefill-int64(rate*(now-p.at).Seconds()))
 		if p.long {
 			long += left
@@ -355,5 +367,6 @@
 			short += left
 		}
 	}
+	e.pool.peerShorts += e.peerShorts
 	e.peerShort, e.peerLong = float64(short), float64(long)
 }
