Measure control cost and store writes per action

Cause: the capacity page needs slopes that anyone can measure again. Change: verbs control and actions of marigoldcroft-measure.

--- a/cmd/marigoldcroft-measure/main.go
+++ b/cmd/marigoldcroft-measure/main.go
@@ -22,6 +22,8 @@
 		measureVerb("overhead", "what an entry instance adds to a streamed short request", mcmeasure.Overhead),
 		measureVerb("headofline", "short requests with and without long jobs", mcmeasure.HeadOfLine),
 		measureVerb("crest", "urgent short requests at the crest of a swing", mcmeasure.Crest),
+		measureVerb("control", "cost of membership, time to remove a dead instance, keys moved", mcmeasure.Control),
+		measureVerb("actions", "store writes of actions that run at most once", mcmeasure.Actions),
 		measureVerb("goodput", "whole answers at half to three times the capacity", mcmeasure.Goodput),
 	}
 }
