Test endpoint states, parked work and recall under random calls

Cause: breaking the code on purpose left some faults unseen, and no random sequence reached a recall. Change: tables of endpoint states and parked work; bursts in the property test; the retry after growth of the long set goes, as work is retried every 10 ms anyway.

--- a/mcscheduler/behaviour_test.go
+++ b/mcscheduler/behaviour_test.go
@@ -419,3 +419,69 @@
 	require.Empty(t, s.InFlight())
 	require.Zero(t, s.Queued())
 }
+
+// Guards against work for endpoints that must not or cannot take it, and against
+// endpoints and work that stay out for good after the reason has gone.
+func TestEndpointRules(t *testing.T) {
+	const wait, run, refuse = marigoldcroft.ActionWait, marigoldcroft.ActionDispatch, marigoldcroft.ActionRefuse
+	full := marigoldcroft.LoadReport{Endpoint: "e0", KVUsedTokens: 100_000, KVCapacityTokens: 100_000}
+	for _, c := range []struct {
+		name      string
+		endpoints int
+		prepare   func(s marigoldcroft.Scheduler)
+		ms        int
+		work      func(w *marigoldcroft.Work)
+		want      marigoldcroft.Action
+	}{
+		{"suspects run apart", 2, func(s marigoldcroft.Scheduler) {
+			for n := range 2 {
+				w := work(n, 10, 10)
+				w.Alone = true
+				s.Submit(epoch, w)
+			}
+		}, 0, func(w *marigoldcroft.Work) { w.Alone = true }, wait},
+		{"report from before the death", 1, func(s marigoldcroft.Scheduler) {
+			s.EndpointDown(at(100), "e0")
+			s.Observe(at(50), marigoldcroft.LoadReport{Endpoint: "e0"})
+		}, 200, nil, refuse},
+		{"report from after the death", 1, func(s marigoldcroft.Scheduler) {
+			s.EndpointDown(at(100), "e0")
+			s.Observe(at(150), marigoldcroft.LoadReport{Endpoint: "e0"})
+		}, 200, nil, run},
+		{"report older than the last", 1, func(s marigoldcroft.Scheduler) {
+			s.Observe(at(150), full)
+			s.Observe(at(100), marigoldcroft.LoadReport{Endpoint: "e0"})
+		}, 200, nil, wait},
+		{"others' memory counts", 1, func(s marigoldcroft.Scheduler) { s.Observe(epoch, full) }, 9000, nil, wait},
+		{"others' memory lapses without reports", 1, func(s marigoldcroft.Scheduler) { s.Observe(epoch, full) }, 11_000, nil, run},
+		{"lent endpoints keep memory for short work", 4, func(s marigoldcroft.Scheduler) { s.Submit(epoch, work(0, 80_000, 10)) }, 0, func(w *marigoldcroft.Work) { w.PromptTokens = 80_000 }, wait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScheduler(t, mcscheduler.PolicyLengthAware, c.endpoints, nil)
+			c.prepare(s)
+			w := work(9, 10, 10)
+			if c.work != nil {
+				c.work(&w)
+			}
+			require.Equal(t, c.want, s.Submit(at(c.ms), w).Action)
+		})
+	}
+}
+
+// Guards against work that stays parked: it excludes the one endpoint that is left, and
+// must run when the other one returns.
+func TestParkedWorkRunsWhenItsEndpointReturns(t *testing.T) {
+	s := newScheduler(t, mcscheduler.PolicyLengthAware, 2, nil)
+	for n := range 2 {
+		s.Submit(epoch, work(n, 10, 99_000))
+	}
+	w := urgent(work(2, 10, 50_000), marigoldcroft.UrgencyNormal, "a")
+	w.Exclude = []string{"e0"}
+	require.Equal(t, marigoldcroft.ActionWait, s.Submit(epoch, w).Action)
+	s.SetEndpoints(at(1), engines(1))
+	require.Empty(t, s.Poll(at(2), nil))
+	s.SetEndpoints(at(3), engines(2))
+	decisions := s.Poll(at(4), nil)
+	require.Equal(t, []string{"dispatch r2"}, actions(decisions))
+	require.Equal(t, "e1", decisions[0].Endpoint)
+}
--- a/mcscheduler/longset.go
+++ b/mcscheduler/longset.go
@@ -84,9 +84,5 @@
 			demand++
 		}
 	}
-	size := p.longSet.size
 	p.longSet.measure(now, demand)
-	if p.longSet.size > size {
-		p.dirty = true
-	}
 }
--- a/mcscheduler/property_test.go
+++ b/mcscheduler/property_test.go
@@ -122,6 +122,25 @@
 	if rapid.IntRange(0, 4).Draw(t, "exclude") == 0 {
 		w.Exclude = []string{fmt.Sprintf("e%d", rapid.IntRange(0, propertyEndpoints-1).Draw(t, "excluded"))}
 	}
+	m.take(t, w)
+}
+
+// burst submits long work and then short work that fills the memory, which makes the
+// scheduler lend endpoints and recall the lent work.
+func (m *machine) burst(t *rapid.T) {
+	for n := range rapid.IntRange(0, 20).Draw(t, "burst") {
+		m.next++
+		w := work(m.next, 40_000, 100)
+		if n > 2 {
+			w = work(m.next, 100, 40_000)
+		}
+		w.Urgency, w.Deadline = marigoldcroft.UrgencyNormal, m.now.Add(time.Hour)
+		m.take(t, w)
+	}
+}
+
+// take submits the work and checks the answer.
+func (m *machine) take(t *rapid.T, w marigoldcroft.Work) {
 	explained := m.s.Explain(m.now, w)
 	d := m.s.Submit(m.now, w)
 	require.Equal(t, explained, d, "Explain differs from Submit")
@@ -280,7 +299,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"submit": m.submit, "submit2": m.submit, "submit3": m.submit, "poll": m.poll, "finish": m.finish,
+			"submit": m.submit, "submit2": m.submit, "burst": m.burst, "poll": m.poll, "finish": m.finish,
 			"firstToken": func(t *rapid.T) {
 				which := m.some(t)
 				m.s.FirstToken(m.now, which)
