Draw lent endpoints at random

Cause: instances with the same view all borrowed the same idle endpoint, the first in rendezvous order. Change: a lent endpoint is drawn like the near-best ones.

--- a/mcscheduler/lend.go
+++ b/mcscheduler/lend.go
@@ -20,7 +20,8 @@
 )
 
 // lendable returns an idle endpoint outside the long set that may take the long item,
-// or nil.
+// or nil. It is drawn at random, as instances with the same view would otherwise all
+// borrow the same one.
 func (r *lengthAware) lendable(now time.Duration, it *item) *endpoint {
 	p, c := it.pool, &r.s.settings
 	outside := len(p.live) - p.longSet.size
@@ -28,8 +29,11 @@
 		p.longSet.lent >= int(c.LendShare*float64(outside)) {
 		return nil
 	}
-	var best *endpoint
-	for _, e := range p.live[p.longSet.size:] {
+	p.near = p.near[:0]
+	for i, e := range p.live {
+		if i < p.longSet.size {
+			continue
+		}
 		if e.lent != nil || e.held != nil || now < e.noLendUntil || it.excludes(e) ||
 			it.work.Alone && e.suspects > 0 {
 			continue
@@ -41,11 +45,12 @@
 		if ahead > 0 || long > 0 || e.longPrefills > 0 {
 			continue
 		}
-		if best == nil || e.requests(now) < best.requests(now) {
-			best = e
-		}
+		p.near = append(p.near, int32(i))
+	}
+	if len(p.near) == 0 {
+		return nil
 	}
-	return best
+	return r.draw(now, p)
 }
 
 // stuck recalls lent work when that frees the memory that short work lacks, and lets
--- a/mcscheduler/lengthaware.go
+++ b/mcscheduler/lengthaware.go
@@ -85,7 +85,14 @@
 	if math.IsInf(least, 1) {
 		return placement{}, why
 	}
-	e := r.draw(now, p, least*(1+nearBest)+nearBestFloor)
+	limit := least*(1+nearBest) + nearBestFloor
+	p.near = p.near[:0]
+	for i, score := range p.scores {
+		if score <= limit {
+			p.near = append(p.near, int32(i))
+		}
+	}
+	e := r.draw(now, p)
 	wait, _ := r.wait(now, it, e, priority)
 	saved := r.saved(now, it, known, e)
 	return placement{
@@ -94,15 +101,9 @@
 	}, placed
 }
 
-// draw picks two endpoints at random whose score is within the limit and returns the
-// one with fewer requests.
-func (r *lengthAware) draw(now time.Duration, p *pool, limit float64) *endpoint {
-	p.near = p.near[:0]
-	for i, score := range p.scores {
-		if score <= limit {
-			p.near = append(p.near, int32(i))
-		}
-	}
+// draw picks two of the near-best endpoints at random and returns the one with fewer
+// requests.
+func (r *lengthAware) draw(now time.Duration, p *pool) *endpoint {
 	a := p.live[p.near[r.s.random.IntN(len(p.near))]]
 	if len(p.near) == 1 {
 		return a
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -50,7 +50,8 @@
 	// residence is the mean time in seconds for which work holds its memory.
 	residence ewma
 	// next is the position of the round robin.
-	next   int
+	next int
+	// scores and near hold the positions in live while one is chosen.
 	scores []float64
 	near   []int32
 }
