--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -34,6 +34,8 @@
 	shortTime time.Duration
 	longSet   longSet
 	calm      calm
+	// shortMean is the mean predicted prefill in seconds of short work that was sent.
+	shortMean ewma
 	// shorts and peerShorts count own and peers' short work in flight; shortPrefill sums
 	// the own prefill tokens of it before the first token.
 	shorts, peerShorts int
@@ -48,7 +50,8 @@
 	// residence is the mean time in seconds for which work holds its memory.
 	residence ewma
 	// next is the position of the round robin.
-	next   int
+	next int
+	// scores and near hold the positions in live while one is chosen.
 	scores []float64
 	near   []int32
 }
