--- /dev/null
+++ b/mcmember/endpoint_test.go
@@ -0,0 +1,293 @@
+package mcmember_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcmember"
+)
+
+// backend answers polls of all endpoints as the test says.
+type backend struct {
+	mu sync.Mutex
+	// answer is asked for each poll; nil answers with an idle report.
+	answer func(caller, endpoint string) (marigoldcroft.LoadReport, error)
+	// asked counts polls by endpoint and caller.
+	asked map[string]map[string]int
+}
+
+// caller is the view of the back end that one member has.
+type caller struct {
+	*backend
+	name string
+}
+
+func (c caller) Load(_ context.Context, e marigoldcroft.Endpoint) (marigoldcroft.LoadReport, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.asked[e.Name()] == nil {
+		c.asked[e.Name()] = make(map[string]int)
+	}
+	c.asked[e.Name()][c.name]++
+	if c.answer != nil {
+		return c.answer(c.name, e.Name())
+	}
+	return report(1, false), nil
+}
+
+func (b *backend) set(answer func(caller, endpoint string) (marigoldcroft.LoadReport, error)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answer = answer
+}
+
+// callers returns how often each member has asked the endpoint.
+func (b *backend) callers(endpoint string) map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.asked[endpoint])
+}
+
+// reset forgets who has asked.
+func (b *backend) reset() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.asked = make(map[string]map[string]int)
+}
+
+func report(incarnation uint64, leaving bool) marigoldcroft.LoadReport {
+	return marigoldcroft.LoadReport{Incarnation: incarnation, Time: time.Now(), Leaving: leaving, KVCapacityTokens: 1 << 20}
+}
+
+// newPolledFleet runs members that poll three endpoints.
+func newPolledFleet(t *testing.T, members int) (*fleet, *backend) {
+	f, b := newFleet(t, members, centreA), &backend{}
+	b.reset()
+	for i := range 3 {
+		f.list.answer.Endpoints = append(f.list.answer.Endpoints, marigoldcroft.ListedEndpoint{
+			Name: fmt.Sprint("e", i), DataCentre: centreA, Address: "http://e", Kind: marigoldcroft.EndpointEngine,
+		})
+	}
+	f.startAll(func(m *mcmember.Member) { m.Loader = caller{b, m.Self.PeerAddress} })
+	return f, b
+}
+
+// Guards against endpoints that get work while they are down or leaving, and against
+// endpoints that get none although they could.
+func TestEndpointStates(t *testing.T) {
+	const endpoint = "e1"
+	refused := func(_, name string) (marigoldcroft.LoadReport, error) {
+		if name == endpoint {
+			return marigoldcroft.LoadReport{}, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+		}
+		return report(1, false), nil
+	}
+	failing := func(string, string) (marigoldcroft.LoadReport, error) {
+		return marigoldcroft.LoadReport{}, errors.New("timeout")
+	}
+	leaving := func(_, name string) (marigoldcroft.LoadReport, error) { return report(1, name == endpoint), nil }
+	cases := map[string]struct {
+		// act changes something; within is the time in which all members must know.
+		act           func(f *fleet, b *backend)
+		within        time.Duration
+		down, leaving bool
+	}{
+		"the connection is refused": {
+			act:    func(_ *fleet, b *backend) { b.set(refused) },
+			within: 3 * time.Second, down: true,
+		},
+		"two polls fail": {
+			act: func(_ *fleet, b *backend) {
+				b.set(failing)
+				time.Sleep(1400 * time.Millisecond)
+				b.set(nil)
+			},
+			within: 3 * time.Second,
+		},
+		"three polls fail": {
+			act:    func(_ *fleet, b *backend) { b.set(failing) },
+			within: 6 * time.Second, down: true,
+		},
+		"it answers again": {
+			act: func(_ *fleet, b *backend) {
+				b.set(refused)
+				time.Sleep(5 * time.Second)
+				b.set(nil)
+			},
+			within: 3 * time.Second,
+		},
+		"one poller cannot reach it": {
+			act: func(_ *fleet, b *backend) {
+				first := ""
+				b.set(func(caller, name string) (marigoldcroft.LoadReport, error) {
+					if first == "" {
+						first = caller
+					}
+					if caller == first {
+						return failing(caller, name)
+					}
+					return report(1, false), nil
+				})
+			},
+			within: 10 * time.Second,
+		},
+		"it reports that it leaves": {
+			act:    func(_ *fleet, b *backend) { b.set(leaving) },
+			within: 3 * time.Second, leaving: true,
+		},
+		"it takes its leaving back": {
+			act: func(_ *fleet, b *backend) {
+				b.set(leaving)
+				time.Sleep(5 * time.Second)
+				b.set(nil)
+			},
+			within: 4 * time.Second,
+		},
+		"it leaves and is restarted": {
+			act: func(_ *fleet, b *backend) {
+				b.set(leaving)
+				time.Sleep(5 * time.Second)
+				b.set(func(string, string) (marigoldcroft.LoadReport, error) { return report(2, false), nil })
+			},
+			within: 4 * time.Second,
+		},
+		"an operator marks it": {
+			act:    func(f *fleet, _ *backend) { f.members[instanceName(centreA, 0)].SetLeaving(endpoint, true) },
+			within: 2 * time.Second, leaving: true,
+		},
+		"an operator's mark outlives a restart": {
+			act: func(f *fleet, b *backend) {
+				f.members[instanceName(centreA, 0)].SetLeaving(endpoint, true)
+				b.set(func(string, string) (marigoldcroft.LoadReport, error) { return report(2, false), nil })
+			},
+			within: 5 * time.Second, leaving: true,
+		},
+		"it joins again": {
+			act: func(f *fleet, _ *backend) {
+				f.members[instanceName(centreA, 0)].SetLeaving(endpoint, true)
+				time.Sleep(5 * time.Second)
+				f.members[instanceName(centreA, 3)].SetLeaving(endpoint, false)
+			},
+			within: 2 * time.Second,
+		},
+		"the list marks it": {
+			act:    func(f *fleet, _ *backend) { f.list.change(listLeaving) },
+			within: 8 * time.Second, leaving: true,
+		},
+		"the list still marks it after it has joined": {
+			act: func(f *fleet, _ *backend) {
+				f.list.change(listLeaving)
+				time.Sleep(10 * time.Second)
+				f.members[instanceName(centreA, 0)].SetLeaving(endpoint, false)
+			},
+			within: 20 * time.Second,
+		},
+		"the list drops it while it answers": {
+			act: func(f *fleet, _ *backend) {
+				f.list.change(func(l *marigoldcroft.InstanceListing) { l.Endpoints = l.Endpoints[:1] })
+			},
+			within: 30 * time.Second,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, b := newPolledFleet(t, 5)
+				c.act(f, b)
+				time.Sleep(c.within)
+				synctest.Wait()
+				for name, m := range f.members {
+					v, known := m.Endpoint(endpoint)
+					require.True(t, known, name)
+					require.Equal(t, c.down, v.Down, "down as seen by %s", name)
+					require.Equal(t, c.leaving, v.Leaving, "leaving as seen by %s", name)
+					require.Len(t, m.Endpoints(), 3)
+				}
+			})
+		})
+	}
+}
+
+func listLeaving(l *marigoldcroft.InstanceListing) {
+	endpoints := append([]marigoldcroft.ListedEndpoint(nil), l.Endpoints...)
+	endpoints[1].Leaving = true
+	l.Endpoints = endpoints
+}
+
+// Guards against an endpoint that all members poll, and against one that nobody polls
+// after its pollers are gone.
+func TestTwoPollersEach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, b := newPolledFleet(t, 6)
+		check := func() {
+			b.reset()
+			time.Sleep(10 * time.Second)
+			synctest.Wait()
+			for _, endpoint := range []string{"e0", "e1", "e2"} {
+				require.Len(t, b.callers(endpoint), 2, endpoint)
+			}
+		}
+		check()
+		for caller := range b.callers("e1") {
+			f.kill(caller)
+		}
+		time.Sleep(10 * time.Second)
+		check()
+	})
+}
+
+// Guards against new work for an endpoint of which the view is old, and against a
+// call of the endpoint for each request.
+func TestConfirmAsksWhenTheViewIsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, b := newPolledFleet(t, 5)
+		timeout := func(string, string) (marigoldcroft.LoadReport, error) {
+			return marigoldcroft.LoadReport{}, errors.New("timeout")
+		}
+		alone := ""
+		for i := range 5 {
+			if name := instanceName(centreA, i); b.callers("e1")[name] == 0 {
+				alone = name
+			}
+		}
+		member := f.members[alone]
+		_, err := member.Confirm(t.Context(), "e1")
+		require.NoError(t, err)
+		require.Zero(t, b.callers("e1")[alone], "a fresh view needs no question")
+
+		b.set(timeout)
+		time.Sleep(5 * time.Second)
+		b.set(func(caller, name string) (marigoldcroft.LoadReport, error) {
+			if caller == alone && name == "e1" {
+				return report(1, true), nil
+			}
+			return timeout(caller, name)
+		})
+		var wait sync.WaitGroup
+		for range 10 {
+			wait.Go(func() {
+				v, err := member.Confirm(t.Context(), "e1")
+				require.NoError(t, err)
+				require.True(t, v.Leaving)
+				require.False(t, v.Down)
+			})
+		}
+		wait.Wait()
+		require.Equal(t, 1, b.callers("e1")[alone])
+
+		_, err = member.Confirm(t.Context(), "e0")
+		require.Equal(t, mcmember.KindUnreachable, marigoldcroft.FailureKind[mcmember.Kind](err))
+		_, err = member.Confirm(t.Context(), "unknown")
+		require.Equal(t, mcmember.KindUnknownEndpoint, marigoldcroft.FailureKind[mcmember.Kind](err))
+	})
+}
--- a/mcmember/table.go
+++ b/mcmember/table.go
@@ -39,8 +39,9 @@
 	// that the lag behind the newest fits in one byte on the wire.
 	versionUnit = 100 * time.Millisecond
 	// goneRetention is how long a gone member is kept, so that late messages do not
-	// bring it back. It is counted from its last sequence, which all members share.
-	goneRetention = time.Hour
+	// bring it back and data centres learn of it after a partition of some hours. It
+	// is counted from its last sequence, which all members share.
+	goneRetention = 24 * time.Hour
 	// endpointRetention is how long an unlisted endpoint without reports is kept.
 	endpointRetention = 10 * time.Minute
 	// hotPushes is the number of requests that carry a record that has just changed.
@@ -573,7 +574,8 @@
 	}
 	s.exchanges, s.truncated = 0, 0
 	next := t.interval
-	const tightLimit, looseLimit = 5, 15
+	// Longer intervals delay detection, so a burst of changes must not lengthen them.
+	const tightLimit, looseLimit = 10, 10
 	switch {
 	case s.tightRounds >= tightLimit:
 		next = min(2*t.interval, MaxInterval)
