Add the client of plain services and its stand-in

Cause: non-repeatable calls go to plain services over HTTP, where net/http repeats a request with an Idempotency-Key header on a broken connection.

--- /dev/null
+++ b/mcservice/service.go
@@ -0,0 +1,257 @@
+// Package mcservice is the HTTP client of plain services.
+package mcservice
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldcroft"
+)
+
+// Kind is the kind of a service error.
+type Kind string
+
+// Error is the error type of the package.
+type Error = marigoldcroft.Failure[Kind]
+
+// The kinds of service errors.
+const (
+	// KindNotSent means that no byte of the call reached the service;
+	// marigoldcroft.NotSent reports true for it.
+	KindNotSent Kind = "not sent"
+	// KindLost means that the call was or may have been sent and has no whole answer.
+	KindLost Kind = "answer lost"
+	// KindTooLarge means that the answer is larger than the limit; the call has run.
+	KindTooLarge Kind = "answer too large"
+	// KindMalformed means that the answer to a query is not of the agreed form.
+	KindMalformed Kind = "malformed answer"
+)
+
+const (
+	// KeyHeader carries the idempotency key.
+	KeyHeader = "Idempotency-Key"
+	// RequestIDHeader carries the request id.
+	RequestIDHeader = "X-Request-Id"
+
+	loadPath   = "/v1/load"
+	statusPath = "/v1/status"
+
+	defaultCallTimeout    = time.Minute
+	defaultQueryTimeout   = 2 * time.Second
+	defaultDialTimeout    = time.Second
+	defaultMaxBodyBytes   = 16 << 20
+	defaultMaxAnswerBytes = 16 << 20
+	maxQueryBytes         = 1 << 20
+)
+
+type (
+	// Config bounds what a Client does; zero fields mean the defaults.
+	Config struct {
+		// CallTimeout bounds one call, 1 min by default.
+		CallTimeout time.Duration
+		// QueryTimeout bounds a load report or a status query, 2 s by default.
+		QueryTimeout time.Duration
+		// DialTimeout bounds the connecting, 1 s by default.
+		DialTimeout time.Duration
+		// MaxBodyBytes and MaxAnswerBytes bound bodies, 16 MiB each by default.
+		MaxBodyBytes, MaxAnswerBytes int64
+	}
+
+	// Client calls plain services over HTTP. It implements marigoldcroft.Service.
+	Client struct {
+		cfg  Config
+		http *http.Client
+	}
+
+	// CallStatus is the answer to a status query: what the service answered to the call
+	// with the key.
+	CallStatus struct {
+		Status      int    `json:"status"`
+		ContentType string `json:"contentType"`
+		Body        []byte `json:"body"`
+	}
+
+	// notSent marks the cause of an error of the kind not sent.
+	notSent struct{ error }
+
+	// onceBody is a request body that the transport cannot send a second time.
+	onceBody struct{ io.Reader }
+)
+
+// NotSent reports true.
+func (notSent) NotSent() bool { return true }
+
+// Unwrap returns the cause.
+func (n notSent) Unwrap() error { return n.error }
+
+// Close does nothing.
+func (onceBody) Close() error { return nil }
+
+// hopHeaders are meant for one connection and are not passed on (RFC 9110, 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// NewClient returns a client.
+func NewClient(cfg Config) *Client {
+	setDefault(&cfg.CallTimeout, defaultCallTimeout)
+	setDefault(&cfg.QueryTimeout, defaultQueryTimeout)
+	setDefault(&cfg.DialTimeout, defaultDialTimeout)
+	setDefault(&cfg.MaxBodyBytes, defaultMaxBodyBytes)
+	setDefault(&cfg.MaxAnswerBytes, defaultMaxAnswerBytes)
+	return &Client{cfg: cfg, http: &http.Client{
+		// Proxy settings of the environment are ignored: services are addressed by IP.
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext,
+			MaxIdleConnsPerHost: 64,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		},
+		// A redirect would send a call a second time.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+func setDefault[T ~int64](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// CloseIdle closes connections that are not in use.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
+// Call runs one call. A call with a key is sent at most once.
+func (c *Client) Call(ctx context.Context, endpoint marigoldcroft.Endpoint, call marigoldcroft.ServiceCall) (marigoldcroft.ServiceAnswer, error) {
+	operation := "call " + endpoint.Name()
+	if int64(len(call.Body)) > c.cfg.MaxBodyBytes {
+		return marigoldcroft.ServiceAnswer{}, notSentFailure(operation,
+			errors.Newf("the body has %d bytes; at most %d are allowed", len(call.Body), c.cfg.MaxBodyBytes))
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	defer cancel()
+	request, err := newRequest(ctx, endpoint, call)
+	if err != nil {
+		return marigoldcroft.ServiceAnswer{}, notSentFailure(operation, err)
+	}
+	return c.send(operation, request, c.cfg.MaxAnswerBytes)
+}
+
+func newRequest(ctx context.Context, endpoint marigoldcroft.Endpoint, call marigoldcroft.ServiceCall) (*http.Request, error) {
+	if !strings.HasPrefix(call.Path, "/") {
+		return nil, errors.Newf("path %q does not begin with a slash", call.Path)
+	}
+	var body io.Reader = bytes.NewReader(call.Body)
+	if call.Key != "" {
+		// The transport repeats a request with this header on a broken connection if it
+		// can read the body again; a body of an unknown type prevents that.
+		body = onceBody{body}
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Method, endpoint.Address()+call.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(call.Body))
+	if call.Header != nil {
+		request.Header = call.Header.Clone()
+	}
+	for _, name := range hopHeaders {
+		request.Header.Del(name)
+	}
+	request.Header.Del(KeyHeader)
+	if call.Key != "" {
+		request.Header.Set(KeyHeader, call.Key)
+	}
+	if call.RequestID != "" {
+		request.Header.Set(RequestIDHeader, call.RequestID)
+	}
+	return request, nil
+}
+
+// send returns the whole answer.
+func (c *Client) send(operation string, request *http.Request, maxBytes int64) (marigoldcroft.ServiceAnswer, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	response, err := c.http.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil && !connected.Load() {
+		return marigoldcroft.ServiceAnswer{}, notSentFailure(operation, err)
+	}
+	if err != nil {
+		return marigoldcroft.ServiceAnswer{}, marigoldcroft.NewFailure(operation, KindLost, err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	if err != nil {
+		return marigoldcroft.ServiceAnswer{}, marigoldcroft.NewFailure(operation, KindLost, err)
+	}
+	if int64(len(body)) > maxBytes {
+		return marigoldcroft.ServiceAnswer{}, marigoldcroft.NewFailure(operation, KindTooLarge,
+			errors.Newf("the answer is larger than %d bytes", maxBytes))
+	}
+	for _, name := range hopHeaders {
+		response.Header.Del(name)
+	}
+	return marigoldcroft.ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
+
+func notSentFailure(operation string, err error) error {
+	return marigoldcroft.NewFailure(operation, KindNotSent, notSent{err})
+}
+
+// Status asks the service what became of the call with the key. Any answer but 200
+// means that the service does not know the key or offers no query.
+func (c *Client) Status(ctx context.Context, endpoint marigoldcroft.Endpoint, key string) (marigoldcroft.ServiceAnswer, bool, error) {
+	var status CallStatus
+	known, err := c.query(ctx, "status of "+endpoint.Name(), endpoint.Address()+statusPath+"?key="+url.QueryEscape(key), &status)
+	if err != nil || !known {
+		return marigoldcroft.ServiceAnswer{}, false, err
+	}
+	header := http.Header{}
+	if status.ContentType != "" {
+		header.Set("Content-Type", status.ContentType)
+	}
+	return marigoldcroft.ServiceAnswer{Status: status.Status, Header: header, Body: status.Body}, true, nil
+}
+
+// Load returns the load report of the endpoint.
+func (c *Client) Load(ctx context.Context, endpoint marigoldcroft.Endpoint) (marigoldcroft.LoadReport, error) {
+	operation := "load of " + endpoint.Name()
+	var report marigoldcroft.LoadReport
+	ok, err := c.query(ctx, operation, endpoint.Address()+loadPath, &report)
+	if err == nil && !ok {
+		err = marigoldcroft.NewFailure(operation, KindMalformed, errors.New("the endpoint offers no load report"))
+	}
+	return report, err
+}
+
+// query decodes the JSON answer into v; it returns false for a status other than 200.
+func (c *Client) query(ctx context.Context, operation, address string, v any) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.QueryTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return false, notSentFailure(operation, err)
+	}
+	answer, err := c.send(operation, request, maxQueryBytes)
+	if err != nil || answer.Status != http.StatusOK {
+		return false, err
+	}
+	if err := json.Unmarshal(answer.Body, v); err != nil {
+		return false, marigoldcroft.NewFailure(operation, KindMalformed, err)
+	}
+	return true, nil
+}
+
+var _ marigoldcroft.Service = (*Client)(nil)
--- /dev/null
+++ b/mcstandin/service.go
@@ -0,0 +1,212 @@
+package mcstandin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"marigoldcroft"
+	"marigoldcroft/mcservice"
+)
+
+const maxServiceBodyBytes = 16 << 20
+
+type (
+	// ServiceFaults are the faults that POST /control/faults sets. Fields that the
+	// request leaves out keep their values.
+	ServiceFaults struct {
+		// Dead closes the connection of each call without an effect.
+		Dead bool `json:"dead"`
+		// DieBefore makes the next call find the service dead before it runs, and
+		// DieAfter after it ran and before it is answered. Both then set Dead.
+		DieBefore bool `json:"dieBefore"`
+		DieAfter  bool `json:"dieAfter"`
+		// SlowMs delays each call before it runs.
+		SlowMs int64 `json:"slowMs"`
+		// LostAnswers is the probability that a call runs and its connection is closed
+		// without an answer.
+		LostAnswers float64 `json:"lostAnswers"`
+		// NoStatus answers status queries with 404.
+		NoStatus bool `json:"noStatus"`
+		// Leaving is shown in the load report.
+		Leaving bool `json:"leaving"`
+	}
+
+	// Service is a stand-in of a plain service. It runs each call that it gets, also a
+	// repeated one, and counts runs by idempotency key, so that a double run shows.
+	Service struct {
+		name        string
+		incarnation uint64
+
+		mu      sync.Mutex
+		random  *rand.Rand
+		faults  ServiceFaults
+		running int
+		// runs holds the number of runs by key; calls without a key count under "".
+		runs    map[string]int
+		answers map[string]mcservice.CallStatus
+	}
+)
+
+// NewService returns a service; seed drives its random faults.
+func NewService(name string, seed uint64) *Service {
+	return &Service{
+		name: name, incarnation: uint64(time.Now().UnixNano()), random: rand.New(rand.NewPCG(seed, seed)),
+		runs: make(map[string]int), answers: make(map[string]mcservice.CallStatus),
+	}
+}
+
+// SetFaults replaces the faults.
+func (s *Service) SetFaults(faults ServiceFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Runs returns the number of runs by idempotency key.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
+// ServeHTTP serves the load report, the status query, /control and any other path.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/control/faults" && r.Method == http.MethodPost:
+		s.control(w, r)
+	case r.URL.Path == "/control/counts":
+		writeServiceJSON(w, s.Runs())
+	case s.isDead():
+		panic(http.ErrAbortHandler)
+	case r.URL.Path == "/v1/load":
+		writeServiceJSON(w, s.load())
+	case r.URL.Path == "/v1/status":
+		s.status(w, r.FormValue("key"))
+	default:
+		s.call(w, r)
+	}
+}
+
+func (s *Service) control(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	faults := s.faults
+	s.mu.Unlock()
+	decoder := json.NewDecoder(io.LimitReader(r.Body, maxServiceBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(faults)
+	writeServiceJSON(w, faults)
+}
+
+func (s *Service) isDead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Dead
+}
+
+func (s *Service) load() marigoldcroft.LoadReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return marigoldcroft.LoadReport{
+		Endpoint: s.name, Incarnation: s.incarnation, Time: time.Now(), Running: s.running, Leaving: s.faults.Leaving,
+	}
+}
+
+func (s *Service) status(w http.ResponseWriter, key string) {
+	s.mu.Lock()
+	answer, ok := s.answers[key]
+	ok = ok && key != "" && !s.faults.NoStatus
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeServiceJSON(w, answer)
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxServiceBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	s.enter()
+	defer s.leave()
+	s.dieIf(func(f *ServiceFaults) *bool { return &f.DieBefore })
+	s.mu.Lock()
+	slow := time.Duration(s.faults.SlowMs) * time.Millisecond
+	s.mu.Unlock()
+	if slow > 0 {
+		// A caller that leaves does not stop a call that was taken in.
+		time.Sleep(slow)
+	}
+	answer := s.run(r, body)
+	s.dieIf(func(f *ServiceFaults) *bool { return &f.DieAfter })
+	if s.loses() {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", answer.ContentType)
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+func (s *Service) enter() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+}
+
+func (s *Service) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// dieIf makes the service dead if the one-shot fault is set.
+func (s *Service) dieIf(fault func(*ServiceFaults) *bool) {
+	s.mu.Lock()
+	set := fault(&s.faults)
+	if *set {
+		s.faults.Dead, *set = true, false
+	}
+	dead := s.faults.Dead
+	s.mu.Unlock()
+	if dead {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Service) loses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.LostAnswers > 0 && s.random.Float64() < s.faults.LostAnswers
+}
+
+// run is the action. Its answer tells how often the key ran.
+func (s *Service) run(r *http.Request, body []byte) mcservice.CallStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := strings.TrimSpace(r.Header.Get(mcservice.KeyHeader))
+	s.runs[key]++
+	answer := mcservice.CallStatus{
+		Status: http.StatusOK, ContentType: "application/json",
+		Body: fmt.Appendf(nil, `{"service":%q,"path":%q,"bodyBytes":%d,"run":%d}`+"\n", s.name, r.URL.Path, len(body), s.runs[key]),
+	}
+	s.answers[key] = answer
+	return answer
+}
+
+func writeServiceJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
