--- a/mcledger/executor.go
+++ b/mcledger/executor.go
@@ -115,9 +115,13 @@
 	return r.Answer.Status, ""
 }
 
-// Outcome returns the outcome field of an error response: notRun or unknown.
+// Outcome returns the outcome field of an error response, notRun or unknown, or "" for
+// a result with an answer.
 func (r Result) Outcome() string {
-	if r.NotRun {
+	switch {
+	case r.Kind == ResultRan || r.Kind == ResultRecorded:
+		return ""
+	case r.NotRun:
 		return "notRun"
 	}
 	return "unknown"
--- a/mcledger/shard.go
+++ b/mcledger/shard.go
@@ -57,6 +57,9 @@
 		waiting map[uint64]chan reply
 		// retries is the number of pauses since the last success.
 		retries int
+		// failing is true after a failed store operation until one succeeds. Only the
+		// goroutine of the operation under way uses it.
+		failing bool
 	}
 )
 
@@ -152,13 +155,14 @@
 	for range segmentReads {
 		state, err := s.readOnce(ctx, known)
 		if err == nil {
+			s.failing = false
 			return func(env environment) output {
 				s.retries = 0
 				return s.core.headRead(env, state)
 			}
 		}
 		if !mcstore.IsNotFound(err) {
-			s.log.Warn().Int("shard", s.number).Err(err).Msg("ledgerReadFailed")
+			s.warn("ledgerReadFailed", err)
 			break
 		}
 	}
@@ -200,7 +204,7 @@
 	defer cancel()
 	if sealed != nil {
 		if err := s.writeSegment(ctx, id, sealed); err != nil {
-			s.log.Warn().Int("shard", s.number).Err(err).Msg("ledgerSealFailed")
+			s.warn("ledgerSealFailed", err)
 			return s.core.refuse
 		}
 	}
@@ -214,6 +218,7 @@
 	version, err := s.store.Put(ctx, headKey(s.number), value, expected, id)
 	switch {
 	case err == nil:
+		s.failing = false
 		s.counts.recorded.Add(uint64(size))
 		return func(env environment) output {
 			s.retries = 0
@@ -223,13 +228,22 @@
 		s.counts.conflicts.Add(1)
 		return s.core.conflicted
 	}
-	s.log.Warn().Int("shard", s.number).Err(err).Msg("ledgerWriteFailed")
+	s.warn("ledgerWriteFailed", err)
 	if hadNoEffect(err) {
 		return s.core.refuse
 	}
 	return s.core.unknown
 }
 
+// warn logs the first failure of a series; an outage would otherwise write a line for
+// each refused call.
+func (s *shard) warn(event string, err error) {
+	if !s.failing {
+		s.log.Warn().Int("shard", s.number).Err(err).Msg(event)
+	}
+	s.failing = true
+}
+
 func (s *shard) writeSegment(ctx context.Context, id string, sealed *segment) error {
 	value, err := sealed.encode()
 	if err != nil {
--- a/mcservice/service.go
+++ b/mcservice/service.go
@@ -2,15 +2,10 @@
 package mcservice
 
 import (
-	"bytes"
-	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -133,53 +128,6 @@
 // CloseIdle closes connections that are not in use.
 func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
 
-// Call runs one call. A call with a key is sent at most once.
-func (c *Client) Call(ctx context.Context, endpoint marigoldcroft.Endpoint, call marigoldcroft.ServiceCall) (marigoldcroft.ServiceAnswer, error) {
-	operation := "call " + endpoint.Name()
-	if int64(len(call.Body)) > c.cfg.MaxBodyBytes {
-		return marigoldcroft.ServiceAnswer{}, notSentFailure(operation,
-			errors.Newf("the body has %d bytes; at most %d are allowed", len(call.Body), c.cfg.MaxBodyBytes))
-	}
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
-	defer cancel()
-	request, err := newRequest(ctx, endpoint, call)
-	if err != nil {
-		return marigoldcroft.ServiceAnswer{}, notSentFailure(operation, err)
-	}
-	return c.send(operation, request, c.cfg.MaxAnswerBytes)
-}
-
-func newRequest(ctx context.Context, endpoint marigoldcroft.Endpoint, call marigoldcroft.ServiceCall) (*http.Request, error) {
-	if !strings.HasPrefix(call.Path, "/") {
-		return nil, errors.Newf("path %q does not begin with a slash", call.Path)
-	}
-	var body io.Reader = bytes.NewReader(call.Body)
-	if call.Key != "" {
-		// The transport repeats a request with this header on a broken connection if it
-		// can read the body again; a body of an unknown type prevents that.
-		body = onceBody{body}
-	}
-	request, err := http.NewRequestWithContext(ctx, call.Method, endpoint.Address()+call.Path, body)
-	if err != nil {
-		return nil, err
-	}
-	request.ContentLength = int64(len(call.Body))
-	if call.Header != nil {
-		request.Header = call.Header.Clone()
-	}
-	for _, name := range hopHeaders {
-		request.Header.Del(name)
-	}
-	request.Header.Del(KeyHeader)
-	if call.Key != "" {
-		request.Header.Set(KeyHeader, call.Key)
-	}
-	if call.RequestID != "" {
-		request.Header.Set(RequestIDHeader, call.RequestID)
-	}
-	return request, nil
-}
-
 // send returns the whole answer.
 func (c *Client) send(operation string, request *http.Request, maxBytes int64) (marigoldcroft.ServiceAnswer, error) {
 	var connected atomic.Bool
@@ -210,48 +158,4 @@
 	return marigoldcroft.NewFailure(operation, KindNotSent, notSent{err})
 }
 
-// Status asks the service what became of the call with the key. Any answer but 200
-// means that the service does not know the key or offers no query.
-func (c *Client) Status(ctx context.Context, endpoint marigoldcroft.Endpoint, key string) (marigoldcroft.ServiceAnswer, bool, error) {
-	var status CallStatus
-	known, err := c.query(ctx, "status of "+endpoint.Name(), endpoint.Address()+statusPath+"?key="+url.QueryEscape(key), &status)
-	if err != nil || !known {
-		return marigoldcroft.ServiceAnswer{}, false, err
-	}
-	header := http.Header{}
-	if status.ContentType != "" {
-		header.Set("Content-Type", status.ContentType)
-	}
-	return marigoldcroft.ServiceAnswer{Status: status.Status, Header: header, Body: status.Body}, true, nil
-}
-
-// Load returns the load report of the endpoint.
-func (c *Client) Load(ctx context.Context, endpoint marigoldcroft.Endpoint) (marigoldcroft.LoadReport, error) {
-	operation := "load of " + endpoint.Name()
-	var report marigoldcroft.LoadReport
-	ok, err := c.query(ctx, operation, endpoint.Address()+loadPath, &report)
-	if err == nil && !ok {
-		err = marigoldcroft.NewFailure(operation, KindMalformed, errors.New("the endpoint offers no load report"))
-	}
-	return report, err
-}
-
-// query decodes the JSON answer into v; it returns false for a status other than 200.
-func (c *Client) query(ctx context.Context, operation, address string, v any) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.QueryTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return false, notSentFailure(operation, err)
-	}
-	answer, err := c.send(operation, request, maxQueryBytes)
-	if err != nil || answer.Status != http.StatusOK {
-		return false, err
-	}
-	if err := json.Unmarshal(answer.Body, v); err != nil {
-		return false, marigoldcroft.NewFailure(operation, KindMalformed, err)
-	}
-	return true, nil
-}
-
 var _ marigoldcroft.Service = (*Client)(nil)
--- /dev/null
+++ b/mcservice/service_command.go
@@ -0,0 +1,60 @@
+package mcservice
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldcroft"
+)
+
+// Call runs one call. A call with a key is sent at most once.
+func (c *Client) Call(ctx context.Context, endpoint marigoldcroft.Endpoint, call marigoldcroft.ServiceCall) (marigoldcroft.ServiceAnswer, error) {
+	operation := "call " + endpoint.Name()
+	if int64(len(call.Body)) > c.cfg.MaxBodyBytes {
+		return marigoldcroft.ServiceAnswer{}, notSentFailure(operation,
+			errors.Newf("the body has %d bytes; at most %d are allowed", len(call.Body), c.cfg.MaxBodyBytes))
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	defer cancel()
+	request, err := newRequest(ctx, endpoint, call)
+	if err != nil {
+		return marigoldcroft.ServiceAnswer{}, notSentFailure(operation, err)
+	}
+	return c.send(operation, request, c.cfg.MaxAnswerBytes)
+}
+
+func newRequest(ctx context.Context, endpoint marigoldcroft.Endpoint, call marigoldcroft.ServiceCall) (*http.Request, error) {
+	if !strings.HasPrefix(call.Path, "/") {
+		return nil, errors.Newf("path %q does not begin with a slash", call.Path)
+	}
+	var body io.Reader = bytes.NewReader(call.Body)
+	if call.Key != "" {
+		// The transport repeats a request with this header on a broken connection if it
+		// can read the body again; a body of an unknown type prevents that.
+		body = onceBody{body}
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Method, endpoint.Address()+call.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(call.Body))
+	if call.Header != nil {
+		request.Header = call.Header.Clone()
+	}
+	for _, name := range hopHeaders {
+		request.Header.Del(name)
+	}
+	request.Header.Del(KeyHeader)
+	if call.Key != "" {
+		request.Header.Set(KeyHeader, call.Key)
+	}
+	if call.RequestID != "" {
+		request.Header.Set(RequestIDHeader, call.RequestID)
+	}
+	return request, nil
+}
--- a/mcstore/http.go
+++ b/mcstore/http.go
@@ -3,12 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -54,96 +51,6 @@
 	},
 }
 
-// Get returns the object.
-func (h *HTTP) Get(ctx context.Context, key string) (marigoldcroft.Object, error) {
-	return h.read(ctx, "get "+key, key, objectsPath+url.PathEscape(key))
-}
-
-// Watch returns the object as soon as its version differs from known, or after wait.
-func (h *HTTP) Watch(ctx context.Context, key string, known marigoldcroft.Version, wait time.Duration) (marigoldcroft.Object, error) {
-	query := url.Values{"version": {string(known)}, "waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)}}
-	return h.read(ctx, "watch "+key, key, watchPath+url.PathEscape(key)+"?"+query.Encode())
-}
-
-// List returns up to limit keys with the prefix that sort after the key after.
-func (h *HTTP) List(ctx context.Context, prefix, after string, limit int) ([]marigoldcroft.ObjectEntry, error) {
-	operation := "list " + prefix
-	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
-	answer, _, err := h.send(ctx, http.MethodGet, listPath+"?"+query.Encode(), nil, nil, maxListBytes)
-	if err != nil {
-		return nil, marigoldcroft.NewFailure(operation, KindUnavailable, err)
-	}
-	if answer.status != http.StatusOK {
-		return nil, failure(operation, answer, KindUnavailable)
-	}
-	var entries []marigoldcroft.ObjectEntry
-	if err := json.Unmarshal(answer.body, &entries); err != nil {
-		return nil, marigoldcroft.NewFailure(operation, KindUnavailable, errors.Wrap(err, "malformed list"))
-	}
-	return entries, nil
-}
-
-// Put stores value if the current version is expected.
-func (h *HTTP) Put(ctx context.Context, key string, value []byte, expected marigoldcroft.Version, writeID string) (marigoldcroft.Version, error) {
-	operation := "put " + key
-	if err := checkWrite(ctx, key, value); err != nil {
-		return "", err
-	}
-	answer, err := h.write(ctx, operation, http.MethodPut, key, value, expected, writeID)
-	if err != nil {
-		return "", err
-	}
-	version := parseETag(answer.header)
-	if version == "" {
-		return "", marigoldcroft.NewFailure(operation, KindUnknown, errors.New("the answer has no ETag"))
-	}
-	return version, nil
-}
-
-// Delete removes the object if the current version is expected.
-func (h *HTTP) Delete(ctx context.Context, key string, expected marigoldcroft.Version, writeID string) error {
-	if err := checkWrite(ctx, key, nil); err != nil {
-		return err
-	}
-	_, err := h.write(ctx, "delete "+key, http.MethodDelete, key, nil, expected, writeID)
-	return err
-}
-
-func (h *HTTP) read(ctx context.Context, operation, key, path string) (marigoldcroft.Object, error) {
-	answer, _, err := h.send(ctx, http.MethodGet, path, nil, nil, maxValueBytes)
-	if err != nil {
-		return marigoldcroft.Object{}, marigoldcroft.NewFailure(operation, KindUnavailable, err)
-	}
-	if answer.status != http.StatusOK {
-		return marigoldcroft.Object{}, failure(operation, answer, KindUnavailable)
-	}
-	version := parseETag(answer.header)
-	if version == "" {
-		return marigoldcroft.Object{}, marigoldcroft.NewFailure(operation, KindUnavailable, errors.New("the answer has no ETag"))
-	}
-	return marigoldcroft.NewObject(key, answer.body, version, answer.header.Get(WriteIDHeader)), nil
-}
-
-func (h *HTTP) write(ctx context.Context, operation, method, key string, value []byte, expected marigoldcroft.Version, writeID string) (response, error) {
-	header := http.Header{WriteIDHeader: {writeID}}
-	if expected == "" {
-		header.Set("If-None-Match", "*")
-	} else {
-		header.Set("If-Match", `"`+string(expected)+`"`)
-	}
-	answer, sent, err := h.send(ctx, method, objectsPath+url.PathEscape(key), header, value, maxListBytes)
-	switch {
-	case err != nil && !sent:
-		return response{}, marigoldcroft.NewFailure(operation, KindUnavailable, err)
-	case err != nil:
-		return response{}, marigoldcroft.NewFailure(operation, KindUnknown, err)
-	case answer.status >= 200 && answer.status < 300:
-		return answer, nil
-	}
-	// A 5xx answer may come from an intermediary that had passed the write on.
-	return response{}, failure(operation, answer, KindUnknown)
-}
-
 // send returns the whole answer. The second result is false when no byte of the
 // call can have reached the store.
 func (h *HTTP) send(ctx context.Context, method, path string, header http.Header, body []byte, maxBytes int64) (response, bool, error) {
