Release only shards that were written; let callers wrap the transport

Cause: a planned stop read the heads of all 64 shards, and a release in a batch cut by its size limit did not clear the owner. The daemon had no way to trace service calls. Change: an instance that never wrote a head of a shard is done at once; the owner is cleared where the release is judged; mcservice.Config.Wrap. Result: TestRelease counts 1 read; the table of single sends passes with an otelhttp layer and is red without the body that cannot be sent twice.

--- a/mcledger/core.go
+++ b/mcledger/core.go
@@ -115,6 +115,11 @@
 		out.replies = append(out.replies, reply{call: r.call, kind: replyUnavailable})
 		return out
 	}
+	if r.kind == requestRelease && c.writeCount == 0 {
+		// An instance that never wrote a head owns none.
+		out.replies = append(out.replies, reply{call: r.call, kind: replyRecorded})
+		return out
+	}
 	c.pending = append(c.pending, r)
 	c.advance(env, &out)
 	return out
@@ -429,12 +434,11 @@
 	next.floorMs = c.floor(next)
 	var batch []entry
 	touched := make(map[string]bool)
-	released := false
 	added := 0
 	for i, r := range c.pending {
 		if r.kind == requestRelease {
 			if c.head.owner == c.self || len(batch) > 0 {
-				released = true
+				next.owner = executor{}
 				batch = append(batch, entry{r, reply{call: r.call, kind: replyRecorded}})
 			} else {
 				out.replies = append(out.replies, reply{call: r.call, kind: replyRecorded})
@@ -478,9 +482,6 @@
 		}
 	}
 	c.pending = nil
-	if released {
-		next.owner = executor{}
-	}
 	if len(batch) > 0 {
 		c.send(next, batch, out)
 	}
--- a/mcledger/core_test.go
+++ b/mcledger/core_test.go
@@ -251,6 +251,7 @@
 		h, err := decodeHead(object.Value())
 		require.NoError(t, err)
 		require.Empty(t, h.owner.instance)
+		require.Equal(t, uint64(1), l.Counts().Reads, "shards that were not used are not read")
 		require.NoError(t, l.Finish(t.Context(), marigoldcroft.NewActionKey("t", "s", key), grant.AttemptID, marigoldcroft.ActionUnknown, marigoldcroft.ActionOutcome{}))
 		for _, n := range c.nodes {
 			n.cancel()
--- a/mcservice/service.go
+++ b/mcservice/service.go
@@ -61,6 +61,9 @@
 		DialTimeout time.Duration
 		// MaxBodyBytes and MaxAnswerBytes bound bodies, 16 MiB each by default.
 		MaxBodyBytes, MaxAnswerBytes int64
+		// Wrap adds a layer such as tracing to the transport; it may be nil. The layer must
+		// not repeat calls.
+		Wrap func(http.RoundTripper) http.RoundTripper
 	}
 
 	// Client calls plain services over HTTP. It implements marigoldcroft.Service.
@@ -106,14 +109,18 @@
 	setDefault(&cfg.DialTimeout, defaultDialTimeout)
 	setDefault(&cfg.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&cfg.MaxAnswerBytes, defaultMaxAnswerBytes)
+	// Proxy settings of the environment are ignored: services are addressed by IP.
+	var transport http.RoundTripper = &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	if cfg.Wrap != nil {
+		transport = cfg.Wrap(transport)
+	}
 	return &Client{cfg: cfg, http: &http.Client{
-		// Proxy settings of the environment are ignored: services are addressed by IP.
-		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-		},
+		Transport: transport,
 		// A redirect would send a call a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
--- a/mcservice/service_test.go
+++ b/mcservice/service_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 
 	"marigoldcroft"
 	"marigoldcroft/mcledger"
@@ -63,7 +64,9 @@
 				}
 				service.ServeHTTP(w, r)
 			}))
-			client := newClient(t, mcservice.Config{})
+			client := newClient(t, mcservice.Config{Wrap: func(next http.RoundTripper) http.RoundTripper {
+				return otelhttp.NewTransport(next)
+			}})
 			_, err := client.Load(t.Context(), endpoint)
 			require.NoError(t, err)
 			service.SetFaults(c.faults)
