--- a/mcgateway/join_test.go
+++ b/mcgateway/join_test.go
@@ -229,3 +229,23 @@
 		})
 	}
 }
+
+// Guards against requests that fail, or run beside each other, while one with their
+// body is under suspicion; when that one finishes, the others are cleared.
+func TestTwinsOfSuspectWait(t *testing.T) {
+	bubble(t, func(t *testing.T, run func(*bench) *bench) {
+		b := run(newBench(map[string][]string{"a": {"x", "~ x y"}}))
+		b.chat(t.Context(), body("caption", ""))
+		accuse(b, b.engine.sent[0])
+		answers := make(chan string, 3)
+		for range cap(answers) {
+			go func() { answers <- text(b.chat(t.Context(), body("caption", ""))) }()
+		}
+		time.Sleep(500 * time.Millisecond)
+		require.Len(t, b.engine.calls, 2)
+		for range cap(answers) {
+			require.Equal(t, "xy", <-answers)
+		}
+		require.Equal(t, 1, b.scheduler.alone)
+	})
+}
