--- a/mcload/run.go
+++ b/mcload/run.go
@@ -24,6 +24,7 @@
 		report:   newReport(),
 		rng:      rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
 		slots:    make(chan struct{}, settings.MaxCallers),
+		balancer: newBalancer(settings.Targets),
 		client: &http.Client{Transport: &http.Transport{
 			MaxIdleConns: maxIdleConnections, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true,
 		}},
@@ -41,12 +42,20 @@
 	rng      *rand.Rand
 	filler   string
 	client   *http.Client
+	balancer *balancer
 	// slots holds one token for each caller at work.
 	slots   chan struct{}
 	callers sync.WaitGroup
 }
 
 func (g *generator) run(ctx context.Context) {
+	checks, endChecks := context.WithCancel(ctx)
+	var checking sync.WaitGroup
+	if g.settings.HealthChecks {
+		checking.Go(func() { g.balancer.check(checks) })
+	}
+	defer checking.Wait()
+	defer endChecks()
 	start := time.Now()
 	residents, stop := context.WithCancel(ctx)
 	for range g.settings.Resident {
@@ -74,17 +83,17 @@
 		g.report.notSent()
 		return
 	}
-	crest := g.settings.Swing.crest(due)
+	part := g.settings.Swing.part(due)
 	g.callers.Go(func() {
 		defer func() { <-g.slots }()
-		result, tries, total := c.run(ctx)
-		g.report.add(c.class.Name, crest, result, tries, total)
+		result, tries := c.run(ctx)
+		g.report.add(c.class.Name, part, result, tries)
 	})
 }
 
 func (g *generator) caller(class Class, rng *rand.Rand) *caller {
 	return &caller{
-		settings: g.settings, client: g.client, class: class,
+		settings: g.settings, client: g.client, balancer: g.balancer, class: class,
 		prompt: newPrompt(rng, g.filler, class), seed: rng.Uint64(),
 	}
 }
@@ -94,11 +103,11 @@
 	rng := rand.New(rand.NewPCG(seed, seed))
 	for ctx.Err() == nil {
 		c := g.caller(g.settings.ResidentClass, rng)
-		result, tries, total := c.run(ctx)
+		result, tries := c.run(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		g.report.add(c.class.Name, false, result, tries, total)
+		g.report.add(c.class.Name, PartCalm, result, tries)
 		if result.outcome != OutcomeWhole && !pause(ctx, minRetryPause) {
 			return
 		}
--- a/mcmeasure/serving.go
+++ b/mcmeasure/serving.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"marigoldcroft/mcload"
@@ -17,22 +18,22 @@
 	entryCount  = 7
 	// residentJobs is the number of long prompts that run beside short ones.
 	residentJobs = 4
-	calmRate     = 60
-	phase        = 8 * time.Second
+	calmRate     = 25
+	phase        = 15 * time.Second
 	seed         = 20261204
 )
 
-// The policies in the order of the tables.
-var policies = []string{
+// Policies are all policies in the order of the tables.
+var Policies = []string{
 	mcscheduler.PolicyLengthAware, mcscheduler.PolicyLengthBlindFIFO,
 	mcscheduler.PolicyRoundRobin, mcscheduler.PolicyLeastOutstanding,
 }
 
-// engineSettings are those of a stand-in whose prefill is fast enough to fit a run
-// into seconds; ratios between policies do not depend on the speed.
+// engineSettings are those of a stand-in that prefills a short prompt in 0.1 to 0.3 s,
+// so that the load generator and the instances leave most of the machine idle.
 func engineSettings() mcstandin.EngineSettings {
 	return mcstandin.EngineSettings{
-		PrefillRate: 100_000, TokenTime: 5 * time.Millisecond, KVCapacity: 450_000, CacheCapacity: 200_000,
+		PrefillRate: 12_500, TokenTime: 20 * time.Millisecond, KVCapacity: 450_000, CacheCapacity: 200_000,
 		ReportLag: 500 * time.Millisecond,
 	}
 }
@@ -64,17 +65,17 @@
 
 // HeadOfLine measures the time to first token of short requests with and without
 // long jobs, for every policy.
-func HeadOfLine(ctx context.Context, w io.Writer) error {
+func HeadOfLine(ctx context.Context, w io.Writer, policies []string) error {
 	fmt.Fprintln(w, "| policy | short p95 alone ms | short p95 beside long jobs ms | ratio | long whole | long not whole | short not whole |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|")
 	for _, policy := range policies {
 		err := withCluster(ctx, policy, func(c *Cluster) error {
 			mcload.Run(ctx, warmUp(c.Targets))
-			alone := mcload.Run(ctx, load(c.Targets)).Row("short", false)
+			alone := mcload.Run(ctx, load(c.Targets)).Row("short", mcload.PartCalm)
 			beside := load(c.Targets)
 			beside.Resident, beside.Seed = residentJobs, seed+1
 			report := mcload.Run(ctx, beside)
-			short, long := report.Row("short", false), report.Row("long", false)
+			short, long := report.Row("short", mcload.PartCalm), report.Row("long", mcload.PartCalm)
 			fmt.Fprintf(w, "| %s | %.1f | %.1f | %.2f | %d | %d | %d |\n", policy, alone.FirstToken.P95, short.FirstToken.P95,
 				short.FirstToken.P95/alone.FirstToken.P95, long.Outcomes[mcload.OutcomeWhole],
 				long.Callers-long.Outcomes[mcload.OutcomeWhole], short.Callers-short.Outcomes[mcload.OutcomeWhole])
@@ -95,7 +96,7 @@
 }
 
 // Overhead measures what an entry instance adds to a streamed short request.
-func Overhead(ctx context.Context, w io.Writer) error {
+func Overhead(ctx context.Context, w io.Writer, _ []string) error {
 	settings := ClusterSettings{Entries: 1, Engines: 1, Policy: mcscheduler.PolicyLengthAware, Engine: engineSettings()}
 	settings.Engine.PrefillRate = 10_000_000
 	cluster, err := StartCluster(ctx, settings)
@@ -107,8 +108,8 @@
 	direct := load(cluster.EngineTargets)
 	direct.Direct = model
 	mcload.Run(ctx, warmUp(cluster.Targets))
-	a := mcload.Run(ctx, direct).Row("short", false).FirstToken
-	b := mcload.Run(ctx, through).Row("short", false).FirstToken
+	a := mcload.Run(ctx, direct).Row("short", mcload.PartCalm).FirstToken
+	b := mcload.Run(ctx, through).Row("short", mcload.PartCalm).FirstToken
 	fmt.Fprintln(w, "| first token | direct ms | through an entry instance ms | added ms |")
 	fmt.Fprintln(w, "|---|---|---|---|")
 	fmt.Fprintf(w, "| p50 | %.2f | %.2f | %.2f |\n", a.P50, b.P50, b.P50-a.P50)
@@ -118,7 +119,7 @@
 
 // Crest measures urgent short requests when arrivals grow fivefold within 2 s and
 // refused callers retry at once.
-func Crest(ctx context.Context, w io.Writer) error {
+func Crest(ctx context.Context, w io.Writer, policies []string) error {
 	fmt.Fprintln(w, "| policy | calm p95 ms | crest p95 ms | ratio | crest whole | crest refused | crest failed | no outcome |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|")
 	for _, policy := range policies {
@@ -128,10 +129,13 @@
 			s.Resident, s.Rate, s.Duration = residentJobs, crestCalmRate, 3*phase
 			s.Swing = mcload.Swing{Start: phase, Ramp: 2 * time.Second, Length: phase, Factor: 5}
 			report := mcload.Run(ctx, s)
-			calm, crest := report.Row("short", false), report.Row("short", true)
+			if err := report.WriteTable(os.Stderr); err != nil {
+				return err
+			}
+			calm, crest := report.Row("short", mcload.PartCalm), report.Row("short", mcload.PartCrest)
 			fmt.Fprintf(w, "| %s | %.1f | %.1f | %.2f | %d | %d | %d | %d |\n", policy, calm.FirstToken.P95, crest.FirstToken.P95,
 				crest.FirstToken.P95/calm.FirstToken.P95, crest.Outcomes[mcload.OutcomeWhole], crest.Outcomes[mcload.OutcomeRefused],
-				crest.Outcomes[mcload.OutcomeFailed], crest.Outcomes[mcload.OutcomeNone]+report.Skipped())
+				crest.Outcomes[mcload.OutcomeFailed], noOutcome(report))
 			return nil
 		})
 		if err != nil {
@@ -141,15 +145,25 @@
 	return nil
 }
 
-// crestCalmRate leaves the fleet a quarter loaded in the calm, so that the crest is
-// above its capacity.
-const crestCalmRate = 150
+// noOutcome counts the callers that got no whole answer and no error, and those that
+// were not sent.
+func noOutcome(report *mcload.Report) int {
+	n := report.Skipped()
+	for _, row := range report.Rows() {
+		n += row.Outcomes[mcload.OutcomeNone] + row.Outcomes[mcload.OutcomeTruncated] + row.Outcomes[mcload.OutcomeForeign]
+	}
+	return n
+}
+
+// crestCalmRate leaves the fleet two fifths loaded in the calm, so that the crest is
+// at twice its capacity.
+const crestCalmRate = 36
 
 // Goodput measures the share of callers answered whole at rates around capacity.
-func Goodput(ctx context.Context, w io.Writer) error {
+func Goodput(ctx context.Context, w io.Writer, policies []string) error {
 	fmt.Fprintln(w, "| policy | load | callers a second | whole a second | refused | failed | no outcome |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|")
-	for _, policy := range policies[:2] {
+	for _, policy := range policies {
 		for _, factor := range []float64{0.5, 1, 1.5, 2, 3} {
 			err := withCluster(ctx, policy, func(c *Cluster) error { return goodput(ctx, c, w, policy, factor) })
 			if err != nil {
@@ -161,15 +175,15 @@
 }
 
 // sustainableRate is the prefill capacity of the fleet in short requests a second:
-// 16 engines of 100,000 tokens a second over a mean prompt of 2,164 tokens.
-const sustainableRate = 700
+// 16 engines of 12,500 tokens a second over a mean prompt of 2,164 tokens.
+const sustainableRate = 92
 
 func goodput(ctx context.Context, c *Cluster, w io.Writer, policy string, factor float64) error {
 	mcload.Run(ctx, warmUp(c.Targets))
 	s := load(c.Targets)
 	s.Rate = factor * sustainableRate
 	s.Classes[0].Deadline = 3 * time.Second
-	row := mcload.Run(ctx, s).Row("short", false)
+	row := mcload.Run(ctx, s).Row("short", mcload.PartCalm)
 	perSecond := func(n int) float64 { return float64(n) / s.Duration.Seconds() }
 	_, err := fmt.Fprintf(w, "| %s | %.1f | %.0f | %.0f | %d | %d | %d |\n", policy, factor, perSecond(row.Callers),
 		perSecond(row.Outcomes[mcload.OutcomeWhole]), row.Outcomes[mcload.OutcomeRefused], row.Outcomes[mcload.OutcomeFailed], row.Outcomes[mcload.OutcomeNone])
--- a/mcscheduler/admission.go
+++ b/mcscheduler/admission.go
@@ -23,7 +23,7 @@
 func (r *lengthAware) admit(now time.Duration, it *item, at placement, why blocked) (marigoldcroft.Reason, float64, float64) {
 	p, c := it.pool, &r.s.settings
 	service := it.prefillSeconds
-	start, memory := at.wait, 0.0
+	start, memory := at.wait+at.unseen, 0.0
 	if why == placed {
 		service = float64(at.prefill) / at.endpoint.rate()
 	} else {
@@ -32,8 +32,7 @@
 			return marigoldcroft.ReasonShed, start, start
 		}
 	}
-	if it.class == marigoldcroft.ClassShort && it.urgency() == int(marigoldcroft.UrgencyInteractive) &&
-		start > c.UrgentStartLimit.Seconds() {
+	if it.urgentShort() && start > r.startLimit(it) {
 		return marigoldcroft.ReasonShed, start, start
 	}
 	service += p.decodeSeconds(it.work.OutputTokens)
@@ -65,10 +64,11 @@
 		kv += p.lanes[it.lane].kv[level]
 	}
 	if it.class == marigoldcroft.ClassShort {
-		least := -1.0
+		least, priority := -1.0, r.s.priority(it)
 		for _, e := range p.live {
 			rate := e.rate()
-			if w := e.ahead(now, r.s.priority(it), rate) / rate; least < 0 || w < least {
+			before, _ := e.backlog(now, priority, rate)
+			if w := before / rate; least < 0 || w < least {
 				least = w
 			}
 		}
@@ -77,17 +77,18 @@
 		set := p.live[:min(p.longSet.size, len(p.live))]
 		for _, e := range set {
 			rate := e.rate()
-			ahead += e.longAhead(now, rate) / rate
+			_, long := e.backlog(now, 0, rate)
+			ahead += long / rate
 		}
 		wait = ahead / float64(len(set))
 	}
-	memory = max(p.memoryWait(now, kv), r.fitWait(now, it))
+	memory = max(p.memoryWait(now, kv, p.heldSeconds(it)), r.fitWait(now, it))
 	return max(wait, memory), memory
 }
 
 // fitWait predicts the seconds until one endpoint has released enough memory.
 func (r *lengthAware) fitWait(now time.Duration, it *item) float64 {
-	p, least := it.pool, -1.0
+	p, least, held := it.pool, -1.0, it.pool.heldSeconds(it)
 	for _, e := range p.live {
 		if e.capacity < it.kv || it.excludes(e) {
 			continue
@@ -95,7 +96,7 @@
 		free := e.free(now)
 		w := 0.0
 		if used := e.capacity - free; free < it.kv && used > 0 {
-			w = float64(it.kv-free) * p.residence.value / float64(used)
+			w = float64(it.kv-free) * held / float64(used)
 		}
 		if least < 0 || w < least {
 			least = w
--- a/mcscheduler/lengthaware.go
+++ b/mcscheduler/lengthaware.go
@@ -19,8 +19,11 @@
 // lengthAware implements the policy that keeps short work fast beside long work.
 type lengthAware struct{ s *scheduler }
 
-// prepare chooses the lane; within a team and level the earliest deadline goes first.
-func (r *lengthAware) prepare(it *item) {
+// prepare chooses the lane and takes the predicted service time off the deadline; within a team and level the earliest deadline goes first.
+func (r *lengthAware) prepare(now time.Duration, it *item) {
+	if p := it.pool; p.serviceTrusted(now) {
+		it.expiry -= seconds(it.prefillSeconds + p.decodeSeconds(it.work.OutputTokens))
+	}
 	it.level = it.urgency()
 	it.order = int64(it.deadline)
 	switch {
@@ -44,8 +47,8 @@
 	at, why := r.best(now, it, it.pool.longSet.size)
 	if why == blockedBusy || why == blockedMemory {
 		if e := r.lendable(now, it); e != nil {
-			wait := e.ahead(now, r.s.priority(it), e.rate()) / e.rate()
-			return placement{endpoint: e, wait: wait, prefill: it.work.PromptTokens, lent: true}, placed
+			ahead, _ := e.backlog(now, r.s.priority(it), e.rate())
+			return placement{endpoint: e, wait: ahead / e.rate(), prefill: it.work.PromptTokens, lent: true}, placed
 		}
 	}
 	return at, why
@@ -72,6 +75,10 @@
 			}
 			continue
 		}
+		if first > p.longSet.size && i < p.longSet.size {
+			// Short work keeps out of the long set while the rest has room.
+			wait += r.s.settings.ChunkDelay.Seconds()
+		}
 		p.scores[i] = wait + (float64(it.work.PromptTokens)-r.saved(now, it, known, e))/e.rate()
 		least = min(least, p.scores[i])
 	}
@@ -82,7 +89,8 @@
 	wait, _ := r.wait(now, it, e, priority)
 	saved := r.saved(now, it, known, e)
 	return placement{
-		endpoint: e, wait: wait, prefill: it.work.PromptTokens - int64(saved), affine: saved > 0,
+		endpoint: e, wait: wait, unseen: p.unseen(now, e),
+		prefill: it.work.PromptTokens - int64(saved), affine: saved > 0,
 	}, placed
 }
 
@@ -117,9 +125,10 @@
 		return 0, blockedBusy
 	}
 	rate := e.rate()
-	wait := e.ahead(now, priority, rate) / rate
+	ahead, longAhead := e.backlog(now, priority, rate)
+	wait := ahead / rate
 	if long {
-		if !r.longSlot(now, it, e, rate) {
+		if !r.longSlot(now, it, e, rate, longAhead) {
 			return 0, blockedBusy
 		}
 		return wait, placed
@@ -127,7 +136,7 @@
 	if wait > r.s.settings.ShortBacklogLimit.Seconds() {
 		return 0, blockedBusy
 	}
-	if e.longAhead(now, rate) > 0 {
+	if longAhead > 0 {
 		wait += r.s.settings.ChunkDelay.Seconds()
 	}
 	return wait, placed
@@ -135,7 +144,7 @@
 
 // longSlot tells whether long work may be sent now: beside other long prefill up to the
 // cap, or alone behind one that is nearly through.
-func (r *lengthAware) longSlot(now time.Duration, it *item, e *endpoint, rate float64) bool {
+func (r *lengthAware) longSlot(now time.Duration, it *item, e *endpoint, rate, longAhead float64) bool {
 	_, outstanding := e.otherPrefill(now, rate)
 	for p := range shortPriorities {
 		outstanding += float64(e.outstanding[p])
@@ -143,7 +152,7 @@
 	if outstanding+float64(it.work.PromptTokens) <= float64(r.s.settings.LongPrefillCapTokens) {
 		return true
 	}
-	return e.longPrefills <= 1 && e.longAhead(now, rate) <= rate*r.s.settings.LongOverlap.Seconds()
+	return e.longPrefills <= 1 && longAhead <= rate*r.s.settings.LongOverlap.Seconds()
 }
 
 // saved returns the prompt tokens that the endpoint's cache is expected to hold. It is
--- a/mcscheduler/scheduler.go
+++ b/mcscheduler/scheduler.go
@@ -19,6 +19,8 @@
 	// retryInterval is the time between attempts without a change; waiting work may
 	// become due by predicted progress alone.
 	retryInterval = 10 * time.Millisecond
+	// forgetInterval is the time between two searches for outdated records.
+	forgetInterval = 10 * time.Second
 	// maxSpareItems bounds the recycled items.
 	maxSpareItems = 4096
 )
@@ -39,8 +41,8 @@
 
 	// rules is what the policies differ in.
 	rules interface {
-		// prepare sets the lane, the level and the order of a new item.
-		prepare(it *item)
+		// prepare sets the lane, the level, the order and the expiry of a new item.
+		prepare(now time.Duration, it *item)
 		// place chooses an endpoint.
 		place(now time.Duration, it *item) (placement, blocked)
 		// admit returns the reason to refuse the item or "", and its predicted start and
@@ -58,8 +60,10 @@
 	// placement is where an item goes and what is predicted of it.
 	placement struct {
 		endpoint *endpoint
-		// wait is in seconds.
+		// wait and unseen are in seconds; unseen is predicted of peers and affects
+		// admission only, as it is the same for all endpoints.
 		wait    float64
+		unseen  float64
 		prefill int64
 		affine  bool
 		lent    bool
@@ -147,7 +151,7 @@
 	it.class = p.class(&work)
 	it.prefillSeconds = p.prefillSeconds(work.PromptTokens)
 	it.expiry = it.deadline
-	s.rules.prepare(it)
+	s.rules.prepare(now, it)
 	return it
 }
 
@@ -241,8 +245,8 @@
 	}
 	p.prefixes.sent(now, it.work.PrefixHash, at.endpoint)
 	d := it.decision(marigoldcroft.ActionDispatch, marigoldcroft.ReasonNone)
-	d.PredictedStart = seconds(at.wait)
-	d.PredictedFirstToken = seconds(at.wait + float64(at.prefill)/at.endpoint.rate())
+	d.PredictedStart = seconds(at.wait + at.unseen)
+	d.PredictedFirstToken = seconds(at.wait + at.unseen + float64(at.prefill)/at.endpoint.rate())
 	return d
 }
 
--- a/mcscheduler/view.go
+++ b/mcscheduler/view.go
@@ -41,6 +41,7 @@
 		previous load
 		base     load
 		long     bool
+		shorts   int
 	}
 
 	// endpoint is the view of one endpoint. What others have there is a report less
@@ -54,6 +55,10 @@
 		down          bool
 		downAt        time.Duration
 		cost          cost
+		// sampledAt is the time of the last completion that taught cost something.
+		sampledAt time.Duration
+		// rank is the rendezvous hash of the model and the name.
+		rank uint64
 
 		reported    bool
 		incarnation uint64
@@ -90,7 +95,9 @@
 		peerSum   load
 		peerShort float64
 		peerLong  float64
-		peerAt    time.Duration
+		// peerShorts counts peers' short work in flight.
+		peerShorts int
+		peerAt     time.Duration
 	}
 )
 
@@ -135,37 +142,30 @@
 	return short + left, long
 }
 
-// ahead returns the prefill tokens, own and others', that the engine works on before
-// new work of the priority.
-func (e *endpoint) ahead(now time.Duration, priority marigoldcroft.Priority, rate float64) float64 {
-	sum := 0.0
-	for p := priorities - 1; p >= int(priority); p-- {
-		sum += e.remaining[p]
-	}
-	if sum > 0 {
-		sum = max(0, sum-rate*(now-e.settledAt).Seconds())
-	}
-	short, long := e.otherPrefill(now, rate)
-	if priority >= shortPriorities {
-		return sum + short
-	}
-	return sum + short + long
-}
-
-// longAhead returns the long part of the outstanding prefill tokens.
-func (e *endpoint) longAhead(now time.Duration, rate float64) float64 {
-	all, long := 0.0, 0.0
-	for p, left := range e.remaining {
-		all += left
-		if p < shortPriorities {
-			long += left
+// backlog returns the prefill tokens, own and others', that the engine works on before
+// new work of the priority, and the long part of all that is outstanding.
+func (e *endpoint) backlog(now time.Duration, priority marigoldcroft.Priority, rate float64) (ahead, long float64) {
+	if e.own.prefill > 0 {
+		all := 0.0
+		for p := priorities - 1; p >= 0; p-- {
+			all += e.remaining[p]
+			if p >= int(priority) {
+				ahead = all
+			}
+			if p < shortPriorities {
+				long += e.remaining[p]
+			}
 		}
+		worked := rate * (now - e.settledAt).Seconds()
+		ahead = max(0, ahead-worked)
+		long = max(0, min(long, all-worked))
 	}
-	if long > 0 {
-		long = max(0, min(long, all-rate*(now-e.settledAt).Seconds()))
+	otherShort, otherLong := e.otherPrefill(now, rate)
+	ahead += otherShort
+	if priority < shortPriorities {
+		ahead += otherLong
 	}
-	_, other := e.otherPrefill(now, rate)
-	return long + other
+	return ahead, long + otherLong
 }
 
 // settle moves the predicted progress of own prefill up to now, higher priority first.
@@ -182,7 +182,7 @@
 // add reserves what the item needs.
 func (e *endpoint) add(now time.Duration, it *item) {
 	e.settle(now)
-	it.ahead = e.ahead(now, it.priority, e.rate())
+	it.ahead, _ = e.backlog(now, it.priority, e.rate())
 	e.own.count++
 	e.own.kv += it.kv
 	e.own.prefill += it.prefill
@@ -192,6 +192,8 @@
 	it.joinedMark = e.dispatched
 	if it.class == marigoldcroft.ClassShort {
 		e.shorts++
+		e.pool.shorts++
+		e.pool.shortPrefill += it.prefill
 	} else {
 		e.longs++
 		e.longPrefills++
@@ -213,12 +215,19 @@
 		return
 	}
 	it.firstToken = true
-	it.joined = e.dispatched - it.joinedMark
 	e.settle(now)
+	it.joined = e.dispatched - it.joinedMark
+	short, long := e.otherPrefill(now, e.rate())
+	if it.priority < shortPriorities {
+		short += long
+	}
+	it.joined += int64(short)
 	e.own.prefill -= it.prefill
 	e.outstanding[it.priority] -= it.prefill
 	e.remaining[it.priority] = min(e.remaining[it.priority], float64(e.outstanding[it.priority]))
-	if it.class != marigoldcroft.ClassShort {
+	if it.class == marigoldcroft.ClassShort {
+		e.pool.shortPrefill -= it.prefill
+	} else {
 		e.longPrefills--
 	}
 	if e.lent == it {
@@ -233,6 +242,7 @@
 	e.own.kv -= it.kv
 	if it.class == marigoldcroft.ClassShort {
 		e.shorts--
+		e.pool.shorts--
 	} else {
 		e.longs--
 	}
@@ -330,6 +340,7 @@
 		p.previous = p.current
 	}
 	p.at, p.current, p.long = now, current, in.Long > 0
+	p.shorts = in.Short
 	if current == (load{}) && p.base == (load{}) {
 		delete(e.peers, peer)
 	}
@@ -342,10 +353,13 @@
 	e.peerSum, e.peerAt = load{}, now
 	// Whole tokens are summed, as a sum of floats depends on the order of the map.
 	var short, long int64
+	e.pool.peerShorts -= e.peerShorts
+	e.peerShorts = 0
 	rate := e.rate() / float64(max(1, len(e.peers)))
 	for _, p := range e.peers {
 		e.peerSum.count += p.current.count
 		e.peerSum.kv += p.current.kv
+		e.peerShorts += p.shorts
 		left := max(0, p.current.prefill-int64(rate*(now-p.at).Seconds()))
 		if p.long {
 			long += left
@@ -353,5 +367,6 @@
 			short += left
 		}
 	}
+	e.pool.peerShorts += e.peerShorts
 	e.peerShort, e.peerLong = float64(short), float64(long)
 }
