Read the fake engine's calls after synctest.Wait

Cause: TestTwinsOfSuspectWait read them while a request could append. Change: synctest.Wait before the read.

--- a/mcgateway/join_test.go
+++ b/mcgateway/join_test.go
@@ -242,6 +242,7 @@
 			go func() { answers <- text(b.chat(t.Context(), body("caption", ""))) }()
 		}
 		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
 		require.Len(t, b.engine.calls, 2)
 		for range cap(answers) {
 			require.Equal(t, "xy", <-answers)
