Clear suspects whose other attempt was answered whole

Cause: TestCrashingPromptIsQuarantined failed in about 1 of 60 runs: an innocent request stayed a suspect for 10 minutes although it was answered. Its answer was read after the engine's death, or came from the other attempt of a hedged pair that had begun before the death. Change: any whole answer clears its fingerprint, and the attempts that competed with it are not accused; the guard keeps accused streams until their end.

--- a/mcgateway/attempt.go
+++ b/mcgateway/attempt.go
@@ -31,6 +31,8 @@
 	next uint64
 	// recalled is set by the scheduler's recall before the first token; run.mu guards it.
 	recalled bool
+	// sentTo is the endpoint of the last dispatch, or ""; run.mu guards it.
+	sentTo string
 	// wasRecalled is true once any dispatch was recalled, when an engine may have begun.
 	wasRecalled bool
 }
--- a/mcgateway/harness_test.go
+++ b/mcgateway/harness_test.go
@@ -179,6 +179,13 @@
 	return &engineStream{ctx: ctx, words: words, next: from, closed: func() { e.mu.Lock(); e.ends++; e.mu.Unlock() }}, nil
 }
 
+// count returns the number of calls so far.
+func (e *engine) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.calls)
+}
+
 func (e *engine) Generate(ctx context.Context, endpoint marigoldcroft.Endpoint, request marigoldcroft.GenerateRequest) (marigoldcroft.TokenStream, error) {
 	e.mu.Lock()
 	e.sent = append(e.sent, request)
--- a/mcgateway/suspect.go
+++ b/mcgateway/suspect.go
@@ -22,19 +22,29 @@
 )
 
 func (a *attempt) suspectBegins(endpoint marigoldcroft.Endpoint) {
-	if suspects := a.run.gateway.Suspects; suspects != nil {
-		suspects.Begin(time.Now(), endpoint.Name(), a.id, a.run.request.fingerprint)
+	suspects := a.run.gateway.Suspects
+	if suspects == nil {
+		return
 	}
+	suspects.Begin(time.Now(), endpoint.Name(), a.id, a.run.request.fingerprint)
+	a.run.mu.Lock()
+	defer a.run.mu.Unlock()
+	a.sentTo = endpoint.Name()
 }
 
-// suspectEnds clears a suspect that finished. After a refused dial nothing ran, and the
-// refusal is evidence of the endpoint's death.
+// suspectEnds clears a suspect that finished, also of what its hedged attempt may be
+// accused of. After a refused dial nothing ran, and the refusal is evidence of the
+// endpoint's death.
 func (a *attempt) suspectEnds(endpoint marigoldcroft.Endpoint, err error) {
 	g := a.run.gateway
 	if g.Suspects == nil {
 		return
 	}
-	if cleared := g.Suspects.End(time.Now(), endpoint.Name(), a.id, err == nil); len(cleared) > 0 {
+	cleared := g.Suspects.End(time.Now(), endpoint.Name(), a.id, err == nil)
+	if err == nil {
+		cleared = append(cleared, a.run.clearOthers(a)...)
+	}
+	if len(cleared) > 0 {
 		g.background(announceTimeout, func(ctx context.Context) { g.announce(ctx, cleared) })
 	}
 	if refusedDial(err) {
@@ -42,6 +52,19 @@
 	}
 }
 
+// clearOthers ends suspicion of the attempts that competed with the one that finished.
+func (r *run) clearOthers(finished *attempt) []*mcmessage.QuarantineEntry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var cleared []*mcmessage.QuarantineEntry
+	for _, other := range r.racing {
+		if other != finished && other.sentTo != "" {
+			cleared = append(cleared, r.gateway.Suspects.End(time.Now(), other.sentTo, other.id, true)...)
+		}
+	}
+	return cleared
+}
+
 func (g *Gateway) streamCut(endpoint marigoldcroft.Endpoint, id marigoldcroft.StreamID) {
 	if g.Suspects != nil {
 		g.Suspects.Cut(time.Now(), endpoint.Name(), id)
--- a/mcquarantine/death.go
+++ b/mcquarantine/death.go
@@ -23,6 +23,9 @@
 		begun       time.Time
 		// cut is when the stream broke, or zero.
 		cut time.Time
+		// accused is true after the endpoint's death. The stream's end may be read only
+		// later; if it is whole, the request had finished and is cleared.
+		accused bool
 	}
 )
 
@@ -41,6 +44,10 @@
 	if !known {
 		return
 	}
+	if f.accused {
+		delete(p.running, id)
+		return
+	}
 	f.cut = now
 	p.running[id] = f
 	if p.firstCut.IsZero() {
@@ -84,11 +91,15 @@
 func (g *Guard) accuse(now time.Time, p *endpoint) []*mcmessage.QuarantineEntry {
 	accused := make(map[Fingerprint]bool)
 	for id, f := range p.running {
-		if f.begun.After(p.firstCut) {
+		if f.accused || f.begun.After(p.firstCut) {
 			continue
 		}
 		accused[f.fingerprint] = true
-		delete(p.running, id)
+		if f.accused = true; f.cut.IsZero() {
+			p.running[id] = f
+		} else {
+			delete(p.running, id)
+		}
 	}
 	p.firstCut = time.Time{}
 	messages := make([]*mcmessage.QuarantineEntry, 0, len(accused))
--- a/mcquarantine/guard.go
+++ b/mcquarantine/guard.go
@@ -34,8 +34,6 @@
 		cleared     bool
 		version     uint64
 		expires     time.Time
-		// accused is when this instance learned of the last crash.
-		accused time.Time
 		// runner is the request that runs this suspect here, or "".
 		runner string
 	}
@@ -106,9 +104,9 @@
 	g.endpoint(endpointName).running[id] = flight{fingerprint: f, begun: now}
 }
 
-// End notes that an attempt ended. A finished one clears a suspect when it began after
-// the last crash; it returns the cleared entry for the peers. An attempt that Cut was
-// called for stays under suspicion until the endpoint's fate is known.
+// End notes that an attempt ended. A finished one clears a suspect, as its request can
+// be answered without a crash; it returns the cleared entry for the peers. An attempt
+// that Cut was called for stays under suspicion until the endpoint's fate is known.
 func (g *Guard) End(now time.Time, endpointName string, id marigoldcroft.StreamID, finished bool) []*mcmessage.QuarantineEntry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -119,7 +117,7 @@
 	}
 	delete(p.running, id)
 	e := g.entries[f.fingerprint]
-	if !finished || e == nil || e.quarantined || e.crashes == 0 || f.begun.Before(e.accused) {
+	if !finished || e == nil || e.quarantined || e.crashes == 0 {
 		return nil
 	}
 	e.clear(now)
@@ -193,7 +191,6 @@
 	e.crashes++
 	e.cleared = false
 	e.quarantined = e.crashes >= crashLimit
-	e.accused = now
 	e.change(now)
 }
 
--- a/mcquarantine/merge.go
+++ b/mcquarantine/merge.go
@@ -18,14 +18,14 @@
 		if !now.Before(expires) || expires.After(now.Add(2*quarantineFor)) {
 			continue
 		}
-		if g.entryOf(now, Fingerprint(m.GetFingerprint())).merge(now, m, expires) {
+		if g.entryOf(now, Fingerprint(m.GetFingerprint())).merge(m, expires) {
 			changed++
 		}
 	}
 	return changed
 }
 
-func (e *entry) merge(now time.Time, m *mcmessage.QuarantineEntry, expires time.Time) bool {
+func (e *entry) merge(m *mcmessage.QuarantineEntry, expires time.Time) bool {
 	if m.GetVersion() < e.version {
 		return false
 	}
@@ -44,9 +44,6 @@
 	if next == *e {
 		return false
 	}
-	if next.crashes > e.crashes {
-		next.accused = now
-	}
 	*e = next
 	return true
 }
