Test team limits at the gateway; keep seen text in a builder

Cause: no test sent requests through the limits; the text that a deterministic restart repeats was copied for each token. Change: TestTeamLimits (refusal, release, no charge for what did not run); strings.Builder for the seen text.

--- a/mcgateway/harness_test.go
+++ b/mcgateway/harness_test.go
@@ -44,7 +44,7 @@
 
 func (c config) TeamByKeyHash(hash string) (marigoldcroft.Team, bool) {
 	names := []string{"caption", "print", "dossier", "orders"}
-	team := marigoldcroft.TeamSpec{Name: "studio", Templates: names, Concurrency: 100}
+	team := marigoldcroft.TeamSpec{Name: "studio", Templates: names, Concurrency: 100, TokensPerSecond: 1000, BurstTokens: 100_000}
 	return marigoldcroft.NewTeam(team), hash == mcgateway.KeyHash(callerKey)
 }
 
--- a/mcgateway/input_test.go
+++ b/mcgateway/input_test.go
@@ -12,6 +12,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,7 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcgateway"
+	"marigoldcroft/mclimit"
 	"marigoldcroft/mcstore"
 )
 
@@ -97,6 +99,30 @@
 	})
 }
 
+// Guards against team limits that are not applied, that are not released, or that
+// charge work that did not run: with one request at once, the second is refused until
+// the first has ended, and refused ones use no tokens.
+func TestTeamLimits(t *testing.T) {
+	bubble(t, func(t *testing.T, run func(*bench) *bench) {
+		b := run(newBench(map[string][]string{"a": {"~ x", "x"}}))
+		b.Teams = &mclimit.Limiter{Allotment: func(string) float64 { return 0.01 }}
+		first := make(chan int, 1)
+		go func() { first <- b.chat(t.Context(), body("caption", "")).Code }()
+		synctest.Wait()
+		w := b.chat(t.Context(), body("caption", ""))
+		require.Equal(t, http.StatusTooManyRequests, w.Code)
+		require.NotEmpty(t, w.Header().Get("Retry-After"))
+		require.Equal(t, mcgateway.CodeTeamLimit, outcome(t, w.Body.String()).Code)
+		require.True(t, outcome(t, w.Body.String()).NotRun)
+		require.Equal(t, http.StatusOK, <-first)
+		b.scheduler.refusals = 50
+		for range 50 {
+			require.Equal(t, http.StatusServiceUnavailable, b.chat(t.Context(), body("caption", "")).Code)
+		}
+		require.Equal(t, http.StatusOK, b.chat(t.Context(), body("caption", "")).Code)
+	})
+}
+
 // jobs is a store of one job that answers with the error.
 type jobs struct {
 	submission marigoldcroft.JobSubmission
--- a/mcgateway/race.go
+++ b/mcgateway/race.go
@@ -141,5 +141,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.winner, r.racing = nil, nil
-	r.replay = r.seen
+	r.replay = r.seen.String()
 }
--- a/mcgateway/run.go
+++ b/mcgateway/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,9 +49,10 @@
 		serial, suspended bool
 		// seen is what was delivered, kept for a deterministic request; replay is the
 		// part of it that a restarted attempt has yet to repeat.
-		seen, replay string
-		end          answerEnd
-		class        marigoldcroft.Class
+		seen   strings.Builder
+		replay string
+		end    answerEnd
+		class  marigoldcroft.Class
 
 		mu sync.Mutex
 		// racing holds the attempts that run now; winner is the one that is delivered.
@@ -256,7 +258,7 @@
 	}
 	r.started = true
 	if r.request.deterministic() {
-		r.seen += text
+		r.seen.WriteString(text)
 	}
 	return r.out.token(text)
 }
