Add durable jobs

Cause: the gateway submits, reads and runs jobs, but nothing kept them. Result: go test -race ./mcjob and make check pass; so far only the example tests the package.

--- /dev/null
+++ b/mcjob/jobs_command.go
@@ -0,0 +1,212 @@
+package mcjob
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"marigoldcroft"
+	"marigoldcroft/mcstore"
+)
+
+// cancelAttempts bounds the tries of a cancellation against other writers, of which a
+// job has few.
+const cancelAttempts = 10
+
+// Submit returns after the job is recorded in the store. A submission with a key that
+// was recorded before returns that job. An error of the kind refused or invalid says
+// that this submission recorded nothing; after one of the kind unknown the job may run.
+func (j *Jobs) Submit(ctx context.Context, submission marigoldcroft.JobSubmission) (marigoldcroft.JobStatus, error) {
+	j.init()
+	status, err := j.submit(ctx, submission)
+	if IsKind(err, KindRefused) || IsKind(err, KindInvalid) {
+		j.counts.refused.Add(1)
+	}
+	return status, err
+}
+
+func (j *Jobs) submit(ctx context.Context, submission marigoldcroft.JobSubmission) (marigoldcroft.JobStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitLimit)
+	defer cancel()
+	id := jobID(submission.Team, submission.Key)
+	hash := digest([]byte(submission.Template), submission.Body)
+	if submission.Key != "" {
+		status, found, err := j.recorded(ctx, id, hash)
+		if found || err != nil {
+			return status, err
+		}
+	}
+	if err := j.check(submission); err != nil {
+		return marigoldcroft.JobStatus{}, err
+	}
+	compressed, err := compress(submission.Body)
+	if err != nil {
+		return marigoldcroft.JobStatus{}, marigoldcroft.NewFailure("submit job", KindInvalid, err)
+	}
+	document := &document{
+		Format: documentFormat, ID: id, Team: submission.Team, Template: submission.Template,
+		TemplateRevision: submission.TemplateRevision, State: marigoldcroft.JobAccepted,
+		Created: time.Now().UTC(), Deadline: submission.Deadline, AcceptedBy: j.self, Hash: hash,
+	}
+	j.budget.charge(jobWrites(len(split(compressed))) - 1)
+	document.Prompt, err = j.store.writeChunks(ctx, promptPrefix, id, uuid.NewString(), compressed, false)
+	if err != nil {
+		// The job object is not written, whatever became of the chunk.
+		j.dropPrompt(document)
+		return marigoldcroft.JobStatus{}, notRecorded(err)
+	}
+	return j.record(ctx, document)
+}
+
+// check refuses what cannot be accepted now. It takes one write from the budget.
+func (j *Jobs) check(submission marigoldcroft.JobSubmission) error {
+	j.mu.Lock()
+	stopped := j.stopped
+	j.mu.Unlock()
+	switch {
+	case len(submission.Body) > MaxBodyBytes:
+		return refused(KindInvalid, mcstore.KindTooLarge,
+			fmt.Sprintf("the body has %d bytes; at most %d are allowed", len(submission.Body), MaxBodyBytes))
+	case !submission.Deadline.After(time.Now()):
+		return refused(KindInvalid, mcstore.KindUnavailable, "the deadline has passed")
+	case stopped:
+		return refused(KindRefused, mcstore.KindUnavailable, "this instance takes no new jobs")
+	case !j.budget.admit():
+		return refused(KindRefused, mcstore.KindBudget, "the share of store writes for jobs is used up")
+	}
+	return nil
+}
+
+// notRecorded keeps the kind of a store that refused the call; a lost answer of a chunk
+// says nothing more than that the job was not recorded.
+func notRecorded(err error) error {
+	if kind := marigoldcroft.FailureKind[mcstore.Kind](err); kind == mcstore.KindBudget || kind == mcstore.KindUnavailable {
+		return marigoldcroft.NewFailure("submit job", KindRefused, err)
+	}
+	return refused(KindRefused, mcstore.KindUnavailable, err.Error())
+}
+
+// record writes the job object; the conditional create decides between submissions
+// with the same key.
+func (j *Jobs) record(ctx context.Context, d *document) (marigoldcroft.JobStatus, error) {
+	value, err := d.encode()
+	if err != nil {
+		return marigoldcroft.JobStatus{}, marigoldcroft.NewFailure("submit job", KindInvalid, err)
+	}
+	version, err := j.store.put(ctx, jobKey(d.ID), value, "", false)
+	switch {
+	case err == nil:
+		j.counts.accepted.Add(1)
+		j.offer(claimable{d, version})
+		return d.status(), nil
+	case errors.Is(err, errReplaced):
+		return j.afterConflict(ctx, d)
+	case IsKind(err, KindUnknown):
+		return marigoldcroft.JobStatus{}, unknown("submit job", err)
+	}
+	j.dropPrompt(d)
+	return marigoldcroft.JobStatus{}, notRecorded(err)
+}
+
+// afterConflict finds out whose job object exists: that of another submission, or this
+// one's, which an owner has updated since the answer was lost.
+func (j *Jobs) afterConflict(ctx context.Context, d *document) (marigoldcroft.JobStatus, error) {
+	existing, _, err := j.read(ctx, d.ID)
+	if err != nil {
+		return marigoldcroft.JobStatus{}, unknown("submit job", err)
+	}
+	if existing.Prompt.Name == d.Prompt.Name {
+		j.counts.accepted.Add(1)
+		return existing.status(), nil
+	}
+	j.dropPrompt(d)
+	return sameJob(existing, d.Hash)
+}
+
+// recorded looks for the job of a key. If it cannot be read, an earlier submission may
+// have been recorded, so that no error may say that nothing was.
+func (j *Jobs) recorded(ctx context.Context, id string, hash []byte) (marigoldcroft.JobStatus, bool, error) {
+	existing, _, err := j.read(ctx, id)
+	switch {
+	case mcstore.IsNotFound(err):
+		return marigoldcroft.JobStatus{}, false, nil
+	case err != nil:
+		return marigoldcroft.JobStatus{}, false, unknown("submit job", err)
+	}
+	status, err := sameJob(existing, hash)
+	return status, true, err
+}
+
+func sameJob(existing *document, hash []byte) (marigoldcroft.JobStatus, error) {
+	if !bytes.Equal(existing.Hash, hash) {
+		return marigoldcroft.JobStatus{}, marigoldcroft.NewFailure("submit job", KindKeyReused, nil)
+	}
+	return existing.status(), nil
+}
+
+// dropPrompt removes the chunks of a submission that was not recorded, in the
+// background. What it misses is an orphan.
+func (j *Jobs) dropPrompt(d *document) {
+	j.background(func() {
+		if err := j.store.removeChunks(j.life, promptPrefix, d.ID, d.Prompt); err != nil {
+			j.Log.Debug().Str("job", d.ID).Err(err).Msg("jobPromptNotRemoved")
+		}
+	})
+}
+
+// Cancel ends a job that has not ended; its owner notices and stops. Cancelling a
+// cancelled job succeeds.
+func (j *Jobs) Cancel(ctx context.Context, id string) error {
+	const operation = "cancel job"
+	j.init()
+	for range cancelAttempts {
+		document, version, err := j.read(ctx, id)
+		switch {
+		case err != nil:
+			return readFailure(operation, err)
+		case document.State == marigoldcroft.JobCancelled:
+			return nil
+		case document.State.Final():
+			return marigoldcroft.NewFailure(operation, KindEnded, errors.Newf("its state is %s", document.State))
+		}
+		err = j.finish(ctx, claimable{document, version}, document.ended(marigoldcroft.JobCancelled, ""), false)
+		switch {
+		case err == nil:
+			j.stopClaim(id, errLostClaim)
+			return nil
+		case IsKind(err, KindUnknown):
+			return unknown(operation, err)
+		case !errors.Is(err, errReplaced):
+			return marigoldcroft.NewFailure(operation, KindUnavailable, err)
+		}
+	}
+	return marigoldcroft.NewFailure(operation, KindUnavailable, errors.New("other writers were faster"))
+}
+
+// finish writes a final state over the version in from and counts it.
+func (j *Jobs) finish(ctx context.Context, from claimable, next *document, persist bool) error {
+	value, err := next.encode()
+	if err != nil {
+		return err
+	}
+	if _, err := j.store.put(ctx, jobKey(next.ID), value, from.version, persist); err != nil {
+		return err
+	}
+	switch next.State {
+	case marigoldcroft.JobDone:
+		j.counts.done.Add(1)
+	case marigoldcroft.JobFailed:
+		j.counts.failed.Add(1)
+	case marigoldcroft.JobExpired:
+		j.counts.expired.Add(1)
+	case marigoldcroft.JobCancelled:
+		j.counts.cancelled.Add(1)
+	}
+	j.Log.Info().Str("job", next.ID).Str("team", next.Team).Str("state", string(next.State)).
+		Uint64("epoch", next.Epoch).Str("error", next.Error).Msg("jobEnded")
+	return nil
+}
--- /dev/null
+++ b/mcjob/run.go
@@ -0,0 +1,312 @@
+package mcjob
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"marigoldcroft"
+	"marigoldcroft/mcstore"
+)
+
+var (
+	// errLostClaim ends a run whose job object another write has replaced.
+	errLostClaim = errors.New("the job is no longer owned here")
+	// errReleased ends a run at a planned stop.
+	errReleased = errors.New("the instance stops")
+)
+
+type (
+	// claim is a job that this instance runs or is about to run.
+	claim struct {
+		claimable
+		stop context.CancelCauseFunc
+		// settled is closed when this instance writes nothing more for the claim.
+		settled chan struct{}
+	}
+
+	runResult struct {
+		answer string
+		err    error
+	}
+)
+
+// offer starts a job, or lets it wait for a place.
+func (j *Jobs) offer(c claimable) {
+	if j.tryClaim(c) {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	same := func(w claimable) bool { return w.document.ID == c.document.ID }
+	if i := slices.IndexFunc(j.waiting, same); i >= 0 {
+		j.waiting[i] = c
+	} else if !j.stopped && len(j.waiting) < maxWaiting {
+		j.waiting = append(j.waiting, c)
+	}
+}
+
+// tryClaim starts an owner goroutine if a place is free. It returns false if there is
+// none.
+func (j *Jobs) tryClaim(c claimable) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	id := c.document.ID
+	if j.stopped || len(j.held) >= j.MaxRunning {
+		return false
+	}
+	if j.held[id] != nil {
+		return true
+	}
+	ctx, stop := context.WithCancelCause(j.life)
+	held := &claim{claimable: c, stop: stop, settled: make(chan struct{})}
+	j.held[id] = held
+	j.owners.Go(func() {
+		defer stop(nil)
+		j.own(ctx, held)
+		j.free(id)
+	})
+	return true
+}
+
+// free gives the place of a job to the next one that waits.
+func (j *Jobs) free(id string) {
+	j.mu.Lock()
+	delete(j.held, id)
+	var next *claimable
+	if len(j.waiting) > 0 {
+		next = &j.waiting[0]
+		j.waiting = j.waiting[1:]
+	}
+	j.mu.Unlock()
+	if next != nil {
+		j.offer(*next)
+	}
+}
+
+// background runs f until the end of Run at the latest.
+func (j *Jobs) background(f func()) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.life.Err() == nil {
+		j.owners.Go(f)
+	}
+}
+
+func (j *Jobs) stopClaim(id string, cause error) {
+	j.mu.Lock()
+	held := j.held[id]
+	j.mu.Unlock()
+	if held != nil {
+		held.stop(cause)
+	}
+}
+
+// own claims the job, runs it and writes its end. It returns when the runner has.
+func (j *Jobs) own(ctx context.Context, c *claim) {
+	if !j.claim(c) {
+		close(c.settled)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.document.Deadline)
+	defer cancel()
+	watchCtx, endWatch := context.WithCancel(ctx)
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		j.watch(watchCtx, c)
+	}()
+	results := make(chan runResult, 1)
+	go func() { results <- j.run(ctx, c.document) }()
+	result, returned := await(ctx, results)
+	endWatch()
+	<-watched
+	j.settle(ctx, c, result)
+	close(c.settled)
+	if !returned {
+		// A runner that ignores its context keeps its place, so that the bound on running
+		// jobs holds.
+		<-results
+	}
+}
+
+// await returns the runner's result, or the cause of the end of ctx if the runner does
+// not return within StopGrace after it.
+func await(ctx context.Context, results <-chan runResult) (runResult, bool) {
+	select {
+	case result := <-results:
+		return result, true
+	case <-ctx.Done():
+	}
+	timer := time.NewTimer(StopGrace)
+	defer timer.Stop()
+	select {
+	case result := <-results:
+		return result, true
+	case <-timer.C:
+		return runResult{err: context.Cause(ctx)}, false
+	}
+}
+
+// claim takes the job over by a conditional update. A claim whose answer was lost is
+// settled first; nobody else takes it while this instance lives.
+func (j *Jobs) claim(c *claim) bool {
+	next := *c.document
+	takenOver := next.Epoch > 0
+	next.State, next.Owner = marigoldcroft.JobRunning, j.self
+	next.Epoch++
+	value, err := next.encode()
+	if err != nil {
+		return false
+	}
+	if takenOver {
+		j.budget.charge(1)
+	}
+	version, err := j.store.put(j.life, jobKey(next.ID), value, c.version, false)
+	if err != nil {
+		if !errors.Is(err, errReplaced) {
+			j.Log.Debug().Str("job", next.ID).Err(err).Msg("jobNotClaimed")
+		}
+		return false
+	}
+	c.claimable = claimable{&next, version}
+	j.counts.claimed.Add(1)
+	if takenOver {
+		j.counts.takenOver.Add(1)
+	}
+	return true
+}
+
+// watch stops the run when the job object is changed by anyone else.
+func (j *Jobs) watch(ctx context.Context, c *claim) {
+	for attempt := 0; ctx.Err() == nil; {
+		start := time.Now()
+		object, err := j.store.watch(ctx, jobKey(c.document.ID), c.version, watchWait)
+		switch {
+		case mcstore.IsNotFound(err), err == nil && object.Version() != c.version:
+			c.stop(errLostClaim)
+			return
+		case err == nil:
+			attempt = 0
+			sleep(ctx, time.Until(start.Add(minWatch)))
+		default:
+			pause(ctx, attempt)
+			attempt++
+		}
+	}
+}
+
+// run reads the body and calls the runner.
+func (j *Jobs) run(ctx context.Context, d *document) runResult {
+	body, err := j.body(ctx, d)
+	if err != nil {
+		return runResult{err: err}
+	}
+	answer, err := j.Runner.RunJob(ctx, d.status(), body)
+	if err == nil && len(answer) > MaxBodyBytes {
+		err = errors.Newf("the answer has %d bytes; at most %d are kept", len(answer), MaxBodyBytes)
+	}
+	return runResult{answer, err}
+}
+
+// body reads the prompt, and waits for a store that is down. A chunk that is missing
+// or damaged will not come back.
+func (j *Jobs) body(ctx context.Context, d *document) ([]byte, error) {
+	for attempt := 0; ; attempt++ {
+		body, err := j.store.readChunks(ctx, promptPrefix, d.ID, d.Prompt)
+		if err == nil || mcstore.IsNotFound(err) || IsKind(err, KindUnreadable) {
+			return body, errors.Wrap(err, "the prompt cannot be read")
+		}
+		if !pause(ctx, attempt) {
+			return nil, errors.Wrap(err, "the prompt could not be read in time")
+		}
+	}
+}
+
+// settle writes what became of the run. Each write is conditional on the version that
+// the claim made, so that it has no effect if the job is no longer owned here.
+func (j *Jobs) settle(ctx context.Context, c *claim, result runResult) {
+	var err error
+	switch cause := context.Cause(ctx); {
+	case j.life.Err() != nil:
+		return
+	case errors.Is(cause, errLostClaim):
+		err = errReplaced
+	case result.err == nil:
+		err = j.done(c, result.answer)
+	case errors.Is(cause, errReleased):
+		err = j.release(c)
+	case errors.Is(cause, context.DeadlineExceeded):
+		err = j.finish(j.life, c.claimable, c.document.ended(marigoldcroft.JobExpired, "the deadline passed: "+result.err.Error()), true)
+	default:
+		err = j.finish(j.life, c.claimable, c.document.ended(marigoldcroft.JobFailed, result.err.Error()), true)
+	}
+	if err != nil {
+		j.counts.lostClaims.Add(1)
+		j.Log.Info().Str("job", c.document.ID).Uint64("epoch", c.document.Epoch).Err(err).Msg("jobClaimLost")
+	}
+}
+
+// done records the answer, in chunks if it is too large for the job object.
+func (j *Jobs) done(c *claim, answer string) error {
+	compressed, err := compress([]byte(answer))
+	if err != nil {
+		return err
+	}
+	next := c.document.ended(marigoldcroft.JobDone, "")
+	if len(compressed) <= inlineAnswerBytes {
+		next.Answer = compressed
+		return j.finish(j.life, c.claimable, next, true)
+	}
+	j.budget.charge(2 * len(split(compressed)))
+	next.Answers, err = j.store.writeChunks(j.life, answerPrefix, next.ID, uuid.NewString(), compressed, true)
+	if err != nil {
+		return err
+	}
+	return j.finish(j.life, c.claimable, next, true)
+}
+
+// release clears the owner and keeps the epoch.
+func (j *Jobs) release(c *claim) error {
+	next := *c.document
+	next.State, next.Owner, next.AcceptedBy = marigoldcroft.JobAccepted, owner{}, owner{}
+	value, err := next.encode()
+	if err != nil {
+		return err
+	}
+	j.budget.charge(1)
+	if _, err := j.store.put(j.life, jobKey(next.ID), value, c.version, true); err != nil {
+		return err
+	}
+	j.counts.released.Add(1)
+	return nil
+}
+
+// Release takes no new jobs and gives up the claims of this instance, for a planned
+// stop: runners are stopped, and other instances claim their jobs at their next sweep.
+// Run must go on until it returns.
+func (j *Jobs) Release(ctx context.Context) error {
+	j.init()
+	j.mu.Lock()
+	j.stopped, j.waiting = true, nil
+	held := make([]*claim, 0, len(j.held))
+	for _, c := range j.held {
+		held = append(held, c)
+	}
+	j.mu.Unlock()
+	for _, c := range held {
+		c.stop(errReleased)
+	}
+	for i, c := range held {
+		select {
+		case <-c.settled:
+		case <-ctx.Done():
+			return marigoldcroft.NewFailure("release jobs", KindUnavailable,
+				errors.Newf("up to %d jobs were not released", len(held)-i))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/mcjob/store.go
@@ -0,0 +1,243 @@
+package mcjob
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldcroft"
+	"marigoldcroft/mcstore"
+)
+
+const (
+	retryBase = 50 * time.Millisecond
+	// retryMax bounds the time for which a recovered store goes unused.
+	retryMax = 2 * time.Second
+	// callTimeout bounds one call. It exceeds what mcstore.Client takes to settle a write
+	// with its default call timeout.
+	callTimeout = 15 * time.Second
+	// listLimit is the number of keys of one list call.
+	listLimit = 1000
+)
+
+// errReplaced means that another write has replaced the object since.
+var errReplaced = errors.New("the object was replaced by another write")
+
+type (
+	// storeCounts counts calls and the bytes of values.
+	storeCounts struct {
+		gets, lists, watches, puts, deletes, readBytes, writtenBytes, lost, conflicts atomic.Uint64
+	}
+
+	// countedStore makes the store calls of one instance and settles writes whose
+	// answer was lost.
+	countedStore struct {
+		store  marigoldcroft.ObjectStore
+		self   owner
+		budget *budget
+		counts storeCounts
+		// lastWrite makes write ids unique within the incarnation.
+		lastWrite atomic.Uint64
+	}
+)
+
+func (s *countedStore) get(ctx context.Context, key string) (marigoldcroft.Object, error) {
+	s.counts.gets.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	object, err := s.store.Get(ctx, key)
+	s.counts.readBytes.Add(uint64(len(object.Value())))
+	return object, err
+}
+
+func (s *countedStore) watch(ctx context.Context, key string, known marigoldcroft.Version, wait time.Duration) (marigoldcroft.Object, error) {
+	s.counts.watches.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	object, err := s.store.Watch(ctx, key, known, wait)
+	s.counts.readBytes.Add(uint64(len(object.Value())))
+	return object, err
+}
+
+// list returns all keys with the prefix.
+func (s *countedStore) list(ctx context.Context, prefix string) ([]marigoldcroft.ObjectEntry, error) {
+	var all []marigoldcroft.ObjectEntry
+	for after := ""; ; after = all[len(all)-1].Key {
+		entries, err := s.listPage(ctx, prefix, after)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, entries...)
+		if len(entries) < listLimit {
+			return all, nil
+		}
+	}
+}
+
+func (s *countedStore) listPage(ctx context.Context, prefix, after string) ([]marigoldcroft.ObjectEntry, error) {
+	s.counts.lists.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.store.List(ctx, prefix, after, listLimit)
+}
+
+// remove deletes the object at the version. An object that is gone or replaced is no
+// error: another instance has dealt with it.
+func (s *countedStore) remove(ctx context.Context, key string, version marigoldcroft.Version) error {
+	s.counts.deletes.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := s.store.Delete(ctx, key, version, s.writeID())
+	if mcstore.IsNotFound(err) || mcstore.IsConflict(err) {
+		return nil
+	}
+	return err
+}
+
+func (s *countedStore) writeID() string {
+	return fmt.Sprintf("%s/%d/job/%d", s.self.Instance, s.self.Incarnation, s.lastWrite.Add(1))
+}
+
+// put writes value if the current version is expected, and resolves a lost answer by
+// reading back. While the object is still at the expected version, a lost write may be
+// on its way; it is sent again with the same id, and at most one copy takes effect.
+// With persist, a store that is down is waited for until ctx ends.
+//
+// The error is errReplaced after a conflict, of kind unknown if the write may have
+// taken effect or may yet do so, and any other error excludes that.
+func (s *countedStore) put(ctx context.Context, key string, value []byte, expected marigoldcroft.Version, persist bool) (marigoldcroft.Version, error) {
+	writeID := s.writeID()
+	uncertain := false
+	for attempt := 0; ; attempt++ {
+		if attempt > 0 {
+			s.budget.charge(1)
+		}
+		version, err := s.putOnce(ctx, key, value, expected, writeID)
+		kind := marigoldcroft.FailureKind[mcstore.Kind](err)
+		switch {
+		case err == nil:
+			return version, nil
+		case kind == mcstore.KindTooLarge, kind == mcstore.KindBadKey:
+			return "", err
+		case kind == mcstore.KindConflict && !uncertain:
+			s.counts.conflicts.Add(1)
+			return "", errReplaced
+		case kind == mcstore.KindUnavailable, kind == mcstore.KindBudget:
+			if !uncertain && !persist {
+				return "", err
+			}
+		default:
+			// A conflict after a lost answer may come from the first copy. An error without a
+			// kind says nothing about the effect.
+			if kind != mcstore.KindConflict {
+				uncertain = true
+				s.counts.lost.Add(1)
+			}
+			version, settled, replaced := s.readBack(ctx, key, expected, writeID)
+			if settled {
+				return version, nil
+			}
+			if replaced {
+				s.counts.conflicts.Add(1)
+				return "", errReplaced
+			}
+		}
+		if !pause(ctx, attempt) {
+			if uncertain {
+				return "", unknown("put "+key, err)
+			}
+			return "", marigoldcroft.NewFailure("put "+key, mcstore.KindUnavailable, err)
+		}
+	}
+}
+
+func (s *countedStore) putOnce(ctx context.Context, key string, value []byte, expected marigoldcroft.Version, writeID string) (marigoldcroft.Version, error) {
+	s.counts.puts.Add(1)
+	s.counts.writtenBytes.Add(uint64(len(value)))
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.store.Put(ctx, key, value, expected, writeID)
+}
+
+// readBack tells whether the write has taken effect, or the object has another version
+// than the write expects, so that it can no longer do so.
+func (s *countedStore) readBack(ctx context.Context, key string, expected marigoldcroft.Version, writeID string) (version marigoldcroft.Version, settled, replaced bool) {
+	object, err := s.get(ctx, key)
+	switch {
+	case err != nil && !mcstore.IsNotFound(err):
+		return "", false, false
+	case err == nil && object.WriteID() == writeID:
+		return object.Version(), true, false
+	}
+	return "", false, object.Version() != expected
+}
+
+// pause waits with jitter before the next try; it returns false when ctx ends.
+func pause(ctx context.Context, attempt int) bool {
+	mean := min(retryBase<<min(attempt, 10), retryMax)
+	return sleep(ctx, mean/2+rand.N(mean))
+}
+
+// sleep returns false when ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// writeChunks stores the compressed body under a new set name. A conflict after a lost
+// answer shows that the chunk is there, as nobody else uses the name.
+func (s *countedStore) writeChunks(ctx context.Context, prefix, id string, name string, compressed []byte, persist bool) (chunkSet, error) {
+	set := chunkSet{Name: name}
+	for _, chunk := range split(compressed) {
+		if _, err := s.put(ctx, chunkKey(prefix, id, name, set.Count), chunk, "", persist); err != nil {
+			return set, err
+		}
+		set.Count++
+	}
+	return set, nil
+}
+
+// readChunks returns the body of a set.
+func (s *countedStore) readChunks(ctx context.Context, prefix, id string, set chunkSet) ([]byte, error) {
+	var compressed []byte
+	for n := range set.Count {
+		object, err := s.get(ctx, chunkKey(prefix, id, set.Name, n))
+		if err != nil {
+			return nil, err
+		}
+		part, err := unchunk(object.Value())
+		if err != nil {
+			return nil, err
+		}
+		compressed = append(compressed, part...)
+	}
+	return expand(compressed)
+}
+
+// removeChunks deletes the chunks of a set; those that remain are orphans, which a
+// sweep removes.
+func (s *countedStore) removeChunks(ctx context.Context, prefix, id string, set chunkSet) error {
+	if set.Count == 0 {
+		return nil
+	}
+	entries, err := s.list(ctx, fmt.Sprintf("%s%s/%s-", prefix, id, set.Name))
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if err := s.remove(ctx, entry.Key, entry.Version); err != nil {
+			return err
+		}
+	}
+	return nil
+}
