Test jobs under faults, measure store calls and takeover

Cause: the claims of the job protocol were not shown by a run, and a goroutine could join the wait group of Run after its wait had begun. Change: tables over faults at every store call, ends, submissions, races and releases; measurements of calls, bytes and takeover; Run ends its life under the mutex; one sweeper goroutine per owned shard only.

--- a/mcjob/document.go
+++ b/mcjob/document.go
@@ -134,6 +134,9 @@
 // jobKey needs an id that matches idPattern. The id begins with its shard.
 func jobKey(id string) string { return shardPrefix(jobPrefix, id[:2]) + "/" + id }
 
+// shardOf needs an id that matches idPattern.
+func shardOf(id string) int { return int(id[0]-'0')*10 + int(id[1]-'0') }
+
 func shardPrefix(prefix, shard string) string { return prefix + shard }
 
 func shardName(shard int) string { return fmt.Sprintf("%02d", shard) }
--- a/mcjob/jobs.go
+++ b/mcjob/jobs.go
@@ -115,14 +115,13 @@
 func (j *Jobs) Run(ctx context.Context) {
 	j.init()
 	var wg sync.WaitGroup
-	for _, s := range j.shards {
-		wg.Go(func() { j.sweep(ctx, s) })
-	}
+	wg.Go(func() { j.sweep(ctx) })
 	<-ctx.Done()
 	j.mu.Lock()
+	// Under mu, so that no goroutine joins owners after the wait below has begun.
 	j.stopped = true
-	j.mu.Unlock()
 	j.end()
+	j.mu.Unlock()
 	wg.Wait()
 	j.owners.Wait()
 }
--- a/mcjob/jobs_command.go
+++ b/mcjob/jobs_command.go
@@ -171,7 +171,8 @@
 		case document.State == marigoldcroft.JobCancelled:
 			return nil
 		case document.State.Final():
-			return marigoldcroft.NewFailure(operation, KindEnded, errors.Newf("its state is %s", document.State))
+			return marigoldcroft.NewFailure(operation, KindEnded,
+				marigoldcroft.NewFailure(operation, mcstore.KindConflict, errors.Newf("its state is %s", document.State)))
 		}
 		err = j.finish(ctx, claimable{document, version}, document.ended(marigoldcroft.JobCancelled, ""), false)
 		switch {
--- /dev/null
+++ b/mcjob/jobs_test.go
@@ -0,0 +1,295 @@
+package mcjob
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcstore"
+)
+
+// ignoreContext runs until the end of a time that exceeds all bounds.
+func ignoreContext(context.Context, *node, []byte) (string, error) {
+	time.Sleep(5 * time.Minute)
+	return "late", nil
+}
+
+func untilStopped(ctx context.Context, _ *node, _ []byte) (string, error) {
+	<-ctx.Done()
+	return "", context.Cause(ctx)
+}
+
+// Guards against answers to Submit that say something else than what was recorded.
+func TestSubmit(t *testing.T) {
+	in := func() marigoldcroft.JobSubmission { return submission("key", "body") }
+	with := func(change func(*marigoldcroft.JobSubmission)) marigoldcroft.JobSubmission {
+		s := in()
+		change(&s)
+		return s
+	}
+	down := func(_ *testing.T, c *cluster) { c.down.Store(true) }
+	first := func(t *testing.T, c *cluster) {
+		_, err := submitTo(t, c, 0, in())
+		require.NoError(t, err)
+	}
+	cases := []struct {
+		name    string
+		prepare func(t *testing.T, c *cluster)
+		in      func() marigoldcroft.JobSubmission
+		kind    Kind
+		store   mcstore.Kind
+		objects int
+	}{
+		{"new", nil, in, "", "", 1},
+		{"same key at another instance", first, in, "", "", 1},
+		{"same key of another team", first, func() marigoldcroft.JobSubmission {
+			return with(func(s *marigoldcroft.JobSubmission) { s.Team = "other" })
+		}, "", "", 2},
+		{"no key", first, func() marigoldcroft.JobSubmission { return submission("", "body") }, "", "", 2},
+		{"same key with another body", first, func() marigoldcroft.JobSubmission { return submission("key", "other") }, KindKeyReused, "", 1},
+		{"same key with another template", first, func() marigoldcroft.JobSubmission {
+			return with(func(s *marigoldcroft.JobSubmission) { s.Template = "other" })
+		}, KindKeyReused, "", 1},
+		{"body too large", nil, func() marigoldcroft.JobSubmission {
+			return submission("key", strings.Repeat("x", MaxBodyBytes+1))
+		}, KindInvalid, mcstore.KindTooLarge, 0},
+		{"deadline passed", nil, func() marigoldcroft.JobSubmission {
+			return with(func(s *marigoldcroft.JobSubmission) { s.Deadline = time.Now() })
+		}, KindInvalid, mcstore.KindUnavailable, 0},
+		{"store down, no key", down, func() marigoldcroft.JobSubmission { return submission("", "body") }, KindRefused, mcstore.KindUnavailable, 0},
+		{"store down, an earlier submission may be recorded", down, in, KindUnknown, mcstore.KindUnknown, 0},
+		{"over budget", func(t *testing.T, c *cluster) {
+			c.nodes[1].jobs.SetInstances(100)
+			_, err := submitTo(t, c, 1, submission("", "first"))
+			require.NoError(t, err)
+		}, in, KindRefused, mcstore.KindBudget, 1},
+		{"recorded before, over budget", func(t *testing.T, c *cluster) {
+			c.nodes[1].jobs.SetInstances(100)
+			_, err := submitTo(t, c, 1, in())
+			require.NoError(t, err)
+		}, in, "", "", 1},
+		{"stopped", func(t *testing.T, c *cluster) {
+			require.NoError(t, c.nodes[1].jobs.Release(t.Context()))
+		}, in, KindRefused, mcstore.KindUnavailable, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, func(_ *cluster, j *Jobs) { j.WritesPerSecond = 100 })
+				if tc.prepare != nil {
+					tc.prepare(t, c)
+				}
+				_, err := submitTo(t, c, 1, tc.in())
+				require.Equal(t, tc.kind, marigoldcroft.FailureKind[Kind](err), "%v", err)
+				require.Equal(t, tc.store, marigoldcroft.FailureKind[mcstore.Kind](err), "%v", err)
+				require.Len(t, c.stored(t, jobPrefix), tc.objects)
+			})
+		})
+	}
+}
+
+// Guards against two jobs for one key that is submitted at two instances at once, and
+// against a job with the prompt of the submission that lost.
+func TestConcurrentSubmit(t *testing.T) {
+	for _, bodies := range [][2]string{{"same", "same"}, {"one", "two"}} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t)
+			var status [2]marigoldcroft.JobStatus
+			var errs [2]error
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				status[0], errs[0] = submitTo(t, c, 0, submission("key", bodies[0]))
+			}()
+			status[1], errs[1] = submitTo(t, c, 1, submission("key", bodies[1]))
+			<-done
+			winner := 0
+			if errs[0] != nil {
+				winner = 1
+			}
+			require.NoError(t, errs[winner])
+			if bodies[0] == bodies[1] {
+				require.NoError(t, errs[1-winner])
+				require.Equal(t, status[0].ID, status[1].ID)
+			} else {
+				require.True(t, IsKind(errs[1-winner], KindKeyReused))
+			}
+			time.Sleep(testLimit)
+			got, err := c.nodes[0].jobs.Job(t.Context(), status[winner].ID)
+			require.NoError(t, err)
+			require.Contains(t, got.Answer, bodies[winner])
+			require.Len(t, c.stored(t, promptPrefix), 1)
+		})
+	}
+}
+
+// Guards against jobs whose state, error or answer is not what became of them, and
+// against ends later than the bound.
+func TestEnd(t *testing.T) {
+	large := make([]byte, 3<<20)
+	_, _ = rand.Read(large)
+	answer := func(answer string, err error) func(context.Context, *node, []byte) (string, error) {
+		return func(context.Context, *node, []byte) (string, error) { return answer, err }
+	}
+	cases := []struct {
+		name   string
+		run    func(ctx context.Context, n *node, body []byte) (string, error)
+		during func(t *testing.T, c *cluster, id string)
+		state  marigoldcroft.JobState
+		answer string
+		reason string
+		// latest is the bound on the end after submission; 0 means 2 s.
+		latest time.Duration
+	}{
+		{"done", answer("yes", nil), nil, marigoldcroft.JobDone, "yes", "", 0},
+		{"done with a large answer", answer(string(large), nil), nil, marigoldcroft.JobDone, string(large), "", 0},
+		{"answer too large", answer(strings.Repeat("x", MaxBodyBytes+1), nil), nil, marigoldcroft.JobFailed, "", "the answer has", 0},
+		{"failed", answer("", errors.New("engine lost")), nil, marigoldcroft.JobFailed, "", "engine lost", 0},
+		{"runner stops at the deadline", untilStopped, nil, marigoldcroft.JobExpired, "", "deadline", testLimit + time.Second},
+		{"runner ignores the deadline", ignoreContext, nil, marigoldcroft.JobExpired, "", "deadline", testLimit + StopGrace + time.Second},
+		{"live owner hangs", ignoreContext, func(_ *testing.T, c *cluster, _ string) {
+			c.nodes[0].cut.Store(true)
+		}, marigoldcroft.JobExpired, "", "deadline", testLimit + endBound},
+		{"store down past the deadline", untilStopped, func(_ *testing.T, c *cluster, _ string) {
+			c.outage(2 * testLimit)
+		}, marigoldcroft.JobExpired, "", "deadline", 2*testLimit + endBound},
+		{"prompt lost", answer("", nil), func(t *testing.T, c *cluster, _ string) {
+			entry := c.stored(t, promptPrefix)[0]
+			require.NoError(t, c.Memory.Delete(t.Context(), entry.Key, entry.Version, ""))
+		}, marigoldcroft.JobFailed, "", "prompt", 0},
+		{"cancelled while it runs", untilStopped, func(t *testing.T, c *cluster, id string) {
+			time.Sleep(time.Second)
+			require.Equal(t, int32(1), c.running.Load())
+			require.NoError(t, c.nodes[1].jobs.Cancel(t.Context(), id))
+			require.NoError(t, c.nodes[0].jobs.Cancel(t.Context(), id))
+			time.Sleep(100 * time.Millisecond)
+			require.Zero(t, c.running.Load(), "the runner's context has not ended")
+		}, marigoldcroft.JobCancelled, "", "", 0},
+		{"cancelled after its end", answer("yes", nil), func(t *testing.T, c *cluster, id string) {
+			time.Sleep(time.Second)
+			require.True(t, IsKind(c.nodes[1].jobs.Cancel(t.Context(), id), KindEnded))
+		}, marigoldcroft.JobDone, "yes", "", 0},
+		{"paused owner wakes after its successor", func(_ context.Context, n *node, _ []byte) (string, error) {
+			if n.index == 0 {
+				n.pause()
+				n.wait()
+			}
+			return []string{"woken", "successor"}[n.index], nil
+		}, nil, marigoldcroft.JobDone, "successor", "", 2*SweepInterval + time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, func(c *cluster, _ *Jobs) { c.run = tc.run })
+				begin := time.Now()
+				status, err := submitTo(t, c, 0, submission("", "body"))
+				require.NoError(t, err)
+				if tc.during != nil {
+					tc.during(t, c, status.ID)
+				}
+				time.Sleep(10 * time.Minute)
+				status, err = c.nodes[1].jobs.Job(t.Context(), status.ID)
+				require.NoError(t, err)
+				require.Equal(t, tc.state, status.State, status.Error)
+				require.True(t, tc.answer == status.Answer, "the answer differs")
+				require.Contains(t, status.Error, tc.reason)
+				document, _, err := c.nodes[1].jobs.read(t.Context(), status.ID)
+				require.NoError(t, err)
+				if tc.latest == 0 {
+					tc.latest = 2 * time.Second
+				}
+				require.LessOrEqual(t, document.Finished.Sub(begin), tc.latest)
+				require.Empty(t, c.violations)
+			})
+		})
+	}
+}
+
+// Guards against a cancellation that claims to have ended a job that is done, or the
+// reverse, when both are written at the same time.
+func TestCancelRacesWithDone(t *testing.T) {
+	seen := make(map[marigoldcroft.JobState]bool)
+	for shift := -2 * callTime; shift <= 2*callTime; shift += callTime / 4 {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t)
+			status, err := submitTo(t, c, 0, submission("", "body"))
+			require.NoError(t, err)
+			for c.running.Load() == 0 {
+				time.Sleep(callTime / 4)
+			}
+			time.Sleep(time.Second + shift)
+			cancelErr := c.nodes[1].jobs.Cancel(t.Context(), status.ID)
+			time.Sleep(time.Second)
+			state := c.ended(status.ID)
+			seen[state] = true
+			if cancelErr == nil {
+				require.Equal(t, marigoldcroft.JobCancelled, state)
+			} else {
+				require.True(t, IsKind(cancelErr, KindEnded), cancelErr)
+				require.Equal(t, marigoldcroft.JobDone, state)
+			}
+			require.Empty(t, c.violations)
+		})
+	}
+	require.Len(t, seen, 2, "both orders are to occur")
+}
+
+// Guards against more running jobs than MaxRunning, and against jobs that are
+// forgotten while they wait for a place.
+func TestMaxRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, func(_ *cluster, j *Jobs) { j.MaxRunning = 2 })
+		c.nodes[1].cut.Store(true)
+		const count = 10
+		for range count {
+			_, err := submitTo(t, c, 0, submission("", "body"))
+			require.NoError(t, err)
+		}
+		time.Sleep(testLimit / 2)
+		counts := c.nodes[0].jobs.Counts()
+		require.Equal(t, uint64(count), counts.Done)
+		require.Equal(t, int32(2), c.mostRunning.Load())
+	})
+}
+
+// Guards against a planned stop that loses jobs, keeps them from other instances or
+// raises the epoch.
+func TestRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, func(c *cluster, j *Jobs) {
+			j.MaxRunning = 2
+			c.run = func(ctx context.Context, n *node, body []byte) (string, error) {
+				if n.index == 0 {
+					return untilStopped(ctx, n, body)
+				}
+				return "", nil
+			}
+		})
+		var ids []string
+		for range 3 {
+			status, err := submitTo(t, c, 0, submission("", "body"))
+			require.NoError(t, err)
+			ids = append(ids, status.ID)
+		}
+		time.Sleep(100 * time.Millisecond)
+		require.NoError(t, c.nodes[0].jobs.Release(t.Context()))
+		document, _, err := c.nodes[1].jobs.read(t.Context(), ids[0])
+		require.NoError(t, err)
+		require.Equal(t, marigoldcroft.JobAccepted, document.State)
+		require.Equal(t, uint64(1), document.Epoch)
+		require.Zero(t, document.Owner)
+		require.Equal(t, uint64(2), c.nodes[0].jobs.Counts().Released)
+		time.Sleep(2*SweepInterval + 3*time.Second)
+		for _, id := range ids {
+			require.Equal(t, marigoldcroft.JobDone, c.ended(id))
+		}
+		require.Empty(t, c.violations)
+	})
+}
--- /dev/null
+++ b/mcjob/measure.go
@@ -0,0 +1,162 @@
+package mcjob
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"marigoldcroft"
+	"marigoldcroft/mcstore"
+)
+
+const (
+	// tokenBytes is the length of a token in text, as the scheduler estimates it.
+	tokenBytes = 4
+	// measureWords is the size of the vocabulary of measured bodies.
+	measureWords = 4096
+	measureLimit = 10 * time.Minute
+)
+
+type (
+	// MeasureResult holds the store calls and bytes of one job from its submission to
+	// its removal, with a sweep while it runs and one after its end.
+	MeasureResult struct {
+		// BodyBytes is the size of the body before compression.
+		BodyBytes int
+		// PromptChunks and AnswerChunks count stored chunks.
+		PromptChunks, AnswerChunks int
+		// Counts includes 4 lists for each of the 2 sweeps' shard and the removal.
+		Counts Counts
+	}
+
+	// measureRunner calls its function.
+	measureRunner func(ctx context.Context, status marigoldcroft.JobStatus) (string, error)
+
+	// measurePeers sweeps all shards if sweeps is true, and knows of a death after its
+	// time has come.
+	measurePeers struct {
+		sweeps bool
+		gone   func() bool
+	}
+)
+
+func (f measureRunner) RunJob(ctx context.Context, status marigoldcroft.JobStatus, _ []byte) (string, error) {
+	return f(ctx, status)
+}
+
+func (p measurePeers) Owns(int) bool { return p.sweeps }
+
+func (p measurePeers) Gone(string, uint64) bool { return p.gone() }
+
+func never() bool { return false }
+
+// text returns words of a vocabulary, each with the same probability, which compresses
+// worse than prose does.
+func text(tokens int, seed uint64) string {
+	random := rand.New(rand.NewPCG(seed, seed))
+	words := make([]string, measureWords)
+	for i := range words {
+		word := make([]byte, 2+random.IntN(8))
+		for k := range word {
+			word[k] = 'a' + byte(random.IntN(26))
+		}
+		words[i] = string(word)
+	}
+	var b strings.Builder
+	for b.Len() < tokens*tokenBytes {
+		b.WriteString(words[random.IntN(measureWords)])
+		b.WriteByte(' ')
+	}
+	return b.String()[:tokens*tokenBytes]
+}
+
+// Measure runs one job with a body and an answer of so many tokens over a store in
+// memory and counts its store calls.
+func Measure(ctx context.Context, bodyTokens, answerTokens int, seed uint64) (MeasureResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, measureLimit)
+	defer cancel()
+	j := &Jobs{
+		Store:    &mcstore.Memory{},
+		Identity: marigoldcroft.NewIdentity("measure", "region", "dataCentre", "instance", time.Now(), 0),
+		Peers:    measurePeers{gone: never},
+	}
+	ended := make(chan error, 1)
+	j.Runner = measureRunner(func(ctx context.Context, status marigoldcroft.JobStatus) (string, error) {
+		ended <- j.measureSweep(ctx, status.ID)
+		return text(answerTokens, seed+1), nil
+	})
+	go j.Run(ctx)
+	body := text(bodyTokens, seed)
+	status, err := j.Submit(ctx, marigoldcroft.JobSubmission{
+		Team: "team", Template: "template", Key: "key", Deadline: time.Now().Add(measureLimit), Body: []byte(body),
+	})
+	if err != nil {
+		return MeasureResult{}, err
+	}
+	if err := <-ended; err != nil {
+		return MeasureResult{}, err
+	}
+	for j.Counts().Running > 0 {
+		if !sleep(ctx, time.Millisecond) {
+			return MeasureResult{}, ctx.Err()
+		}
+	}
+	if err := j.measureSweep(ctx, status.ID); err != nil {
+		return MeasureResult{}, err
+	}
+	shard := j.shards[shardOf(status.ID)]
+	job := shard.known[jobKey(status.ID)]
+	if err := j.remove(ctx, job); err != nil {
+		return MeasureResult{}, err
+	}
+	return MeasureResult{
+		BodyBytes: len(body), PromptChunks: job.document.Prompt.Count, AnswerChunks: job.document.Answers.Count,
+		Counts: j.Counts(),
+	}, nil
+}
+
+func (j *Jobs) measureSweep(ctx context.Context, id string) error {
+	return j.sweepOnce(ctx, j.shards[shardOf(id)])
+}
+
+// MeasureTakeover returns the time from the death of an owner to the start of its job
+// at another instance, which learns of the death after detection. The death comes
+// phase after the start of the sweeper.
+func MeasureTakeover(ctx context.Context, detection, phase time.Duration) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, measureLimit)
+	defer cancel()
+	store := &mcstore.Memory{}
+	started := make(chan time.Time, 2)
+	run := measureRunner(func(ctx context.Context, _ marigoldcroft.JobStatus) (string, error) {
+		started <- time.Now()
+		<-ctx.Done()
+		return "", ctx.Err()
+	})
+	death := time.Now().Add(phase)
+	gone := func() bool { return time.Now().After(death.Add(detection)) }
+	newJobs := func(instance string, sweeps bool) *Jobs {
+		return &Jobs{
+			Store: store, Runner: run, Peers: measurePeers{sweeps, gone},
+			Identity: marigoldcroft.NewIdentity("measure", "region", "dataCentre", instance, time.Now(), 0),
+		}
+	}
+	dying, heir := newJobs("dying", false), newJobs("heir", true)
+	life, kill := context.WithDeadline(ctx, death)
+	defer kill()
+	go dying.Run(life)
+	go heir.Run(ctx)
+	_, err := dying.Submit(ctx, marigoldcroft.JobSubmission{
+		Team: "team", Template: "template", Deadline: time.Now().Add(measureLimit), Body: []byte("body"),
+	})
+	if err != nil {
+		return 0, err
+	}
+	<-started
+	select {
+	case at := <-started:
+		return at.Sub(death), nil
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
--- a/mcjob/sweep.go
+++ b/mcjob/sweep.go
@@ -4,6 +4,8 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +17,8 @@
 	// shard is what a sweeper knows of its shard. Only its goroutine uses it.
 	shard struct {
 		number int
+		// active is true while there is such a goroutine.
+		active atomic.Bool
 		// known has the jobs at the versions last read, without their answers.
 		known map[string]claimable
 		// unreadable has the versions of objects that this instance does not understand.
@@ -43,17 +47,33 @@
 	s.orphans = make(map[string]time.Time)
 }
 
-// sweep lists the shard at each interval while it is owned. The shards are spread over
-// the interval.
-func (j *Jobs) sweep(ctx context.Context, s *shard) {
+// sweep starts a sweeper for each owned shard that has none, until ctx ends.
+func (j *Jobs) sweep(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for ctx.Err() == nil {
+		for _, s := range j.shards {
+			if j.owns(s.number) && s.active.CompareAndSwap(false, true) {
+				wg.Go(func() {
+					defer s.active.Store(false)
+					j.sweepShard(ctx, s)
+				})
+			}
+		}
+		sleep(ctx, SweepInterval)
+	}
+}
+
+// sweepShard sweeps at each interval as long as the shard is owned. The shards are
+// spread over the interval.
+func (j *Jobs) sweepShard(ctx context.Context, s *shard) {
+	defer s.forget()
 	if !sleep(ctx, time.Duration(s.number)*SweepInterval/ShardCount) {
 		return
 	}
-	for ctx.Err() == nil {
+	for j.owns(s.number) {
 		next := time.Now().Add(SweepInterval)
-		if !j.owns(s.number) {
-			s.forget()
-		} else if err := j.sweepOnce(ctx, s); err != nil && ctx.Err() == nil {
+		if err := j.sweepOnce(ctx, s); err != nil && ctx.Err() == nil {
 			j.Log.Debug().Int("shard", s.number).Err(err).Msg("jobSweepFailed")
 		}
 		if !sleep(ctx, time.Until(next)) {
