Test configuration under faults; decode operator files

Cause: mcconfig had one test, and operators' YAML files had no decoder. The fuzz target found that goccy/go-yaml panics on an unknown tag (now a refusal) and that absent and empty template lists were stored as different contents (now one form).

--- a/mcconfig/editor_command.go
+++ b/mcconfig/editor_command.go
@@ -81,6 +81,10 @@
 
 // Apply stores the contents in one change, or tells in a dry run what it would do.
 func (e *Editor) Apply(ctx context.Context, changes []Change, dryRun bool) (Result, error) {
+	changes = slices.Clone(changes)
+	for i := range changes {
+		changes[i].Object = changes[i].Object.normalized()
+	}
 	if err := checkChanges(changes); err != nil {
 		return Result{}, marigoldcroft.NewFailure("apply", KindInvalid, err)
 	}
@@ -239,8 +243,8 @@
 
 // accept applies a snapshot that this process has written.
 func (f *Follower) accept(next *Snapshot) {
-	f.adopting.Lock()
-	defer f.adopting.Unlock()
+	f.adopting <- struct{}{}
+	defer func() { <-f.adopting }()
 	f.put(next)
 }
 
@@ -249,8 +253,13 @@
 func plan(s *Snapshot, changes []Change, first map[ObjectName]uint64) ([]Outcome, error) {
 	var conflicts []Conflict
 	outcomes := make([]Outcome, 0, len(changes))
+	decoded := make(map[int]Page)
 	for _, c := range changes {
-		entry, ok := s.entry(c.Name)
+		number := c.Name.page()
+		if _, ok := decoded[number]; !ok && s.pages[number] != nil {
+			decoded[number] = s.pages[number].decode()
+		}
+		entry, ok := decoded[number].find(c.Name)
 		exists := ok && !entry.Deleted
 		found := uint64(0)
 		if exists {
--- /dev/null
+++ b/mcconfig/fault_test.go
@@ -0,0 +1,328 @@
+package mcconfig_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcconfig"
+	"marigoldcroft/mcstore"
+)
+
+// inForceBound is the bound of P8.
+const inForceBound = 17 * time.Second
+
+// copyOf returns a store with the same objects, as a restore of a backup has them.
+func copyOf(t *testing.T, from marigoldcroft.ObjectStore) *mcstore.Memory {
+	t.Helper()
+	to := &mcstore.Memory{}
+	// The versions of the copy are made different from those of the original.
+	for range 1000 {
+		version, err := to.Put(t.Context(), "pad", nil, "", "pad")
+		require.NoError(t, err)
+		require.NoError(t, to.Delete(t.Context(), "pad", version, "pad"))
+	}
+	entries, err := from.List(t.Context(), "", "", 100000)
+	require.NoError(t, err)
+	for _, e := range entries {
+		object, err := from.Get(t.Context(), e.Key)
+		require.NoError(t, err)
+		_, err = to.Put(t.Context(), e.Key, object.Value(), "", object.WriteID())
+		require.NoError(t, err)
+	}
+	return to
+}
+
+// site is two instances on one store: b asks a for configuration.
+type site struct {
+	t      *testing.T
+	store  *faultyStore
+	a, b   *mcconfig.Follower
+	editor *mcconfig.Editor
+}
+
+func (s *site) apply(changes ...mcconfig.Change) (mcconfig.Result, error) {
+	return s.editor.Apply(s.t.Context(), changes, false)
+}
+
+func (s *site) mustApply(changes ...mcconfig.Change) uint64 {
+	s.t.Helper()
+	result, err := s.apply(changes...)
+	require.NoError(s.t, err)
+	return result.Revision
+}
+
+// requireDeadline checks the template's deadline in both snapshots.
+func (s *site) requireDeadline(name string, ms int64) {
+	s.t.Helper()
+	for _, f := range []*mcconfig.Follower{s.a, s.b} {
+		template, ok := f.Current().Template(name)
+		require.True(s.t, ok)
+		require.Equal(s.t, ms, template.Spec().DeadlineMs)
+	}
+}
+
+// Guards against each named fault leaving an accepted change out of force, taking it
+// back, or applying one that was not accepted. Every case starts with caption at
+// 1000 ms in force.
+func TestFaults(t *testing.T) {
+	cases := map[string]func(t *testing.T, s *site){
+		"answer of page and head write lost": func(_ *testing.T, s *site) {
+			s.store.set(func(f *faultyStore) { f.loseAnswers = 2 })
+			s.mustApply(template("caption", 2000))
+			time.Sleep(inForceBound)
+			s.requireDeadline("caption", 2000)
+		},
+		"write lost": func(_ *testing.T, s *site) {
+			s.store.set(func(f *faultyStore) { f.dropWrites = 3 })
+			s.mustApply(template("caption", 2000))
+			time.Sleep(inForceBound)
+			s.requireDeadline("caption", 2000)
+		},
+		"outage refuses and does not apply later": func(t *testing.T, s *site) {
+			s.store.set(func(f *faultyStore) { f.down = true })
+			_, err := s.apply(template("caption", 2000))
+			require.Equal(t, mcconfig.KindUnavailable, marigoldcroft.FailureKind[mcconfig.Kind](err))
+			time.Sleep(inForceBound + time.Second)
+			require.True(t, s.a.Stale())
+			require.True(t, s.b.Stale(), "a peer that is stale itself must not confirm")
+			s.store.set(func(f *faultyStore) { f.down = false })
+			time.Sleep(inForceBound)
+			require.False(t, s.a.Stale())
+			s.requireDeadline("caption", 1000)
+		},
+		"slow store": func(_ *testing.T, s *site) {
+			s.store.set(func(f *faultyStore) { f.delay = time.Second })
+			s.mustApply(template("caption", 2000))
+			time.Sleep(inForceBound)
+			s.requireDeadline("caption", 2000)
+		},
+		"store back with older content": func(t *testing.T, s *site) {
+			backup := copyOf(t, s.store.ObjectStore)
+			last := s.mustApply(template("caption", 2000), template("search", 3000))
+			time.Sleep(inForceBound)
+			s.store.set(func(f *faultyStore) { f.ObjectStore = backup })
+			time.Sleep(inForceBound)
+			s.requireDeadline("caption", 2000)
+			s.requireDeadline("search", 3000)
+			fresh := &mcconfig.Follower{Store: s.store, Deployment: "d"}
+			defer run(t, fresh)()
+			<-fresh.Ready()
+			require.Greater(t, fresh.Current().Revision(), last)
+			_, ok := fresh.Current().Template("search")
+			require.True(t, ok)
+		},
+		"change right after the store came back older": func(t *testing.T, s *site) {
+			backup := copyOf(t, s.store.ObjectStore)
+			s.mustApply(template("caption", 2000))
+			s.store.set(func(f *faultyStore) { f.ObjectStore = backup })
+			s.mustApply(template("search", 3000))
+			time.Sleep(inForceBound)
+			s.requireDeadline("caption", 2000)
+			s.requireDeadline("search", 3000)
+		},
+		"restart with an older store and a peer": func(t *testing.T, s *site) {
+			backup := copyOf(t, s.store.ObjectStore)
+			last := s.mustApply(template("caption", 2000))
+			s.store.set(func(f *faultyStore) { f.ObjectStore, f.down = backup, true })
+			restarted := &mcconfig.Follower{Store: s.store, Deployment: "d", Peers: directPeers{{Follower: s.a}}}
+			defer run(t, restarted)()
+			<-restarted.Ready()
+			require.Equal(t, last, restarted.Current().Revision())
+			s.store.set(func(f *faultyStore) { f.down = false })
+			time.Sleep(inForceBound)
+			require.Greater(t, restarted.Current().Revision(), last)
+			s.requireDeadline("caption", 2000)
+		},
+		"watch gap with a hint": func(_ *testing.T, s *site) {
+			s.store.set(func(f *faultyStore) { f.deafWatch = true })
+			revision := s.mustApply(template("caption", 2000))
+			s.b.Hint(revision)
+			time.Sleep(inForceBound)
+			s.requireDeadline("caption", 2000)
+		},
+		"two operators change the same object": func(t *testing.T, s *site) {
+			s.raceWith(template("caption", 3000))
+			_, err := s.apply(template("caption", 2000))
+			var conflict *mcconfig.ConflictError
+			require.ErrorAs(t, err, &conflict)
+			require.Equal(t, []mcconfig.FieldDiff{{Field: "deadlineMs", Before: "3000", After: "2000"}}, conflict.Conflicts()[0].Diff)
+			time.Sleep(inForceBound)
+			s.requireDeadline("caption", 3000)
+		},
+		"two operators change different objects": func(_ *testing.T, s *site) {
+			s.raceWith(template("search", 3000))
+			s.mustApply(template("caption", 2000))
+			time.Sleep(inForceBound)
+			s.requireDeadline("caption", 2000)
+			s.requireDeadline("search", 3000)
+		},
+		"two operators change the same page": func(_ *testing.T, s *site) {
+			// Both names are on page 53.
+			s.raceWith(template("t6", 3000))
+			s.mustApply(template("t16", 2000))
+			time.Sleep(inForceBound)
+			s.requireDeadline("t16", 2000)
+			s.requireDeadline("t6", 3000)
+		},
+		"answer lost, then another operator changes the accepted object": func(_ *testing.T, s *site) {
+			s.store.set(func(f *faultyStore) { f.loseAnswers = 2 })
+			s.store.afterLost = func(key string) {
+				if key == "config/head" {
+					_, err := (&mcconfig.Editor{Store: s.store, Follower: s.b}).Apply(s.t.Context(), []mcconfig.Change{template("caption", 3000)}, false)
+					require.NoError(s.t, err)
+				}
+			}
+			s.mustApply(template("caption", 2000))
+			time.Sleep(inForceBound)
+			s.requireDeadline("caption", 3000)
+		},
+		"operator with an old revision": func(t *testing.T, s *site) {
+			old := s.a.Current().Revision()
+			s.mustApply(template("caption", 3000))
+			change := template("caption", 2000)
+			change.Expected = &old
+			_, err := s.apply(change)
+			require.True(t, mcconfig.IsConflict(err), err)
+		},
+		"stored page invalid, then healed": func(t *testing.T, s *site) {
+			s.corrupt(`{"version":1,"page":0,"revision":0,"entries":[]}`)
+			time.Sleep(inForceBound)
+			s.requireDeadline("caption", 1000)
+			require.Contains(t, s.a.Status().Problem, "malformed")
+			require.True(t, s.a.Stale())
+			result, err := s.apply(template("search", 3000))
+			require.NoError(t, err)
+			require.Len(t, result.Healed, 1)
+			time.Sleep(inForceBound)
+			s.requireDeadline("caption", 1000)
+			s.requireDeadline("search", 3000)
+			require.False(t, s.a.Stale())
+		},
+		"key hash shared, template missing or in use": func(t *testing.T, s *site) {
+			s.mustApply(team("copo", 1, "caption"))
+			_, err := s.apply(team("brunnholzer", 1, "caption"))
+			require.ErrorContains(t, err, "stands in team/brunnholzer and team/copo")
+			_, err = s.apply(team("brunnholzer", 2, "absent"))
+			require.ErrorContains(t, err, "template absent does not exist")
+			_, err = s.editor.Delete(t.Context(), template("caption", 0).Name, nil, false)
+			require.ErrorContains(t, err, "template caption does not exist")
+			require.True(t, mcconfig.IsInvalid(err))
+			// Moving the key in one change is no sharing.
+			s.mustApply(team("copo", 3, "caption"), team("brunnholzer", 1, "caption"))
+		},
+	}
+	for name, run := range cases {
+		t.Run(name, func(t *testing.T) { inSite(t, run) })
+	}
+}
+
+// inSite runs a case in a bubble with two followers.
+func inSite(t *testing.T, test func(t *testing.T, s *site)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &faultyStore{ObjectStore: &mcstore.Memory{}, delay: 3 * time.Millisecond}
+		s := &site{t: t, store: store, a: &mcconfig.Follower{Store: store, Deployment: "d"}}
+		s.b = &mcconfig.Follower{Store: store, Deployment: "d", Peers: directPeers{{Follower: s.a}}}
+		s.editor = &mcconfig.Editor{Store: store, Follower: s.a}
+		defer run(t, s.a)()
+		defer run(t, s.b)()
+		<-s.a.Ready()
+		<-s.b.Ready()
+		s.mustApply(template("caption", 1000))
+		time.Sleep(time.Second)
+		s.requireDeadline("caption", 1000)
+		test(t, s)
+	})
+}
+
+// raceWith makes another operator's change of other come first: it is accepted
+// between the reading and the writing of the next head by this site's editor.
+func (s *site) raceWith(other mcconfig.Change) {
+	var raced atomic.Bool
+	s.store.beforePut = func(key string) {
+		if key != "config/head" || raced.Swap(true) {
+			return
+		}
+		_, err := (&mcconfig.Editor{Store: s.store, Follower: s.b}).Apply(s.t.Context(), []mcconfig.Change{other}, false)
+		require.NoError(s.t, err)
+	}
+}
+
+// corrupt replaces the page of the head with other bytes under a higher revision.
+func (s *site) corrupt(raw string) {
+	ctx := s.t.Context()
+	object, err := s.store.Get(ctx, "config/head")
+	require.NoError(s.t, err)
+	head, err := mcconfig.DecodeHead(object.Value())
+	require.NoError(s.t, err)
+	changed := mcconfig.BadHead(head, []byte(raw))
+	_, err = s.store.Put(ctx, changed.PageKey, []byte(raw), "", "w1")
+	require.NoError(s.t, err)
+	_, err = s.store.Put(ctx, "config/head", changed.Head, object.Version(), "w2")
+	require.NoError(s.t, err)
+}
+
+// Guards against a change that is reported as not accepted although its lost write
+// can still arrive: the outcome must be unknown, with the write id.
+func TestUnsettledWriteIsUnknown(t *testing.T) {
+	inSite(t, func(t *testing.T, s *site) {
+		s.store.beforePut = func(key string) {
+			if key == "config/head" {
+				s.store.set(func(f *faultyStore) { f.loseAnswers = 1 })
+			}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			s.store.set(func(f *faultyStore) { f.down = true })
+			time.Sleep(time.Second)
+			cancel()
+		}()
+		s.store.set(func(f *faultyStore) { f.delay = 4 * time.Millisecond })
+		_, err := s.editor.Apply(ctx, []mcconfig.Change{template("caption", 2000)}, false)
+		require.True(t, mcconfig.IsUnknown(err), err)
+		require.ErrorContains(t, err, "write id")
+	})
+}
+
+// Guards against a history or a rollback that loses a content or goes back in
+// revisions.
+func TestHistoryAndRollback(t *testing.T) {
+	inSite(t, func(t *testing.T, s *site) {
+		name := template("caption", 0).Name
+		first := s.a.Current().Revision()
+		s.mustApply(template("caption", 2000))
+		result, err := s.editor.Rollback(t.Context(), name, first, true)
+		require.NoError(t, err)
+		require.True(t, result.DryRun)
+		s.requireDeadline("caption", 2000)
+		result, err = s.editor.Rollback(t.Context(), name, first, false)
+		require.NoError(t, err)
+		require.Greater(t, result.Revision, first)
+		_, err = s.editor.Delete(t.Context(), name, nil, false)
+		require.NoError(t, err)
+		query := &mcconfig.Query{Store: s.store, Follower: s.a}
+		_, err = query.Get(name)
+		require.True(t, mcconfig.IsNotFound(err))
+		history, err := query.History(t.Context(), name)
+		require.NoError(t, err)
+		var deadlines []int64
+		for _, e := range history {
+			if e.Template != nil {
+				deadlines = append(deadlines, e.Template.DeadlineMs)
+			}
+		}
+		require.Len(t, history, 4)
+		require.Equal(t, []int64{1000, 2000, 1000}, deadlines)
+		_, err = s.editor.Rollback(t.Context(), name, first-1, false)
+		require.True(t, mcconfig.IsNotFound(err))
+		_, err = s.editor.Delete(t.Context(), name, nil, false)
+		require.True(t, mcconfig.IsNotFound(err))
+		require.Empty(t, query.List(mcconfig.ObjectTemplate, "", 10))
+	})
+}
--- /dev/null
+++ b/mcconfig/file.go
@@ -0,0 +1,178 @@
+package mcconfig
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"marigoldcroft"
+)
+
+// MaxFileBytes bounds an operator file and the body of an apply call.
+const MaxFileBytes = 4 << 20
+
+type (
+	// templateDocument is a template in an operator file.
+	templateDocument struct {
+		Kind string `yaml:"kind"`
+		// Revision is the revision that the stored object must have, if given.
+		Revision                   *uint64 `yaml:"revision,omitempty"`
+		marigoldcroft.TemplateSpec `yaml:",inline"`
+	}
+
+	// teamDocument is a team in an operator file.
+	teamDocument struct {
+		Kind                   string  `yaml:"kind"`
+		Revision               *uint64 `yaml:"revision,omitempty"`
+		marigoldcroft.TeamSpec `yaml:",inline"`
+	}
+)
+
+// DecodeFile decodes and checks the documents of an operator file. The error lists
+// all faults, one per line; each names the file, the document, the field and the limit.
+func DecodeFile(file string, text []byte) (changes []Change, err error) {
+	// goccy/go-yaml 1.19 panics on a sequence field whose value is an unknown tag.
+	defer func() {
+		if fault := recover(); fault != nil {
+			changes = nil
+			err = marigoldcroft.NewFailure("decode "+file, KindInvalid, errors.Newf("malformed YAML: %v", fault))
+		}
+	}()
+	if len(text) > MaxFileBytes {
+		return nil, marigoldcroft.NewFailure("decode "+file, KindInvalid,
+			errors.Newf("the file has %d bytes; at most %d are allowed", len(text), MaxFileBytes))
+	}
+	parsed, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return nil, marigoldcroft.NewFailure("decode "+file, KindInvalid, errors.New(yaml.FormatError(err, false, false)))
+	}
+	var (
+		faults []string
+		seen   = map[ObjectName]int{}
+		owners = map[keyHash]ObjectName{}
+	)
+	for i, document := range parsed.Docs {
+		if document.Body == nil || document.Body.Type() == ast.NullType {
+			continue
+		}
+		change, err := decodeDocument(document.Body)
+		if err == nil {
+			err = checkAgainst(change, i+1, seen, owners)
+		}
+		if err != nil {
+			faults = append(faults, fmt.Sprintf("%s: document %d%s: %v", file, i+1, nameSuffix(change), err))
+			continue
+		}
+		changes = append(changes, change)
+	}
+	if len(faults) == 0 && len(changes) == 0 {
+		faults = append(faults, file+": the file has no document")
+	}
+	if len(faults) > 0 {
+		return nil, marigoldcroft.NewFailure("decode", KindInvalid, errors.New(strings.Join(faults, "\n")))
+	}
+	return changes, nil
+}
+
+// EncodeFile returns the entries as documents of an operator file. With the revision
+// in each document, a later apply fails if the object has changed meanwhile.
+func EncodeFile(entries []Entry) ([]byte, error) {
+	var out bytes.Buffer
+	for i, e := range entries {
+		if i > 0 {
+			out.WriteString("---\n")
+		}
+		var document any
+		switch {
+		case e.Deleted:
+			continue
+		case e.Template != nil:
+			document = templateDocument{Kind: string(e.Kind), Revision: &e.Revision, TemplateSpec: *e.Template}
+		default:
+			document = teamDocument{Kind: string(e.Kind), Revision: &e.Revision, TeamSpec: *e.Team}
+		}
+		text, err := yaml.Marshal(document)
+		if err != nil {
+			return nil, marigoldcroft.NewFailure("encode "+e.String(), KindInvalid, err)
+		}
+		out.Write(text)
+	}
+	return out.Bytes(), nil
+}
+
+// decodeDocument decodes one document; the result has a name also after most errors.
+func decodeDocument(node ast.Node) (Change, error) {
+	var head struct {
+		Kind string `yaml:"kind"`
+		Name string `yaml:"name"`
+	}
+	if err := yaml.NodeToValue(node, &head); err != nil {
+		return Change{}, flatten(err)
+	}
+	var (
+		change   = Change{Name: ObjectName{Kind: ObjectKind(head.Kind), Name: head.Name}}
+		template templateDocument
+		team     teamDocument
+		err      error
+	)
+	switch change.Name.Kind {
+	case ObjectTemplate:
+		err = yaml.NodeToValue(node, &template, yaml.Strict())
+		change.Object.Template, change.Expected = &template.TemplateSpec, template.Revision
+	case ObjectTeam:
+		err = yaml.NodeToValue(node, &team, yaml.Strict())
+		change.Object.Team, change.Expected = &team.TeamSpec, team.Revision
+	default:
+		return Change{}, errors.Newf("field kind: value %s breaks the limit oneof=template team", quoteShort(head.Kind))
+	}
+	if err != nil {
+		return change, flatten(err)
+	}
+	change.Object = change.Object.normalized()
+	return change, change.Object.check()
+}
+
+// checkAgainst finds objects and keys that stand in the file twice.
+func checkAgainst(change Change, document int, seen map[ObjectName]int, owners map[keyHash]ObjectName) error {
+	if earlier, ok := seen[change.Name]; ok {
+		return errors.Newf("field name: %s stands in document %d, too", change.Name, earlier)
+	}
+	seen[change.Name] = document
+	if change.Object.Team == nil {
+		return nil
+	}
+	for i, hash := range change.Object.Team.KeyHashes {
+		h, _ := parseKeyHash(hash)
+		if owner, ok := owners[h]; ok {
+			return errors.Newf("field keyHashes[%d]: the key hash stands in %s, too", i, owner)
+		}
+		owners[h] = change.Name
+	}
+	return nil
+}
+
+func nameSuffix(change Change) string {
+	if change.Name.Name == "" {
+		return ""
+	}
+	return fmt.Sprintf(" (%s %s)", change.Name.Kind, quoteShort(change.Name.Name))
+}
+
+// flatten puts a decoding error with its line and column in one line.
+func flatten(err error) error {
+	var mismatch *yaml.TypeError
+	if errors.As(err, &mismatch) && mismatch.StructFieldName != nil && mismatch.Token != nil {
+		path := *mismatch.StructFieldName
+		field := path[strings.LastIndexByte(path, '.')+1:]
+		return errors.Newf("[%d:%d] field %s: value %s breaks the limit: a value of type %s",
+			mismatch.Token.Position.Line, mismatch.Token.Position.Column,
+			strings.ToLower(field[:1])+field[1:], quoteShort(mismatch.Token.Value), mismatch.DstType)
+	}
+	text, _, _ := strings.Cut(yaml.FormatError(err, false, false), "\n")
+	return errors.New(text)
+}
--- a/mcconfig/follower.go
+++ b/mcconfig/follower.go
@@ -76,8 +76,10 @@
 		readyOnce sync.Once
 		hints     chan struct{}
 
-		// adopting is held while a head is applied or the store is repaired.
-		adopting sync.Mutex
+		// adopting has one place, which is taken while a head is applied or the store is
+		// repaired. It is a channel, as a mutex held over store calls would stop the
+		// clock of testing/synctest.
+		adopting chan struct{}
 
 		applied, refused, repairs, pagesPeers, pagesStore, watchErrors atomic.Uint64
 	}
@@ -101,6 +103,7 @@
 		f.snapshot.Store(emptySnapshot())
 		f.ready = make(chan struct{})
 		f.hints = make(chan struct{}, 1)
+		f.adopting = make(chan struct{}, 1)
 		if f.Peers == nil {
 			f.Peers = noPeers{}
 		}
--- a/mcconfig/follower_test.go
+++ b/mcconfig/follower_test.go
@@ -30,25 +30,24 @@
 	loseAnswers, dropWrites int
 	// deafWatch makes watches miss all changes.
 	deafWatch bool
+	// afterLost runs between a write whose answer is lost and the caller's next step.
+	afterLost func(key string)
 	// beforePut runs before a write, without the lock.
 	beforePut func(key string)
 	writes    int
 	reads     int
 }
 
-func (s *faultyStore) enter(ctx context.Context, write bool) (lose, drop bool, err error) {
+func (s *faultyStore) enter(ctx context.Context, write bool) (inner marigoldcroft.ObjectStore, drop bool, err error) {
 	s.mu.Lock()
 	delay, down := s.delay, s.down
+	inner = s.ObjectStore
 	if write {
 		s.writes++
 		drop = s.dropWrites > 0
-		lose = !drop && s.loseAnswers > 0
 		if drop {
 			s.dropWrites--
 		}
-		if lose {
-			s.loseAnswers--
-		}
 	} else {
 		s.reads++
 	}
@@ -57,13 +56,13 @@
 		select {
 		case <-time.After(delay):
 		case <-ctx.Done():
-			return false, false, marigoldcroft.NewFailure("call", mcstore.KindUnavailable, ctx.Err())
+			return nil, false, marigoldcroft.NewFailure("call", mcstore.KindUnavailable, ctx.Err())
 		}
 	}
 	if down {
-		return false, false, marigoldcroft.NewFailure("call", mcstore.KindUnavailable, errors.New("the store is down"))
+		return nil, false, marigoldcroft.NewFailure("call", mcstore.KindUnavailable, errors.New("the store is down"))
 	}
-	return lose, drop, nil
+	return inner, drop, nil
 }
 
 func (s *faultyStore) set(change func(*faultyStore)) {
@@ -72,15 +71,28 @@
 	change(s)
 }
 
+// losesAnswer tells whether the answer of a write that took effect is lost.
+func (s *faultyStore) losesAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loseAnswers == 0 {
+		return false
+	}
+	s.loseAnswers--
+	return true
+}
+
 func (s *faultyStore) Get(ctx context.Context, key string) (marigoldcroft.Object, error) {
-	if _, _, err := s.enter(ctx, false); err != nil {
+	inner, _, err := s.enter(ctx, false)
+	if err != nil {
 		return marigoldcroft.Object{}, err
 	}
-	return s.ObjectStore.Get(ctx, key)
+	return inner.Get(ctx, key)
 }
 
 func (s *faultyStore) Watch(ctx context.Context, key string, known marigoldcroft.Version, wait time.Duration) (marigoldcroft.Object, error) {
-	if _, _, err := s.enter(ctx, false); err != nil {
+	inner, _, err := s.enter(ctx, false)
+	if err != nil {
 		return marigoldcroft.Object{}, err
 	}
 	s.mu.Lock()
@@ -90,14 +102,14 @@
 		<-ctx.Done()
 		return marigoldcroft.Object{}, marigoldcroft.NewFailure("watch", mcstore.KindUnavailable, ctx.Err())
 	}
-	return s.ObjectStore.Watch(ctx, key, known, wait)
+	return inner.Watch(ctx, key, known, wait)
 }
 
 func (s *faultyStore) Put(ctx context.Context, key string, value []byte, expected marigoldcroft.Version, writeID string) (marigoldcroft.Version, error) {
 	if s.beforePut != nil {
 		s.beforePut(key)
 	}
-	lose, drop, err := s.enter(ctx, true)
+	inner, drop, err := s.enter(ctx, true)
 	if err != nil {
 		return "", err
 	}
@@ -105,8 +117,11 @@
 	if drop {
 		return "", unknown
 	}
-	version, err := s.ObjectStore.Put(ctx, key, value, expected, writeID)
-	if lose {
+	version, err := inner.Put(ctx, key, value, expected, writeID)
+	if err == nil && s.losesAnswer() {
+		if s.afterLost != nil {
+			s.afterLost(key)
+		}
 		return "", unknown
 	}
 	return version, err
--- a/mcconfig/load.go
+++ b/mcconfig/load.go
@@ -18,8 +18,8 @@
 // adopt applies head when it is higher than the one in force. After an error the
 // snapshot in force is unchanged.
 func (f *Follower) adopt(ctx context.Context, head Head) error {
-	f.adopting.Lock()
-	defer f.adopting.Unlock()
+	f.adopting <- struct{}{}
+	defer func() { <-f.adopting }()
 	f.see(head.Revision)
 	current := f.snapshot.Load()
 	if head.Revision <= current.Revision() {
--- /dev/null
+++ b/mcconfig/measure.go
@@ -0,0 +1,168 @@
+package mcconfig
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"marigoldcroft"
+	"marigoldcroft/mcstore"
+)
+
+// measureDelay is the answer time of the store in measurements: the platform's store
+// answers in milliseconds.
+const measureDelay = 3 * time.Millisecond
+
+type (
+	// BootResult is the cost of reading the whole configuration.
+	BootResult struct {
+		Boot time.Duration
+		// HeapBytes is the live heap that the configuration in force takes.
+		HeapBytes  uint64
+		StoreReads int64
+	}
+
+	// PropagationResult tells how fast changes come into force and what they cost.
+	PropagationResult struct {
+		P50, P99 time.Duration
+		// WritesPerChange and ReadsPerChange count store calls, reads over all followers.
+		WritesPerChange, ReadsPerChange float64
+	}
+
+	// measuredStore counts and delays the calls of a store in memory.
+	measuredStore struct {
+		mcstore.Memory
+		reads, writes atomic.Int64
+	}
+)
+
+func (s *measuredStore) Get(ctx context.Context, key string) (marigoldcroft.Object, error) {
+	s.reads.Add(1)
+	sleep(ctx, measureDelay)
+	return s.Memory.Get(ctx, key)
+}
+
+func (s *measuredStore) Watch(ctx context.Context, key string, known marigoldcroft.Version, wait time.Duration) (marigoldcroft.Object, error) {
+	s.reads.Add(1)
+	sleep(ctx, measureDelay)
+	return s.Memory.Watch(ctx, key, known, wait)
+}
+
+func (s *measuredStore) Put(ctx context.Context, key string, value []byte, expected marigoldcroft.Version, writeID string) (marigoldcroft.Version, error) {
+	s.writes.Add(1)
+	sleep(ctx, measureDelay)
+	return s.Memory.Put(ctx, key, value, expected, writeID)
+}
+
+// MeasureBoot fills a store in memory with the number of teams and reads them with
+// one follower without peers.
+func MeasureBoot(ctx context.Context, teams int) (BootResult, error) {
+	store := &measuredStore{}
+	if err := fill(ctx, store, teams); err != nil {
+		return BootResult{}, err
+	}
+	before := liveHeap()
+	reads := store.reads.Load()
+	follower := &Follower{Store: store, Deployment: "measure"}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	start := time.Now()
+	go func() { _ = follower.Run(ctx) }()
+	<-follower.Ready()
+	result := BootResult{Boot: time.Since(start), StoreReads: store.reads.Load() - reads}
+	// The store in memory hands out its own bytes, which a real client would hold.
+	raw := uint64(0)
+	for _, page := range follower.inForce().pages {
+		if page != nil {
+			raw += uint64(len(page.raw))
+		}
+	}
+	result.HeapBytes = liveHeap() - before + raw
+	runtime.KeepAlive(follower)
+	return result, nil
+}
+
+func fill(ctx context.Context, store *measuredStore, teams int) error {
+	editor := &Editor{Store: store, Follower: &Follower{Store: store, Deployment: "measure"}}
+	changes := []Change{measureTemplate("t0", 1000), measureTemplate("t1", 1000), measureTemplate("t2", 1000)}
+	for i := range teams {
+		spec := marigoldcroft.TeamSpec{
+			Name: fmt.Sprintf("team-%05d", i), KeyHashes: []string{fmt.Sprintf("%08x%056x", uint32(i)*2654435761, i)},
+			Templates: []string{"t0", "t1", "t2"}, TokensPerSecond: 25000, Concurrency: 10, LongShare: 0.5, Weight: 1,
+		}
+		changes = append(changes, Change{Name: ObjectName{ObjectTeam, spec.Name}, Object: Object{Team: &spec}})
+	}
+	for chunk := range slices.Chunk(changes, maxChanges) {
+		if _, err := editor.Apply(ctx, chunk, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureTemplate(name string, deadlineMs int64) Change {
+	return Change{Name: ObjectName{ObjectTemplate, name}, Object: Object{Template: &marigoldcroft.TemplateSpec{
+		Name: name, Model: "m", Urgency: "normal", Repeat: marigoldcroft.RepeatIdempotent, DeadlineMs: deadlineMs,
+	}}}
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// MeasurePropagation applies changes one by one and measures the time from the call
+// of Apply until each follower has the change in force.
+func MeasurePropagation(ctx context.Context, followers, changes int) (PropagationResult, error) {
+	store := &measuredStore{}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	all := make([]*Follower, followers)
+	for i := range all {
+		all[i] = &Follower{Store: store, Deployment: "measure"}
+		go func() { _ = all[i].Run(ctx) }()
+		<-all[i].Ready()
+	}
+	editor := &Editor{Store: store, Follower: all[0]}
+	// Reads and writes are counted from here; the boot of the followers is over.
+	reads, writes := store.reads.Load(), store.writes.Load()
+	var times []time.Duration
+	for i := range changes {
+		start := time.Now()
+		result, err := editor.Apply(ctx, []Change{measureTemplate("t0", int64(1000+i))}, false)
+		if err != nil {
+			return PropagationResult{}, err
+		}
+		times = append(times, awaitAll(ctx, all, result.Revision, start)...)
+	}
+	slices.Sort(times)
+	return PropagationResult{
+		P50: times[len(times)/2], P99: times[len(times)*99/100],
+		WritesPerChange: float64(store.writes.Load()-writes) / float64(changes),
+		ReadsPerChange:  float64(store.reads.Load()-reads) / float64(changes),
+	}, nil
+}
+
+// awaitAll returns for each follower the time since start at which it has the revision.
+func awaitAll(ctx context.Context, followers []*Follower, revision uint64, start time.Time) []time.Duration {
+	const poll = 200 * time.Microsecond
+	times := make([]time.Duration, len(followers))
+	var group sync.WaitGroup
+	for i, f := range followers {
+		group.Go(func() {
+			for f.inForce().Revision() < revision && ctx.Err() == nil {
+				time.Sleep(poll)
+			}
+			times[i] = time.Since(start)
+		})
+	}
+	group.Wait()
+	return times
+}
--- a/mcconfig/object.go
+++ b/mcconfig/object.go
@@ -95,6 +95,17 @@
 	return o.Team
 }
 
+// normalized returns the object in the one form in which equal contents are stored:
+// an absent list of templates is an empty list.
+func (o Object) normalized() Object {
+	if o.Team != nil && o.Team.Templates == nil {
+		team := *o.Team
+		team.Templates = []string{}
+		o.Team = &team
+	}
+	return o
+}
+
 // equal compares the contents.
 func (o Object) equal(other Object) bool { return reflect.DeepEqual(o, other) }
 
--- a/mcconfig/repair.go
+++ b/mcconfig/repair.go
@@ -10,8 +10,8 @@
 // force: it writes the pages that differ and a head of a revision above all seen.
 // Of several instances that repair at once, the conditional update lets one through.
 func (f *Follower) repair(ctx context.Context) error {
-	f.adopting.Lock()
-	defer f.adopting.Unlock()
+	f.adopting <- struct{}{}
+	defer func() { <-f.adopting }()
 	head, version, err := readHead(ctx, f.Store)
 	if err != nil {
 		return err
