Add leases, orders to endpoints and the weight-load rate

Cause: endpoints must follow one controller even when a paused one wakes. Change: lease object with the epoch as fencing token, controller that sends, reads back and corrects, waiting time for endpoints that check no token, and a token bucket of weight loads in a lease object.

--- /dev/null
+++ b/mcorder/election_test.go
@@ -0,0 +1,141 @@
+package mcorder_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// candidate is one instance of the comparison of election rules.
+type candidate struct {
+	id, recoveries int
+	// upAt and failsAt are the times in seconds of the last start and the next stop.
+	upAt, failsAt float64
+	// meanUp is the mean time between restarts in seconds.
+	meanUp float64
+}
+
+// electionRule returns the leader among the live candidates, given the one before.
+type electionRule func(r *rand.Rand, live []*candidate, leader *candidate) *candidate
+
+// claimOrder keeps a live leader; else whoever comes first claims.
+func claimOrder(r *rand.Rand, live []*candidate, leader *candidate) *candidate {
+	for _, c := range live {
+		if c == leader {
+			return leader
+		}
+	}
+	return live[r.Intn(len(live))]
+}
+
+// fewestRecoveries is the rule of Martin, Larrea and Jimenez (2009): the smallest
+// count of recoveries leads, ties by id.
+func fewestRecoveries(_ *rand.Rand, live []*candidate, _ *candidate) *candidate {
+	best := live[0]
+	for _, c := range live {
+		if c.recoveries < best.recoveries || c.recoveries == best.recoveries && c.id < best.id {
+			best = c
+		}
+	}
+	return best
+}
+
+// fewestWhenVacant keeps a live leader; else the fewest recoveries lead.
+func fewestWhenVacant(r *rand.Rand, live []*candidate, leader *candidate) *candidate {
+	for _, c := range live {
+		if c == leader {
+			return leader
+		}
+	}
+	return fewestRecoveries(r, live, leader)
+}
+
+// changes counts the leadership changes in 30 days among 37 instances. A restart
+// takes 30 s. Replaced instances come back under a new id with no recoveries.
+func changes(seed int64, rule electionRule, flaky int, replaced bool) int {
+	const instances, seconds, down = 37, 30 * 86400, 30
+	// 53 of 330 instances are restarted or replaced on an ordinary day.
+	const meanUp, flakyMeanUp = 86400.0 * 330 / 53, 600.0
+	// Which instance restarts when does not depend on the rule.
+	faults, picks := rand.New(rand.NewSource(seed)), rand.New(rand.NewSource(seed+1))
+	all := make([]*candidate, instances)
+	for place, i := range faults.Perm(instances) {
+		all[i] = &candidate{id: i, meanUp: meanUp}
+		if place < flaky {
+			all[i].meanUp = flakyMeanUp
+		}
+		all[i].failsAt = faults.ExpFloat64() * all[i].meanUp
+	}
+	count, nextID := 0, instances
+	leader := rule(picks, all, nil)
+	for now := 0.0; now < seconds; now = nextEvent(all, now) {
+		var live []*candidate
+		for _, c := range all {
+			if now >= c.failsAt {
+				c.upAt = now + down
+				c.failsAt = c.upAt + faults.ExpFloat64()*c.meanUp
+				c.recoveries++
+				if replaced {
+					c.id, c.recoveries, nextID = nextID, 0, nextID+1
+				}
+			}
+			if now >= c.upAt {
+				live = append(live, c)
+			}
+		}
+		if next := rule(picks, live, leader); next != leader {
+			leader = next
+			count++
+		}
+	}
+	return count
+}
+
+// nextEvent returns the time after now at which the next candidate fails or is up.
+func nextEvent(all []*candidate, now float64) float64 {
+	next := math.Inf(1)
+	for _, c := range all {
+		for _, at := range []float64{c.failsAt, c.upAt} {
+			if at > now && at < next {
+				next = at
+			}
+		}
+	}
+	return next
+}
+
+// compareRules returns a table of leadership changes, summed over the seeds.
+func compareRules(seeds int64) string {
+	rules := []struct {
+		name string
+		rule electionRule
+	}{{"claim order", claimOrder}, {"fewest recoveries", fewestRecoveries}, {"fewest when vacant", fewestWhenVacant}}
+	var out strings.Builder
+	fmt.Fprintf(&out, "%-20s %9s %9s %9s\n", "rule", "restarts", "flaky", "replaced")
+	for _, c := range rules {
+		var sums [3]int
+		for seed := range seeds {
+			sums[0] += changes(seed, c.rule, 0, false)
+			sums[1] += changes(seed, c.rule, 3, false)
+			sums[2] += changes(seed, c.rule, 0, true)
+		}
+		fmt.Fprintf(&out, "%-20s %9d %9d %9d\n", c.name, sums[0], sums[1], sums[2])
+	}
+	return out.String()
+}
+
+// Guards against a change of the comparison that docs/jobs.md cites.
+func TestElectionRules(t *testing.T) {
+	goldie.New(t).Assert(t, "election", []byte(compareRules(10)))
+}
+
+// BenchmarkElectionRules logs the table of docs/jobs.md.
+func BenchmarkElectionRules(b *testing.B) {
+	for b.Loop() {
+		b.Log("\n" + compareRules(200))
+	}
+}
--- /dev/null
+++ b/mcorder/lease.go
@@ -0,0 +1,268 @@
+package mcorder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"marigoldcroft"
+	"marigoldcroft/mcstore"
+)
+
+const (
+	// LeaseDuration is how long a lease is valid after the start of the write that
+	// took or renewed it.
+	LeaseDuration = 15 * time.Second
+	// renewEvery leaves room for two failed renewals.
+	renewEvery = 4 * time.Second
+	// ClockDrift bounds how much two monotonic clocks differ over one lease: 500 ms in
+	// 15 s is 3%, far above a quartz clock's error.
+	ClockDrift = 500 * time.Millisecond
+	// OrderDeadline bounds the sending of one order, with its answer.
+	OrderDeadline = 3 * time.Second
+	// callTimeout bounds one call of the store.
+	callTimeout = 2 * time.Second
+
+	formatVersion = 1
+)
+
+type (
+	// Record is the stored form of a lease.
+	Record struct {
+		Version int `json:"version"`
+		// Epoch is the fencing token; it grows with each change of the holder.
+		Epoch uint64 `json:"epoch"`
+		// Owner is the holder as instance/incarnation, or "" after a release.
+		Owner string `json:"owner,omitempty"`
+		// Renewal grows with each write of the holder.
+		Renewal uint64 `json:"renewal"`
+		// Loads is the deployment-wide allotment of weight loads; see LoadBudget.
+		Loads LoadBudget `json:"loads"`
+	}
+
+	// Lease holds or seeks the lease of one group. Set the exported fields before Run.
+	Lease struct {
+		Store    marigoldcroft.ObjectStore
+		Identity marigoldcroft.Identity
+		Group    string
+		// Gone tells whether a run has ended, so that its lease need not be waited out
+		// before it is taken. It may be nil. Fencing does not depend on it.
+		Gone func(owner string) bool
+		// Eligible tells whether this instance may claim now; nil means always.
+		Eligible func() bool
+		Logger   zerolog.Logger
+
+		mu      sync.Mutex
+		record  Record
+		version marigoldcroft.Version
+		// seenAt is the monotonic time at which the version was first read here.
+		seenAt time.Time
+		// validUntil is the end of the own lease on the monotonic clock; zero means that
+		// the lease is not held.
+		validUntil time.Time
+		// takenAt is the monotonic time at which this run took the lease.
+		takenAt time.Time
+		// inherited is true when an earlier holder's orders may still be on their way.
+		inherited bool
+	}
+)
+
+func (l *Lease) key() string { return "leases/" + l.Group }
+
+// Run seeks and keeps the lease until ctx ends, then releases it.
+func (l *Lease) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := l.Step(ctx); err != nil && ctx.Err() == nil {
+			l.Logger.Warn().Err(err).Str("group", l.Group).Msg("leaseUnconfirmed")
+		}
+		pause(ctx, renewEvery)
+	}
+	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	_ = l.Release(release)
+	return ctx.Err()
+}
+
+// Step reads the lease once and takes or renews it if it may.
+func (l *Lease) Step(ctx context.Context) error {
+	record, version, err := l.read(ctx)
+	if err != nil {
+		return err
+	}
+	l.observe(record, version)
+	own := l.Identity.Owner()
+	switch {
+	case record.Owner == own:
+		return l.write(ctx, version, func(*Record) {})
+	case l.Eligible != nil && !l.Eligible():
+		return nil
+	case record.Owner == "" || l.lapsed(record):
+		return l.write(ctx, version, func(r *Record) { r.Owner, r.Epoch = own, r.Epoch+1 })
+	default:
+		return nil
+	}
+}
+
+// observe notes when a version is seen for the first time.
+func (l *Lease) observe(record Record, version marigoldcroft.Version) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if version != l.version || l.seenAt.IsZero() {
+		l.record, l.version, l.seenAt = record, version, time.Now()
+	}
+	if record.Owner != l.Identity.Owner() {
+		l.validUntil = time.Time{}
+	}
+}
+
+// lapsed tells whether the holder is gone or has not renewed for a whole lease by
+// this instance's own clock. No clock is compared with another instance's.
+func (l *Lease) lapsed(record Record) bool {
+	if l.Gone != nil && l.Gone(record.Owner) {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(l.seenAt) > LeaseDuration+ClockDrift
+}
+
+func (l *Lease) read(ctx context.Context) (Record, marigoldcroft.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	object, err := l.Store.Get(ctx, l.key())
+	if mcstore.IsNotFound(err) {
+		return Record{Version: formatVersion}, "", nil
+	}
+	if err != nil {
+		return Record{}, "", marigoldcroft.NewFailure("read lease "+l.Group, KindUnavailable, err)
+	}
+	var record Record
+	d := json.NewDecoder(bytes.NewReader(object.Value()))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&record); err != nil || record.Version != formatVersion {
+		return Record{}, "", marigoldcroft.NewFailure("read lease "+l.Group, KindCorrupt, err)
+	}
+	return record, object.Version(), nil
+}
+
+// write changes the lease over the version. A lost answer is read back by write id;
+// validity counts from before the first try, so that it is never too long.
+func (l *Lease) write(ctx context.Context, version marigoldcroft.Version, change func(*Record)) error {
+	start := time.Now()
+	l.mu.Lock()
+	before := l.record
+	l.mu.Unlock()
+	next := before
+	change(&next)
+	next.Version, next.Renewal = formatVersion, before.Renewal+1
+	raw, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	writeID := uuid.NewString()
+	written, err := l.put(ctx, raw, version, writeID)
+	if err != nil {
+		object, readErr := l.get(ctx)
+		if readErr != nil || object.WriteID() != writeID {
+			return marigoldcroft.NewFailure("write lease "+l.Group, KindUnavailable, err)
+		}
+		written = object.Version()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.record, l.version, l.seenAt = next, written, start
+	if next.Owner != l.Identity.Owner() {
+		l.validUntil = time.Time{}
+		return nil
+	}
+	if next.Epoch != before.Epoch {
+		l.takenAt, l.inherited = time.Now(), before.Epoch > 0
+		l.Logger.Info().Str("group", l.Group).Uint64("epoch", next.Epoch).Msg("leaseTaken")
+	}
+	l.validUntil = start.Add(LeaseDuration)
+	return nil
+}
+
+func (l *Lease) put(ctx context.Context, raw []byte, version marigoldcroft.Version, writeID string) (marigoldcroft.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return l.Store.Put(ctx, l.key(), raw, version, writeID)
+}
+
+func (l *Lease) get(ctx context.Context) (marigoldcroft.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return l.Store.Get(ctx, l.key())
+}
+
+// Release gives the lease up, if it is held.
+func (l *Lease) Release(ctx context.Context) error {
+	l.mu.Lock()
+	held := l.record.Owner == l.Identity.Owner()
+	version := l.version
+	l.validUntil = time.Time{}
+	l.mu.Unlock()
+	if !held {
+		return nil
+	}
+	return l.write(ctx, version, func(r *Record) { r.Owner = "" })
+}
+
+// Epoch returns the fencing token while the lease is held.
+func (l *Lease) Epoch() (uint64, error) {
+	epoch, _, err := l.remaining()
+	return epoch, err
+}
+
+// remaining returns the epoch and the time left on the own lease.
+func (l *Lease) remaining() (uint64, time.Duration, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	left := time.Until(l.validUntil)
+	if l.validUntil.IsZero() || left <= 0 {
+		return 0, 0, marigoldcroft.NewFailure("lease "+l.Group, KindNotLeader, nil)
+	}
+	return l.record.Epoch, left, nil
+}
+
+// Permit tells whether an order may be sent now and until when it may take effect.
+// For an endpoint that checks fencing tokens the lease must be held. For one that
+// does not, a whole order deadline must be left, and a new holder first waits out
+// the lease of the one before, the drift and the deadline of its last order.
+func (l *Lease) Permit(checksFencing bool) (epoch uint64, until time.Time, err error) {
+	epoch, left, err := l.remaining()
+	if err != nil {
+		return 0, time.Time{}, err
+	}
+	now := time.Now()
+	if checksFencing {
+		return epoch, now.Add(OrderDeadline), nil
+	}
+	if left < OrderDeadline+ClockDrift {
+		return 0, time.Time{}, marigoldcroft.NewFailure("lease "+l.Group, KindNotLeader,
+			errors.Newf("%v are left, less than one order needs", left))
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wait := l.takenAt.Add(LeaseDuration + ClockDrift + OrderDeadline).Sub(now)
+	if l.inherited && wait > 0 {
+		return 0, time.Time{}, marigoldcroft.NewFailure("lease "+l.Group, KindNotLeader,
+			errors.Newf("orders of the holder before may arrive for another %v", wait))
+	}
+	return epoch, now.Add(OrderDeadline), nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/mcorder/order_test.go
@@ -0,0 +1,201 @@
+package mcorder_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcorder"
+	"marigoldcroft/mcstore"
+)
+
+// engine is an endpoint that takes orders. With checks it refuses old fencing tokens.
+type engine struct {
+	mu     sync.Mutex
+	checks bool
+	order  marigoldcroft.Order
+	// taken lists the fencing tokens and the times of the orders that took effect.
+	taken []string
+	// ignore is the number of orders that are answered but have no effect.
+	ignore int
+	start  time.Time
+}
+
+func (e *engine) Order(ctx context.Context, _ marigoldcroft.Endpoint, order marigoldcroft.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if e.checks && order.Fencing < e.order.Fencing {
+		return errors.New("the fencing token is old")
+	}
+	if e.ignore > 0 {
+		e.ignore--
+		return nil
+	}
+	e.order = order
+	e.taken = append(e.taken, fmt.Sprintf("%d at %v", order.Fencing, time.Since(e.start).Round(time.Second)))
+	return nil
+}
+
+func (e *engine) Orders(context.Context, marigoldcroft.Endpoint) (marigoldcroft.Order, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.order, nil
+}
+
+// controller returns an instance that wants the version for the endpoint.
+func controller(store marigoldcroft.ObjectStore, name, version string, e *engine) *mcorder.Controller {
+	identity := marigoldcroft.NewIdentity("d", "r", "z", name, time.Now(), 1)
+	endpoint := marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{Name: "e", ChecksFencing: e.checks})
+	return &mcorder.Controller{
+		Lease:     &mcorder.Lease{Store: store, Identity: identity, Group: "g"},
+		Loads:     &mcorder.Lease{Store: store, Identity: identity, Group: mcorder.LoadGroup},
+		LoadLimit: mcorder.LoadLimit{PerSecond: 1, Burst: 2},
+		Engine:    e,
+		Wanted: func() []mcorder.Desired {
+			return []mcorder.Desired{{Endpoint: endpoint, Order: marigoldcroft.Order{Version: version}}}
+		},
+	}
+}
+
+// lostAnswers loses the answers of all writes that take effect.
+type lostAnswers struct{ mcstore.Memory }
+
+func (s *lostAnswers) Put(ctx context.Context, key string, value []byte, expected marigoldcroft.Version, writeID string) (marigoldcroft.Version, error) {
+	if version, err := s.Memory.Put(ctx, key, value, expected, writeID); err != nil {
+		return version, err
+	}
+	return "", marigoldcroft.NewFailure("put", mcstore.KindUnknown, nil)
+}
+
+// Guards against an order of a deposed or paused holder that overwrites its
+// successor's, at endpoints that check fencing tokens and at those that do not.
+func TestPausedHolderCannotOverwrite(t *testing.T) {
+	const wait = mcorder.LeaseDuration + mcorder.ClockDrift
+	cases := map[string]struct {
+		checks bool
+		taken  []string
+	}{
+		"endpoint checks": {checks: true, taken: []string{"1 at 0s", "2 at 16s"}},
+		// The successor waits out the lease, the drift and the order deadline once more.
+		"endpoint does not check": {taken: []string{"1 at 0s", "2 at 35s"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, e := &mcstore.Memory{}, &engine{checks: c.checks, start: time.Now()}
+				old, next := controller(store, "a", "v1", e), controller(store, "b", "v2", e)
+				ctx := t.Context()
+				require.NoError(t, old.Lease.Step(ctx))
+				require.Zero(t, old.Pass(ctx))
+				require.NoError(t, next.Lease.Step(ctx))
+				_, err := next.Lease.Epoch()
+				require.True(t, mcorder.IsNotLeader(err), "the lease is held")
+				time.Sleep(wait + 500*time.Millisecond)
+				require.NoError(t, next.Lease.Step(ctx))
+				for range 25 {
+					next.Pass(ctx)
+					time.Sleep(time.Second)
+					_ = next.Lease.Step(ctx)
+				}
+				// The old holder wakes and has not learned of its successor.
+				old.Pass(ctx)
+				require.Equal(t, c.taken, e.taken)
+				require.Equal(t, "v2", e.order.Version)
+			})
+		})
+	}
+}
+
+// Guards against an order to an endpoint without checks that is still on its way when
+// the lease ends.
+func TestPermitNeedsTimeLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := controller(&mcstore.Memory{}, "a", "v1", &engine{})
+		require.NoError(t, c.Lease.Step(t.Context()))
+		_, until, err := c.Lease.Permit(false)
+		require.NoError(t, err)
+		require.Equal(t, mcorder.OrderDeadline, time.Until(until))
+		time.Sleep(mcorder.LeaseDuration - mcorder.OrderDeadline)
+		_, _, err = c.Lease.Permit(false)
+		require.True(t, mcorder.IsNotLeader(err))
+		_, _, err = c.Lease.Permit(true)
+		require.NoError(t, err)
+		time.Sleep(mcorder.OrderDeadline)
+		_, _, err = c.Lease.Permit(true)
+		require.True(t, mcorder.IsNotLeader(err))
+	})
+}
+
+// Guards against a lease whose writes succeed but whose holder does not learn of it,
+// against a released lease that is waited out, and against a lost epoch.
+func TestLeaseLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &lostAnswers{}
+		a, b := controller(store, "a", "v1", &engine{}).Lease, controller(store, "b", "v1", &engine{}).Lease
+		for range 10 {
+			require.NoError(t, a.Step(t.Context()))
+			require.NoError(t, b.Step(t.Context()))
+			epoch, err := a.Epoch()
+			require.NoError(t, err)
+			require.Equal(t, uint64(1), epoch)
+			time.Sleep(4 * time.Second)
+		}
+		require.NoError(t, a.Release(t.Context()))
+		_, err := a.Epoch()
+		require.True(t, mcorder.IsNotLeader(err))
+		require.NoError(t, b.Step(t.Context()))
+		epoch, err := b.Epoch()
+		require.NoError(t, err)
+		require.Equal(t, uint64(2), epoch)
+		require.NoError(t, a.Step(t.Context()))
+		_, err = a.Epoch()
+		require.True(t, mcorder.IsNotLeader(err))
+	})
+}
+
+// Guards against a state that the endpoint answered to but did not take, or lost.
+func TestStateIsReadBackAndCorrected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &engine{checks: true, ignore: 1}
+		c := controller(&mcstore.Memory{}, "a", "v1", e)
+		require.NoError(t, c.Lease.Step(t.Context()))
+		require.Equal(t, 1, c.Pass(t.Context()))
+		require.Contains(t, c.Unsettled()["e"], "has not taken the state")
+		require.Zero(t, c.Pass(t.Context()))
+		e.order.Version = "v0"
+		time.Sleep(2 * time.Second)
+		require.Zero(t, c.Pass(t.Context()))
+		require.Equal(t, "v1", e.order.Version)
+	})
+}
+
+// Guards against a weight-load rate that starts anew with each holder.
+func TestLoadRateHoldsAcrossHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, loads := &mcstore.Memory{}, 0
+		limit := mcorder.LoadLimit{PerSecond: 0.5, Burst: 3}
+		for second := range 20 {
+			for _, name := range []string{"a", "b"} {
+				lease := controller(store, fmt.Sprint(name, second), "", &engine{}).Loads
+				ok, err := lease.DrawLoad(t.Context(), limit)
+				require.NoError(t, err)
+				if ok {
+					loads++
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		// The burst and a load every 2 s over the 19 s between first and last draw.
+		require.Equal(t, 3+9, loads)
+	})
+}
