Wire ledger, plain services, jobs and stream reconciliation into the instance

Cause: actions, jobs and lookups were not served, and streams of dead instances stayed on engines until the engine noticed.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	done
 
 smoke: build
+	$(GO) run ./scripts/quickstart
 
 quickstart: build
 	$(GO) run ./scripts/quickstart
--- a/cmd/marigoldcroft-standin/main.go
+++ b/cmd/marigoldcroft-standin/main.go
@@ -18,5 +18,5 @@
 
 // verbs is the lookup table, in the order of the help text.
 func verbs() []mcverb.Verb {
-	return []mcverb.Verb{engineVerb(), storeVerb(), instancesVerb()}
+	return []mcverb.Verb{engineVerb(), serviceVerb(), storeVerb(), instancesVerb()}
 }
--- a/mcentry/build.go
+++ b/mcentry/build.go
@@ -10,6 +10,7 @@
 	"marigoldcroft/mcconfig"
 	"marigoldcroft/mcengine"
 	"marigoldcroft/mcgateway"
+	"marigoldcroft/mcledger"
 	"marigoldcroft/mclimit"
 	"marigoldcroft/mcmember"
 	"marigoldcroft/mcmessage"
@@ -56,9 +57,10 @@
 	e.buildMembership(seed, peerAddress, credentials, client)
 	e.follower = &mcconfig.Follower{Store: e.store, Peers: e.membership, Deployment: s.Deployment, Logger: e.logger}
 	e.buildGateway()
+	e.buildDurable()
 	e.watcher = &watcher{
 		membership: e.membership, events: e.membership.member.Subscribe(eventBacklog), scheduler: e.scheduler,
-		suspects: e.suspects, limiter: e.limiter, follower: e.follower, store: e.store, metrics: e.metrics, logger: e.logger,
+		suspects: e.suspects, limiter: e.limiter, follower: e.follower, store: e.store, jobs: e.jobs, metrics: e.metrics, logger: e.logger,
 		allotments: e.allotments,
 	}
 	return nil
@@ -94,6 +96,7 @@
 // registerServices adds the services beside membership to the peers' server.
 func (e *Entry) registerServices(r grpc.ServiceRegistrar) {
 	mcmessage.RegisterConfigServiceServer(r, &mcconfig.Server{Follower: e.follower})
+	mcmessage.RegisterLedgerServiceServer(r, &mcledger.Server{Ledger: e.ledger})
 	mcmessage.RegisterStreamServiceServer(r, &mcgateway.StreamServer{Gateway: e.gateway})
 }
 
--- a/mcentry/entry.go
+++ b/mcentry/entry.go
@@ -18,10 +18,14 @@
 	"marigoldcroft/mcconfig"
 	"marigoldcroft/mcengine"
 	"marigoldcroft/mcgateway"
+	"marigoldcroft/mcjob"
+	"marigoldcroft/mcledger"
 	"marigoldcroft/mclimit"
 	"marigoldcroft/mcobserve"
+	"marigoldcroft/mcorder"
 	"marigoldcroft/mcpeer"
 	"marigoldcroft/mcquarantine"
+	"marigoldcroft/mcservice"
 	"marigoldcroft/mcsetting"
 	"marigoldcroft/mcstore"
 )
@@ -71,6 +75,11 @@
 	membership *membership
 	watcher    *watcher
 	gateway    *mcgateway.Gateway
+	service    *mcservice.Client
+	ledger     *mcledger.Ledger
+	actions    *mcledger.Executor
+	jobs       *mcjob.Jobs
+	reconciler *mcorder.Reconciler
 	peers      *mcpeer.Server
 
 	callers     net.Listener
@@ -153,6 +162,9 @@
 	e.duties.Go(func() { e.follow(duties) })
 	e.duties.Go(func() { e.ended("membership", e.membership.member.Run(duties)) })
 	e.duties.Go(func() { e.ended("peerServer", e.peers.Run(duties)) })
+	e.duties.Go(func() { e.ledger.Run(duties) })
+	e.duties.Go(func() { e.jobs.Run(duties) })
+	e.duties.Go(func() { e.reconciler.Run(duties) })
 	e.duties.Go(func() { e.ended("adminServer", e.serveAdmin(duties)) })
 	server := &http.Server{
 		Handler: e.gateway.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/mcentry/stop.go
+++ b/mcentry/stop.go
@@ -6,18 +6,21 @@
 	"time"
 
 	"marigoldcroft"
+	"marigoldcroft/mcmessage"
 )
 
 // stop makes the instance unready, serves on for the lame-duck time, and then waits
-// until no request is left, the stop limit passes or Abort is closed.
+// until no request is left, the stop limit passes or Abort is closed. Jobs and ledger
+// shards are given up for other instances.
 func (e *Entry) stop(server *http.Server) error {
 	e.gateway.Drain()
+	e.membership.member.SetState(mcmessage.MemberState_MEMBER_STATE_DRAINING)
 	e.logger.Info().Int64("inFlight", e.gateway.InFlight()).Msg("stopBegun")
 	limit, cancel := context.WithTimeout(context.Background(), e.Settings.Stop.LameDuck+e.Settings.Stop.Limit)
 	defer cancel()
 	e.lameDuck()
 	finished := make(chan error, 1)
-	go func() { finished <- server.Shutdown(limit) }()
+	go func() { finished <- e.finish(limit, server) }()
 	var err error
 	select {
 	case err = <-finished:
@@ -34,6 +37,31 @@
 	return nil
 }
 
+// finish waits for the callers' requests, gives up what others can take over, and then
+// waits for the requests that peers handed on.
+func (e *Entry) finish(ctx context.Context, server *http.Server) error {
+	if err := server.Shutdown(ctx); err != nil {
+		return err
+	}
+	e.releaseDurable(ctx)
+	return waitFor(ctx, e.gateway.Wait)
+}
+
+// waitFor calls wait and returns its end or that of ctx.
+func waitFor(ctx context.Context, wait func()) error {
+	ended := make(chan struct{})
+	go func() {
+		wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (e *Entry) lameDuck() {
 	timer := time.NewTimer(e.Settings.Stop.LameDuck)
 	defer timer.Stop()
--- a/mcentry/watch.go
+++ b/mcentry/watch.go
@@ -8,6 +8,7 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcconfig"
+	"marigoldcroft/mcjob"
 	"marigoldcroft/mclimit"
 	"marigoldcroft/mcmember"
 	"marigoldcroft/mcmessage"
@@ -40,6 +41,7 @@
 	allotments *allotments
 	follower   *mcconfig.Follower
 	store      *mcstore.Client
+	jobs       *mcjob.Jobs
 	metrics    *mcobserve.Metrics
 	logger     zerolog.Logger
 
@@ -133,6 +135,7 @@
 	}
 	w.limiter.SetMembers(others)
 	w.store.SetInstances(live)
+	w.jobs.SetInstances(live)
 }
 
 // observePeer replaces what the scheduler knows of a peer's work.
--- a/mcmember/member_api.go
+++ b/mcmember/member_api.go
@@ -111,3 +111,6 @@
 func (m *Member) CentreUsage(team string) map[string]TeamUsage {
 	return query(m, func(t *Table, _ time.Time) map[string]TeamUsage { return t.CentreUsage(team) })
 }
+
+// Polls is Table.PollsFor.
+func (m *Member) Polls() []marigoldcroft.Endpoint { return query(m, (*Table).PollsFor) }
--- /dev/null
+++ b/mcorder/reconcile_test.go
@@ -0,0 +1,72 @@
+package mcorder_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcorder"
+)
+
+// streamList is an engine that only lists and cancels streams.
+type streamList struct{ streams []marigoldcroft.EngineStream }
+
+func (s *streamList) Streams(context.Context, marigoldcroft.Endpoint) ([]marigoldcroft.EngineStream, error) {
+	return s.streams, nil
+}
+
+func (s *streamList) Cancel(_ context.Context, _ marigoldcroft.Endpoint, id marigoldcroft.StreamID) error {
+	var kept []marigoldcroft.EngineStream
+	for _, stream := range s.streams {
+		if stream.ID != id.Request() {
+			kept = append(kept, stream)
+		}
+	}
+	s.streams = kept
+	return nil
+}
+
+// Guards against engine memory that is lost for good after its owner's death, and
+// against cancelling the streams of an instance that is alive or came back in time.
+func TestStreamsOfGoneInstancesAreCancelled(t *testing.T) {
+	cases := []struct {
+		name string
+		// gone tells at a time since the start whether the owner counts as gone.
+		gone func(time.Duration) bool
+		kept bool
+	}{
+		{"live owner", func(time.Duration) bool { return false }, true},
+		{"dead owner", func(time.Duration) bool { return true }, false},
+		{"owner that refutes in time", func(at time.Duration) bool { return at < mcorder.StreamGrace/2 }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				engine := &streamList{streams: []marigoldcroft.EngineStream{{ID: "r", Attempt: 1, Owner: "a-1/7"}, {ID: "s", Attempt: 1, Owner: "malformed"}}}
+				r := &mcorder.Reconciler{
+					Engine: engine, Logger: zerolog.Nop(),
+					Endpoints: func() []marigoldcroft.Endpoint { return make([]marigoldcroft.Endpoint, 1) },
+					Gone: func(instance string, incarnation uint64) bool {
+						require.Equal(t, "a-1", instance)
+						require.EqualValues(t, 7, incarnation)
+						return c.gone(time.Since(start))
+					},
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 3*mcorder.StreamGrace)
+				defer cancel()
+				r.Run(ctx)
+				want := 1
+				if c.kept {
+					want = 2
+				}
+				require.Len(t, engine.streams, want)
+			})
+		})
+	}
+}
--- a/scripts/quickstart/step.go
+++ b/scripts/quickstart/step.go
@@ -146,7 +146,7 @@
 
 // checkRuns asks the service how often it ran the order.
 func (f *fleet) checkRuns(ctx context.Context, key string) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.service+"/control/runs", nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.service+"/control/counts", nil)
 	if err != nil {
 		return err
 	}
