Tell all peers of a suspect before its caller can try again

Cause: a prompt that ends engines reached every instance faster than the random exchanges told of it, and the stand-in answered 500 where a dead process sends nothing, so that no death was attributed. Change: Member.Announce pushes quarantine entries to all members of the data centre; a crashing stand-in cuts the connection; a process test sends one crashing prompt 40 times to three instances.

--- a/cmd/marigoldcroft/process_test.go
+++ b/cmd/marigoldcroft/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -34,6 +36,8 @@
 	engines []*mcstandin.Engine
 	list    *mcstandin.InstanceList
 	entries []*process
+	// crashed counts the engines that a prompt ended.
+	crashed atomic.Int32
 }
 
 // process is one entry instance.
@@ -46,16 +50,19 @@
 	f := &fleet{t: t, binary: build(t), store: mcstandin.NewObjectStore(1), list: &mcstandin.InstanceList{}}
 	var listing marigoldcroft.InstanceListing
 	for i := range engines {
-		e := &mcstandin.Engine{Crash: func() {}, Settings: mcstandin.EngineSettings{
+		e := &mcstandin.Engine{Settings: mcstandin.EngineSettings{
 			Name: fmt.Sprintf("engine-%d", i+1), Model: "caption", PrefillRate: 200_000, TokenTime: 2 * time.Millisecond,
 			KVCapacity: 450_000, CacheCapacity: 50_000, ReportLag: 200 * time.Millisecond,
 		}}
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
 		go e.Run(ctx)
+		server := httptest.NewServer(e.Handler())
+		t.Cleanup(server.CloseClientConnections)
+		e.Crash = func() { f.crash(server) }
 		f.engines = append(f.engines, e)
 		listing.Endpoints = append(listing.Endpoints, marigoldcroft.ListedEndpoint{
-			Name: e.Settings.Name, Kind: marigoldcroft.EndpointEngine, Address: f.serve(e.Handler()), DataCentre: "a", Pool: "caption",
+			Name: e.Settings.Name, Kind: marigoldcroft.EndpointEngine, Address: server.URL, DataCentre: "a", Pool: "caption",
 		})
 	}
 	storeAddress, listAddress := f.serve(f.store), f.serve(f.list.Handler())
@@ -91,6 +98,15 @@
 	return server.URL
 }
 
+// crash ends an engine as the death of its process does: connections are reset and
+// the port refuses new ones.
+func (f *fleet) crash(server *httptest.Server) {
+	f.crashed.Add(1)
+	// The listener is closed in any case.
+	_ = server.Listener.Close()
+	go server.CloseClientConnections()
+}
+
 func (f *fleet) start(p *process) {
 	p.command = exec.Command(f.binary, "serve", "--config", p.settings)
 	p.command.Stdout, p.command.Stderr = os.Stderr, os.Stderr
@@ -210,3 +226,43 @@
 	require.NoError(t, err, status)
 	require.True(t, strings.Contains(status, "leaving"), status)
 }
+
+// Guards against one prompt that ends engine after engine because its caller sends it
+// again at once to every instance.
+func TestCrashingPromptLosesFewEngines(t *testing.T) {
+	const poison = "poison"
+	f := newFleet(t, 3, 6)
+	f.configure()
+	for _, e := range f.engines {
+		e.SetFaults(mcstandin.EngineFaults{CrashOn: poison})
+	}
+	const retries = 40
+	var codes []string
+	for i := range retries {
+		codes = append(codes, f.ask(f.entries[i%len(f.entries)], poison))
+	}
+	const promised = 3
+	require.LessOrEqual(t, f.crashed.Load(), int32(promised), "engines lost; answers: %v", codes)
+	require.Equal(t, "quarantined", codes[retries-1], "answers: %v", codes)
+	require.Equal(t, "ok", f.ask(f.entries[0], "harmless"))
+}
+
+// ask sends one short question and returns the error code or "ok".
+func (f *fleet) ask(p *process, text string) string {
+	body := fmt.Sprintf(`{"messages":[{"role":"user","content":%q}],"max_tokens":5}`, text)
+	r, err := http.NewRequest(http.MethodPost, "http://"+p.caller+"/v1/chat/completions", strings.NewReader(body))
+	require.NoError(f.t, err)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("X-Template", "caption")
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(f.t, err)
+	defer response.Body.Close()
+	var problem struct {
+		Code string `json:"code"`
+	}
+	require.NoError(f.t, json.NewDecoder(response.Body).Decode(&problem))
+	if response.StatusCode == http.StatusOK {
+		return "ok"
+	}
+	return problem.Code
+}
--- a/mcentry/admin.go
+++ b/mcentry/admin.go
@@ -102,6 +102,9 @@
 		}
 		statuses = append(statuses, status)
 	}
+	for _, contact := range e.membership.member.Unheard() {
+		statuses = append(statuses, mcadmin.MemberStatus{Instance: contact.Instance, DataCentre: contact.DataCentre, State: "unheard"})
+	}
 	return statuses
 }
 
--- a/mcentry/build.go
+++ b/mcentry/build.go
@@ -1,7 +1,6 @@
 package mcentry
 
 import (
-	"context"
 	"net/http"
 
 	"google.golang.org/grpc"
@@ -88,8 +87,7 @@
 		Identity: e.identity, Config: e.follower, Engine: e.engine, Dispatcher: e.dispatcher,
 		Endpoint: m.endpoint, Limits: e.Settings.Limits, Metrics: e.metrics,
 		Tracer: e.tracing.Tracer("marigoldcroft"), Logger: e.logger, Teams: e.limiter, Suspects: e.suspects,
-		Announce: func(_ context.Context, entries []*mcmessage.QuarantineEntry) { m.announce(entries) },
-		Home:     m.home, SuspectHome: m.suspectHome, LargestEngine: m.largestEngine,
+		Announce: m.member.Announce, Home: m.home, SuspectHome: m.suspectHome, LargestEngine: m.largestEngine,
 	}
 }
 
--- a/mcmember/local_query.go
+++ b/mcmember/local_query.go
@@ -68,6 +68,19 @@
 	return views
 }
 
+// Unheard returns the instances that the instance list shows and that were never heard
+// of, neither directly nor through peers.
+func (t *Table) Unheard() []Contact {
+	var contacts []Contact
+	for name, contact := range t.seeds {
+		if t.members[name] == nil && t.summaries[name] == nil {
+			contacts = append(contacts, contact)
+		}
+	}
+	sort.Slice(contacts, func(i, j int) bool { return contacts[i].Instance < contacts[j].Instance })
+	return contacts
+}
+
 // Endpoints returns the endpoints of the own data centre that are listed or answer,
 // by name.
 func (t *Table) Endpoints(now time.Time) []EndpointView {
--- a/mcmember/member_api.go
+++ b/mcmember/member_api.go
@@ -49,6 +49,11 @@
 // Members is Table.Members.
 func (m *Member) Members() []MemberView { return query(m, (*Table).Members) }
 
+// Unheard is Table.Unheard.
+func (m *Member) Unheard() []Contact {
+	return query(m, func(t *Table, _ time.Time) []Contact { return t.Unheard() })
+}
+
 // Endpoints is Table.Endpoints.
 func (m *Member) Endpoints() []EndpointView { return query(m, (*Table).Endpoints) }
 
--- a/mcstandin/engine_http.go
+++ b/mcstandin/engine_http.go
@@ -61,7 +61,8 @@
 	defer e.mu.Unlock()
 	if e.faults.CrashOn != "" && strings.Contains(text, e.faults.CrashOn) {
 		e.Crash()
-		return nil, http.StatusInternalServerError
+		// A process that is gone sends no answer.
+		panic(http.ErrAbortHandler)
 	}
 	if e.faults.RefuseAll {
 		return nil, http.StatusServiceUnavailable
