Shorten tests without dropping a case

Change: the guard's cases are lines of steps; fleets and homes of tests are built in one place; the two partition tests are one that demands both.

--- a/mcgateway/attempt_test.go
+++ b/mcgateway/attempt_test.go
@@ -182,7 +182,7 @@
 	}{
 		"scheduler hangs":      {func(_ *testing.T, b *bench) { b.scheduler.hang = make(chan struct{}) }, time.Hour, true},
 		"queued for ever":      {func(_ *testing.T, b *bench) { b.scheduler.queue = true }, time.Hour, true},
-		"home hangs":           {func(t *testing.T, b *bench) { b.Home = hangingHome(t) }, time.Hour, false},
+		"home hangs":           {func(t *testing.T, b *bench) { b.Home = homeAt(t, peerServer{join: hangLater}) }, time.Hour, false},
 		"caller leaves queue":  {func(_ *testing.T, b *bench) { b.scheduler.queue = true }, time.Second, true},
 		"caller leaves engine": {func(*testing.T, *bench) {}, time.Second, false},
 	} {
--- a/mcgateway/crash_test.go
+++ b/mcgateway/crash_test.go
@@ -23,12 +23,18 @@
 	"marigoldcroft/mcstandin"
 )
 
-// fleet runs stand-in engines on loopback that end like a process when they crash.
-func fleet(t *testing.T, n int, lost *atomic.Int32) (map[string]marigoldcroft.Endpoint, []*mcstandin.Engine) {
-	endpoints := make(map[string]marigoldcroft.Endpoint)
-	var engines []*mcstandin.Engine
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
+// fleet is a set of stand-in engines on loopback that end like a process when they
+// crash, which they do on the word poison.
+type fleet struct {
+	engines   []*mcstandin.Engine
+	endpoints map[string]marigoldcroft.Endpoint
+	client    *http.Client
+	lost      atomic.Int32
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{endpoints: map[string]marigoldcroft.Endpoint{}, client: &http.Client{Transport: mcengine.NewTransport()}}
+	t.Cleanup(f.client.CloseIdleConnections)
 	for i := range n {
 		name := string(rune('a' + i))
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -37,38 +43,43 @@
 			Name: name, Model: "m", PrefillRate: 1e6, TokenTime: time.Millisecond, KVCapacity: 100_000, ReportLag: time.Millisecond,
 		}}
 		server := &http.Server{Handler: e.Handler()}
-		e.Crash = func() {
-			lost.Add(1)
-			_ = server.Close()
-		}
+		e.Crash = func() { f.lost.Add(1); _ = server.Close() }
 		e.SetFaults(mcstandin.EngineFaults{CrashOn: "poison"})
-		go e.Run(ctx)
+		go e.Run(t.Context())
 		go func() { _ = server.Serve(listener) }()
 		t.Cleanup(func() { _ = server.Close() })
-		engines = append(engines, e)
-		endpoints[name] = marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{Name: name, Kind: marigoldcroft.EndpointEngine, Pool: "m", Address: "http://" + listener.Addr().String()})
+		f.engines = append(f.engines, e)
+		f.endpoints[name] = marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
+			Name: name, Kind: marigoldcroft.EndpointEngine, Pool: "m", Address: "http://" + listener.Addr().String(),
+		})
+	}
+	return f
+}
+
+// bench returns a gateway to the fleet with the product's scheduler.
+func (f *fleet) bench(t *testing.T, instance string) *bench {
+	s, err := mcscheduler.New(mcscheduler.PolicyLengthAware, mcscheduler.Default())
+	require.NoError(t, err)
+	now := time.Now()
+	s.SetEndpoints(now, slices.Collect(maps.Values(f.endpoints)))
+	for name := range f.endpoints {
+		s.Observe(now, marigoldcroft.LoadReport{Endpoint: name, Incarnation: 1, Time: now, KVCapacityTokens: 100_000})
 	}
-	return endpoints, engines
+	b := newBench(nil)
+	b.Dispatcher.Scheduler = s
+	go b.Dispatcher.Run(t.Context())
+	b.Gateway.Engine = &mcengine.Client{HTTP: f.client}
+	b.Identity = marigoldcroft.NewIdentity("test", "r", "dc", instance, now, 0)
+	b.Endpoint = func(name string) (marigoldcroft.Endpoint, bool) { e, ok := f.endpoints[name]; return e, ok }
+	return b
 }
 
 // Guards against one prompt that takes down the fleet through two gateways, innocent
 // requests that fail or stay quarantined with it, and engine memory that is kept.
 func TestCrashingPromptIsQuarantined(t *testing.T) {
 	const engines, innocents = 6, 4
-	var lost atomic.Int32
-	endpoints, standins := fleet(t, engines, &lost)
-	client := &http.Client{Transport: mcengine.NewTransport()}
-	defer client.CloseIdleConnections()
-	gateways := make([]*bench, 2)
-	for i := range gateways {
-		b := newBench(nil)
-		b.Dispatcher.Scheduler = newScheduler(t, endpoints)
-		go b.Dispatcher.Run(t.Context())
-		b.Gateway.Engine = &mcengine.Client{HTTP: client}
-		b.Identity = marigoldcroft.NewIdentity("test", "r", "dc", fmt.Sprint(i), time.Unix(1, 0), 0)
-		b.Endpoint = func(name string) (marigoldcroft.Endpoint, bool) { e, ok := endpoints[name]; return e, ok }
-		gateways[i] = b
-	}
+	f := newFleet(t, engines)
+	gateways := []*bench{f.bench(t, "0"), f.bench(t, "1")}
 	home := link(t, &mcgateway.StreamServer{Gateway: gateways[0].Gateway})
 	for i, b := range gateways {
 		b.SuspectHome = func(mcquarantine.Fingerprint) (mcmessage.StreamServiceClient, bool) { return home, i == 0 }
@@ -91,7 +102,7 @@
 			require.True(t, outcome(t, w.Body.String()).NotRun)
 		}
 	}
-	require.LessOrEqual(t, lost.Load(), int32(3))
+	require.LessOrEqual(t, f.lost.Load(), int32(3))
 	for range innocents {
 		require.Contains(t, <-done, " w99")
 	}
@@ -107,35 +118,17 @@
 		}
 		require.Equal(t, 1, quarantined)
 	}
-	for _, e := range standins {
+	for _, e := range f.engines {
 		require.Eventually(t, func() bool { return e.KVUsed() == 0 }, 10*time.Second, time.Millisecond)
 	}
 }
 
-// newScheduler returns the product's scheduler with a report of each endpoint.
-func newScheduler(t *testing.T, endpoints map[string]marigoldcroft.Endpoint) marigoldcroft.Scheduler {
-	s, err := mcscheduler.New(mcscheduler.PolicyLengthAware, mcscheduler.Default())
-	require.NoError(t, err)
-	now := time.Now()
-	s.SetEndpoints(now, slices.Collect(maps.Values(endpoints)))
-	for name := range endpoints {
-		s.Observe(now, marigoldcroft.LoadReport{Endpoint: name, Incarnation: 1, Time: now, KVCapacityTokens: 100_000})
-	}
-	return s
-}
-
 // Guards against an accusation for streams that are merely cut: the engine lives, so
 // the answer fails but nobody is a suspect.
 func TestCutStreamAccusesNobody(t *testing.T) {
-	var lost atomic.Int32
-	endpoints, standins := fleet(t, 1, &lost)
-	standins[0].SetFaults(mcstandin.EngineFaults{BreakAfter: 3})
-	client := &http.Client{Transport: mcengine.NewTransport()}
-	defer client.CloseIdleConnections()
-	b := newBench(nil)
-	b.scheduler.endpoints = []string{"a"}
-	b.Gateway.Engine = &mcengine.Client{HTTP: client}
-	b.Endpoint = func(name string) (marigoldcroft.Endpoint, bool) { e, ok := endpoints[name]; return e, ok }
+	f := newFleet(t, 1)
+	f.engines[0].SetFaults(mcstandin.EngineFaults{BreakAfter: 3})
+	b := f.bench(t, "0")
 	w := b.chat(t.Context(), body("caption", `,"stream":true`))
 	require.Equal(t, mcgateway.CodeUpstreamFailed, outcome(t, w.Body.String()).Code)
 	require.Empty(t, b.Suspects.Entries(time.Now()))
@@ -146,22 +139,15 @@
 // no more than 3 endpoints are lost.
 func TestCrashingSplitIsQuarantined(t *testing.T) {
 	const engines = 6
-	var lost atomic.Int32
-	endpoints, _ := fleet(t, engines, &lost)
-	client := &http.Client{Transport: mcengine.NewTransport()}
-	defer client.CloseIdleConnections()
-	b := newBench(nil)
-	b.Dispatcher.Scheduler = newScheduler(t, endpoints)
-	go b.Dispatcher.Run(t.Context())
-	b.Gateway.Engine = &mcengine.Client{HTTP: client}
-	b.Endpoint = func(name string) (marigoldcroft.Endpoint, bool) { e, ok := endpoints[name]; return e, ok }
+	f := newFleet(t, engines)
+	b := f.bench(t, "0")
 	b.LargestEngine = func(string) int64 { return 2000 }
 	ask := `{"model":"dossier","messages":[{"role":"system","content":"poison"},{"role":"user","content":"` + strings.Repeat("long ", 6000) + `"}]}`
 	for range 5 {
 		require.NotEqual(t, http.StatusOK, b.chat(t.Context(), ask).Code)
 	}
 	require.Equal(t, mcgateway.CodeQuarantined, outcome(t, b.chat(t.Context(), ask).Body.String()).Code)
-	require.LessOrEqual(t, lost.Load(), int32(3))
+	require.LessOrEqual(t, f.lost.Load(), int32(3))
 	b.Wait()
 	require.Empty(t, b.Dispatcher.Scheduler.InFlight())
 }
--- a/mcgateway/join_test.go
+++ b/mcgateway/join_test.go
@@ -94,33 +94,41 @@
 	})
 }
 
-// hangingHome is a home that takes requests and then does nothing.
-func hangingHome(t *testing.T) func(string) (mcmessage.StreamServiceClient, bool) {
-	client := link(t, peerServer{join: func(_ *mcmessage.JoinRequest, s grpc.ServerStreamingServer[mcmessage.JoinChunk]) error {
+// accept takes a request and sends the chunks, one a second.
+func accept(chunks ...*mcmessage.JoinChunk) peerFunc {
+	return func(_ *mcmessage.JoinRequest, s grpc.ServerStreamingServer[mcmessage.JoinChunk]) error {
 		_ = s.SendHeader(metadata.Pairs("accepted", "1"))
-		<-s.Context().Done()
+		for _, c := range chunks {
+			_ = s.Send(c)
+			time.Sleep(time.Second)
+		}
 		return nil
-	}})
+	}
+}
+
+// hang never takes the request; hangLater takes it and then does nothing.
+func hang(_ *mcmessage.JoinRequest, s grpc.ServerStreamingServer[mcmessage.JoinChunk]) error {
+	<-s.Context().Done()
+	return nil
+}
+
+func hangLater(in *mcmessage.JoinRequest, s grpc.ServerStreamingServer[mcmessage.JoinChunk]) error {
+	_ = s.SendHeader(metadata.Pairs("accepted", "1"))
+	return hang(in, s)
+}
+
+// homeAt returns a Home function that always names the peer; nil is unreachable.
+func homeAt(t *testing.T, peer mcmessage.StreamServiceServer) func(string) (mcmessage.StreamServiceClient, bool) {
+	if peer == nil {
+		return func(string) (mcmessage.StreamServiceClient, bool) { return nil, false }
+	}
+	client := link(t, peer)
 	return func(string) (mcmessage.StreamServiceClient, bool) { return client, false }
 }
 
 // Guards against twins at two instances that run twice, and, for each way in which the
 // home can fail, against lost, mixed up or doubled parts of the answer.
 func TestJoinAtHome(t *testing.T) {
-	accept := func(chunks ...*mcmessage.JoinChunk) peerFunc {
-		return func(_ *mcmessage.JoinRequest, s grpc.ServerStreamingServer[mcmessage.JoinChunk]) error {
-			_ = s.SendHeader(metadata.Pairs("accepted", "1"))
-			for _, c := range chunks {
-				_ = s.Send(c)
-				time.Sleep(time.Second)
-			}
-			return nil
-		}
-	}
-	hang := func(_ *mcmessage.JoinRequest, s grpc.ServerStreamingServer[mcmessage.JoinChunk]) error {
-		<-s.Context().Done()
-		return nil
-	}
 	refuse := accept(&mcmessage.JoinChunk{ErrorCode: "overloaded", NotRun: true})
 	fail := accept(&mcmessage.JoinChunk{ErrorCode: "upstreamFailed"})
 	x := &mcmessage.JoinChunk{Text: "x"}
@@ -145,10 +153,9 @@
 		t.Run(name, func(t *testing.T) {
 			bubble(t, func(t *testing.T, run func(*bench) *bench) {
 				b := run(newBench(map[string][]string{"a": {"x y z"}}))
-				b.Home = func(string) (mcmessage.StreamServiceClient, bool) { return nil, false }
+				b.Home = homeAt(t, nil)
 				if c.peer != nil {
-					client := link(t, peerServer{join: c.peer})
-					b.Home = func(string) (mcmessage.StreamServiceClient, bool) { return client, false }
+					b.Home = homeAt(t, peerServer{join: c.peer})
 				}
 				w := b.chat(t.Context(), body("caption", c.extra), "Idempotency-Key", "k")
 				require.Equal(t, c.text, text(w), w.Body)
@@ -165,8 +172,7 @@
 func TestJoinThroughTwoGateways(t *testing.T) {
 	bubble(t, func(t *testing.T, run func(*bench) *bench) {
 		home, entry := run(newBench(map[string][]string{"a": {"x ~ y ~ z"}})), run(newBench(map[string][]string{"a": {"never"}}))
-		client := link(t, &mcgateway.StreamServer{Gateway: home.Gateway})
-		entry.Home = func(string) (mcmessage.StreamServiceClient, bool) { return client, false }
+		entry.Home = homeAt(t, &mcgateway.StreamServer{Gateway: home.Gateway})
 		ctx, leave := context.WithTimeout(t.Context(), 1500*time.Millisecond)
 		defer leave()
 		go home.chat(ctx, body("caption", ""), "Idempotency-Key", "k")
@@ -202,10 +208,7 @@
 				case "gateway":
 					client = link(t, &mcgateway.StreamServer{Gateway: home.Gateway})
 				case "hang":
-					client = link(t, peerServer{join: func(_ *mcmessage.JoinRequest, s grpc.ServerStreamingServer[mcmessage.JoinChunk]) error {
-						<-s.Context().Done()
-						return nil
-					}})
+					client = link(t, peerServer{join: hang})
 				}
 				var suspect mcquarantine.Fingerprint
 				entry.SuspectHome = func(f mcquarantine.Fingerprint) (mcmessage.StreamServiceClient, bool) {
--- a/mclimit/limiter_test.go
+++ b/mclimit/limiter_test.go
@@ -93,22 +93,9 @@
 	require.Greater(t, c.nodes[1].Share("studio"), 0.7)
 }
 
-// Guards against a limit that doubles at a partition: last shares stand on both sides.
+// Guards against a limit that doubles at a partition: last shares stand on both sides,
+// and neither takes what a stopped instance freed.
 func TestPartitionKeepsShares(t *testing.T) {
-	limit := team(marigoldcroft.TeamSpec{TokensPerSecond: 1000})
-	c := newCluster(2)
-	for range 20 {
-		c.step(limit, []int{5, 5})
-	}
-	c.cut = []bool{false, true}
-	for range 120 {
-		c.step(limit, []int{10, 0})
-	}
-	require.InDelta(t, 0.5, c.nodes[0].Share("studio"), 0.05)
-}
-
-// Guards against two sides of a partition that both take what a stopped instance freed.
-func TestPartitionedSidesDoNotTakeTheSameShare(t *testing.T) {
 	limit := team(marigoldcroft.TeamSpec{TokensPerSecond: 1000})
 	c := newCluster(3)
 	for range 20 {
@@ -120,7 +107,8 @@
 	for range 120 {
 		c.step(limit, []int{10, 10, 0})
 	}
-	require.LessOrEqual(t, c.nodes[0].Share("studio")+c.nodes[1].Share("studio"), 1.0)
+	require.InDelta(t, 1.0/3, c.nodes[0].Share("studio"), 0.05)
+	require.InDelta(t, 1.0/3, c.nodes[1].Share("studio"), 0.05)
 }
 
 // Guards against an instance with less than one request's share that ignores what
--- a/mcquarantine/guard_test.go
+++ b/mcquarantine/guard_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,79 +24,62 @@
 func stream(n int) marigoldcroft.StreamID { return marigoldcroft.NewStreamID(fmt.Sprint(n), 1) }
 
 // Guards against an accusation for a mere cut stream, and against a death that is
-// attributed to nobody or to work that came later.
+// attributed to nobody or to work that came later. A step is word:argument@second;
+// streams 1 (bad) and 2 (good) run on endpoint a from second 0.
 func TestDeathNeedsEvidence(t *testing.T) {
-	const second = time.Second
-	for name, c := range map[string]struct {
-		events  func(g *mcquarantine.Guard)
-		accused []mcquarantine.Fingerprint
-	}{
-		"cut stream alone":   {func(g *mcquarantine.Guard) { g.Cut(start, "a", stream(1)) }, nil},
-		"refused dial alone": {func(g *mcquarantine.Guard) { g.Refused(start, "a") }, nil},
-		"endpoint answers after the cut": {func(g *mcquarantine.Guard) {
-			g.Cut(start, "a", stream(1))
-			g.Answered(start, start, "a", 7)
-			g.Refused(start.Add(second), "a")
-		}, nil},
-		"cut, then refused": {func(g *mcquarantine.Guard) {
-			g.Cut(start, "a", stream(1))
-			g.End(start, "a", stream(1), false)
-			g.Refused(start, "a")
-			g.Refused(start, "a")
-		}, []mcquarantine.Fingerprint{bad, good}},
-		"cut, then restarted": {func(g *mcquarantine.Guard) {
-			g.Answered(start, start, "a", 7)
-			g.Cut(start, "a", stream(1))
-			g.Answered(start, start, "a", 8)
-		}, []mcquarantine.Fingerprint{bad, good}},
-		"other had finished": {func(g *mcquarantine.Guard) {
-			g.End(start, "a", stream(2), true)
-			g.Cut(start, "a", stream(1))
-			g.Refused(start, "a")
-		}, []mcquarantine.Fingerprint{bad}},
-		"began after the death": {func(g *mcquarantine.Guard) {
-			g.Cut(start, "a", stream(1))
-			g.Begin(start.Add(second), "a", stream(3), mcquarantine.FingerprintOf("studio", []byte("later")))
-			g.Refused(start.Add(second), "a")
-		}, []mcquarantine.Fingerprint{bad, good}},
-		"evidence too late": {func(g *mcquarantine.Guard) {
-			g.Cut(start, "a", stream(1))
-			g.Refused(start.Add(5*second), "a")
-		}, nil},
-		"second stream's end is read later": {func(g *mcquarantine.Guard) {
-			g.Cut(start, "a", stream(1))
-			g.Refused(start, "a")
-			g.Cut(start, "a", stream(2))
-			g.Refused(start, "a")
-		}, []mcquarantine.Fingerprint{bad, good}},
-		"other's whole answer is read later": {func(g *mcquarantine.Guard) {
-			g.Cut(start.Add(second), "a", stream(1))
-			g.Refused(start.Add(second), "a")
-			g.End(start.Add(second), "a", stream(2), true)
-		}, []mcquarantine.Fingerprint{bad}},
-		"another endpoint": {func(g *mcquarantine.Guard) {
-			g.Cut(start, "a", stream(1))
-			g.Refused(start, "b")
-		}, nil},
+	for name, c := range map[string]struct{ steps, accused string }{
+		"cut stream alone":                   {"cut:1@0", ""},
+		"refused dial alone":                 {"refused:a@0", ""},
+		"endpoint answers after the cut":     {"cut:1@0 answered:7@0 refused:a@1", ""},
+		"cut, then refused":                  {"cut:1@0 fail:1@0 refused:a@0 refused:a@0", "bad good"},
+		"cut, then restarted":                {"answered:7@0 cut:1@0 answered:8@0", "bad good"},
+		"other had finished":                 {"whole:2@0 cut:1@0 refused:a@0", "bad"},
+		"began after the death":              {"cut:1@0 begin:3@1 refused:a@1", "bad good"},
+		"evidence too late":                  {"cut:1@0 refused:a@5", ""},
+		"second stream's end is read later":  {"cut:1@0 refused:a@0 cut:2@0 refused:a@0", "bad good"},
+		"other's whole answer is read later": {"cut:1@1 refused:a@1 whole:2@1", "bad"},
+		"another endpoint":                   {"cut:1@0 refused:b@0", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := &mcquarantine.Guard{}
 			g.Begin(start, "a", stream(1), bad)
 			g.Begin(start, "a", stream(2), good)
-			c.events(g)
-			var accused []mcquarantine.Fingerprint
-			for _, e := range g.Entries(start.Add(second)) {
-				if e.Cleared {
-					continue
+			for _, step := range strings.Fields(c.steps) {
+				play(t, g, step)
+			}
+			var accused []string
+			for _, e := range g.Entries(start.Add(time.Second)) {
+				if !e.Cleared {
+					require.EqualValues(t, 1, e.Crashes)
+					accused = append(accused, map[mcquarantine.Fingerprint]string{bad: "bad", good: "good"}[mcquarantine.Fingerprint(e.Fingerprint)])
 				}
-				require.EqualValues(t, 1, e.Crashes)
-				accused = append(accused, mcquarantine.Fingerprint(e.Fingerprint))
 			}
-			require.ElementsMatch(t, c.accused, accused)
+			require.ElementsMatch(t, strings.Fields(c.accused), accused)
 		})
 	}
 }
 
+func play(t *testing.T, g *mcquarantine.Guard, step string) {
+	word, rest, _ := strings.Cut(step, ":")
+	argument, second, _ := strings.Cut(rest, "@")
+	n, _ := strconv.Atoi(argument)
+	seconds, err := strconv.Atoi(second)
+	require.NoError(t, err)
+	now := start.Add(time.Duration(seconds) * time.Second)
+	switch word {
+	case "begin":
+		g.Begin(now, "a", stream(n), mcquarantine.FingerprintOf("studio", []byte("later")))
+	case "cut":
+		g.Cut(now, "a", stream(n))
+	case "fail", "whole":
+		g.End(now, "a", stream(n), word == "whole")
+	case "answered":
+		g.Answered(now, now, "a", uint64(n))
+	case "refused":
+		g.Refused(now, argument)
+	}
+}
+
 // kill runs the fingerprint on the endpoint and lets the endpoint die.
 func kill(g *mcquarantine.Guard, now time.Time, endpoint string, id marigoldcroft.StreamID, f mcquarantine.Fingerprint) []*mcmessage.QuarantineEntry {
 	g.Begin(now, endpoint, id, f)
