Keep relays within the byte budget

Cause: with 9 data centres a relay spent 5.2 KB/s on relay calls, and the totals of data centres made the hash of all records differ at most exchanges.

Change: totals go by the version vector instead of the hash and are not pushed; exchanges get what relays and probes leave of the budget.

--- a/mcmember/apply.go
+++ b/mcmember/apply.go
@@ -43,7 +43,7 @@
 		t.applySummary(now, s, hot)
 	}
 	for _, u := range r.GetUsage() {
-		t.applyUsageTotal(now, u, hot)
+		t.applyUsageTotal(now, u)
 	}
 }
 
@@ -295,14 +295,14 @@
 }
 
 // applyUsageTotal merges the totals of another data centre, or of the own one.
-func (t *Table) applyUsageTotal(now time.Time, r *mcmessage.DataCentreUsage, hot bool) {
+func (t *Table) applyUsageTotal(now time.Time, r *mcmessage.DataCentreUsage) {
 	cur := t.usage[r.GetDataCentre()]
 	if t.tooFarAhead(now, r.GetVersion()) || cur == nil && len(t.usage) >= maxRecords ||
 		cur != nil && !usageNewer(r, cur.record) {
 		return
 	}
 	t.usage[r.GetDataCentre()] = &centreUsage{record: r, heard: now}
-	t.touch(now, recordID{recordUsage, r.GetDataCentre()}, usageStamp(r), hot)
+	t.touch(now, recordID{recordUsage, r.GetDataCentre()}, usageStamp(r), false)
 }
 
 // usageNewer orders totals by version. Both relays can write one version at once;
--- a/mcmember/exchange.go
+++ b/mcmember/exchange.go
@@ -139,6 +139,7 @@
 	for i, e := range r.endpoints {
 		v.LoadLags[i] = lagOf(v.LoadBase, e.loadVersion)
 	}
+	t.addCentres(v)
 	if keys {
 		for _, m := range r.members {
 			v.MemberKeys = append(v.MemberKeys, m.key)
@@ -150,6 +151,31 @@
 	return v
 }
 
+// addCentres adds the versions of data centres' totals to the vector.
+func (t *Table) addCentres(v *mcmessage.Vector) {
+	for _, u := range t.usage {
+		v.CentreBase = max(v.CentreBase, u.record.GetVersion())
+	}
+	for name, u := range t.usage {
+		v.CentreKeys = append(v.CentreKeys, fold(hashOf(name)))
+		v.CentreLags = append(v.CentreLags, lagOf(v.CentreBase, u.record.GetVersion()))
+	}
+}
+
+// fillCentres adds the totals of data centres that the requester lacks.
+func (t *Table) fillCentres(now time.Time, v *mcmessage.Vector, records *mcmessage.Records, room *int) bool {
+	held := make(map[uint32]uint64, len(v.GetCentreKeys()))
+	for i, key := range v.GetCentreKeys() {
+		held[key] = versionOf(v.GetCentreBase(), v.GetCentreLags(), i)
+	}
+	for name, u := range t.usage {
+		if u.record.GetVersion() > held[fold(hashOf(name))] && !t.addRecord(now, records, recordID{recordUsage, name}, room) {
+			return false
+		}
+	}
+	return true
+}
+
 // lagOf returns the wire form of a version: 0 for none, else the lag plus one.
 func lagOf(base, version uint64) uint64 {
 	if version == 0 || version > base {
@@ -196,8 +222,8 @@
 	if len(request.FullBuckets) == 0 {
 		return
 	}
-	for _, r := range t.slow {
-		if slices.Contains(request.FullBuckets, uint32(r.bucket)) {
+	for id, r := range t.slow {
+		if id.kind != recordUsage && slices.Contains(request.FullBuckets, uint32(r.bucket)) {
 			request.Stamps = append(request.Stamps, fold(r.stamp))
 		}
 	}
@@ -396,6 +422,7 @@
 	answer.Updates = &mcmessage.Updates{}
 	complete := t.fillHeartbeats(resolved, answer.Updates, &room)
 	complete = t.fillRecords(now, request, answer, &room) && complete
+	complete = t.fillCentres(now, request.GetVector(), answer.Records, &room) && complete
 	complete = t.fillLoads(now, resolved, answer.Updates, &room) && complete
 	t.fillWork(resolved, answer.Updates, room)
 	answer.Truncated = !complete
@@ -441,6 +468,9 @@
 	*room -= len(answer.UnequalBuckets) + 2
 	var lacking, recent []recordID
 	for id, r := range t.slow {
+		if id.kind == recordUsage {
+			continue
+		}
 		_, held := slices.BinarySearch(request.GetStamps(), fold(r.stamp))
 		switch {
 		case listed[r.bucket] == bucketListed && !held:
--- a/mcmember/measure.go
+++ b/mcmember/measure.go
@@ -293,9 +293,8 @@
 
 // MeasureControl runs members of one data centre with endpoints for the duration of
 // simulated time, at the highest rate of change, and returns the cost of one member.
-// The lossy share of messages is lost.
-func MeasureControl(members, endpoints int, duration time.Duration, lossy float64) Control {
-	s := newSimulation(members, endpoints, measureSeed, lossy, false)
+func MeasureControl(members, endpoints int, duration time.Duration) Control {
+	s := newSimulation(members, endpoints, measureSeed, 0, false)
 	s.run(settleTime)
 	c := Control{Members: members, Endpoints: endpoints, Seed: measureSeed}
 	for _, n := range s.nodes {
@@ -383,8 +382,8 @@
 }
 
 // MeasureDetection kills lost members at once in each of the trials and returns the
-// time until the others have removed them. With idle false, exchanges carry the same
-// changes as in MeasureControl.
+// time until the others have removed them. The lossy share of messages is lost. With
+// idle false, exchanges carry the same changes as in MeasureControl.
 func MeasureDetection(members, endpoints, lost, trials int, lossy float64, idle bool) Detection {
 	const (
 		step  = 100 * time.Millisecond
--- a/mcmember/measure_test.go
+++ b/mcmember/measure_test.go
@@ -13,7 +13,7 @@
 	for _, members := range []int{10, 37, 40, 100, 300} {
 		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
 			for b.Loop() {
-				c := mcmember.MeasureControl(members, 67, 2*time.Minute, 0)
+				c := mcmember.MeasureControl(members, 67, 2*time.Minute)
 				b.ReportMetric(c.BytesPerSecond, "B/s")
 				b.ReportMetric(c.MaxBytesPerSecond, "maxB/s")
 				b.ReportMetric(c.CPUShare*100, "%core")
@@ -31,3 +31,34 @@
 		})
 	}
 }
+
+// Reports the time from a death to its removal by the others.
+func BenchmarkDetection(b *testing.B) {
+	for _, c := range []struct {
+		members, lost, trials int
+		lossy                 float64
+	}{{10, 1, 20, 0}, {37, 1, 10, 0}, {37, 4, 10, 0}, {37, 1, 10, 0.05}, {100, 1, 4, 0}} {
+		b.Run(fmt.Sprintf("members=%d/lost=%d/loss=%g", c.members, c.lost, c.lossy), func(b *testing.B) {
+			for b.Loop() {
+				d := mcmember.MeasureDetection(c.members, 67, c.lost, c.trials, c.lossy, false)
+				b.ReportMetric(d.P50.Seconds(), "p50-s")
+				b.ReportMetric(d.P99.Seconds(), "p99-s")
+				b.ReportMetric(d.Max.Seconds(), "max-s")
+				b.ReportMetric(float64(d.Missed), "missed")
+			}
+		})
+	}
+}
+
+// Reports the share of keys that change their home at a loss.
+func BenchmarkMoves(b *testing.B) {
+	for _, lost := range []int{1, 4} {
+		b.Run(fmt.Sprintf("members=37/lost=%d", lost), func(b *testing.B) {
+			for b.Loop() {
+				moved, needless := mcmember.MeasureMoves(37, lost, 20_000)
+				b.ReportMetric(100*moved, "%moved")
+				b.ReportMetric(100*needless, "%needless")
+			}
+		})
+	}
+}
--- a/mcmember/member.go
+++ b/mcmember/member.go
@@ -57,7 +57,7 @@
 		SentBytes      uint64
 		ReceivedBytes  uint64
 		BytesPerSecond float64
-		// Budget is the bound on BytesPerSecond of exchanges.
+		// Budget is the bound that BytesPerSecond is held to on average.
 		Budget   int
 		Interval time.Duration
 	}
@@ -77,7 +77,8 @@
 		Logger zerolog.Logger
 		// Meter may be nil.
 		Meter Meter
-		// Budget is the bound on bytes a second of exchanges; 0 means DefaultBudget.
+		// Budget is the bound on bytes a second of all calls of peers, sent and received;
+		// 0 means DefaultBudget.
 		Budget int
 		// Seed makes random choices repeatable.
 		Seed uint64
@@ -92,8 +93,10 @@
 		polling     map[string]bool
 		confirming  map[string]chan struct{}
 		traffic     Traffic
-		measuredAt  time.Time
-		random      *rand.Rand
+		// otherRate is the part of BytesPerSecond that is not for exchanges.
+		otherRate  float64
+		measuredAt time.Time
+		random     *rand.Rand
 
 		kick      chan struct{}
 		relayKick chan struct{}
@@ -279,6 +282,9 @@
 		usage = m.Usage()
 	}
 	m.do(func(t *Table, now time.Time) {
+		// Relays and probes use the same budget; exchanges keep at least half of it.
+		m.decayRate(now)
+		t.SetBudget(m.Budget - min(int(m.otherRate), m.Budget/2))
 		probes = t.Tick(now)
 		if m.InFlight != nil {
 			t.SetInFlight(now, work)
@@ -458,18 +464,24 @@
 	m.traffic.Messages++
 	m.traffic.SentBytes += uint64(sent)
 	m.traffic.ReceivedBytes += uint64(received)
-	m.traffic.BytesPerSecond += float64(sent+received) / rateWindow.Seconds()
+	rate := float64(sent+received) / rateWindow.Seconds()
+	m.traffic.BytesPerSecond += rate
+	if kind != "exchange" {
+		m.otherRate += rate
+	}
 	m.mu.Unlock()
 	if m.Meter != nil {
 		m.Meter.Message(kind, sent, received)
 	}
 }
 
-// decayRate lets the rate fall linearly towards zero; needs mu.
+// decayRate lets the rates fall towards zero; needs mu.
 func (m *Member) decayRate(now time.Time) {
 	passed := now.Sub(m.measuredAt)
 	m.measuredAt = now
-	m.traffic.BytesPerSecond *= max(0, 1-passed.Seconds()/rateWindow.Seconds())
+	left := max(0, 1-passed.Seconds()/rateWindow.Seconds())
+	m.traffic.BytesPerSecond *= left
+	m.otherRate *= left
 }
 
 // Traffic returns what was spent on peers so far.
--- a/mcmember/relay.go
+++ b/mcmember/relay.go
@@ -18,7 +18,7 @@
 	usageInterval = 10 * time.Second
 	// maxCentreTeams bounds the teams in a data centre's totals, those with the most
 	// use first.
-	maxCentreTeams = 32
+	maxCentreTeams = 16
 	// relayPushWindow bounds the records that a relay pushes with its request.
 	relayPushWindow    = 10 * time.Second
 	relayPushBytes     = 2048
@@ -102,7 +102,8 @@
 	}
 	var ids []recordID
 	for id, r := range t.slow {
-		if relayed(id) && now.Sub(r.changed) <= relayPushWindow {
+		// Totals are due all the time and wait for the other side to ask.
+		if relayed(id) && id.kind != recordUsage && now.Sub(r.changed) <= relayPushWindow {
 			ids = append(ids, id)
 		}
 	}
@@ -251,5 +252,5 @@
 	})
 	t.applyUsageTotal(now, &mcmessage.DataCentreUsage{
 		DataCentre: centre, Version: versionAt(now), Teams: teams[:min(len(teams), maxCentreTeams)],
-	}, false)
+	})
 }
--- a/mcmember/table.go
+++ b/mcmember/table.go
@@ -22,9 +22,9 @@
 	MaxInterval = 4 * time.Second
 	// MaxMessageBytes bounds each message in either direction.
 	MaxMessageBytes = 4096
-	// DefaultBudget bounds the bytes a second of exchanges, sent and received
+	// DefaultBudget bounds the bytes a second of calls of peers, sent and received
 	// together. The design allows 14 KB/s for all control traffic; the rest is for
-	// endpoint polls, relays, configuration and ledger calls.
+	// endpoint polls, configuration and ledger calls.
 	DefaultBudget = 11 * 1024
 	// MessageOverhead estimates the bytes that framing and headers add to one call,
 	// both directions together. BenchmarkExchange of mcpeer measures 163 without TLS;
@@ -353,7 +353,7 @@
 		if r.stamp == stamp {
 			return false
 		}
-		t.buckets[r.bucket] ^= r.stamp
+		t.hashRecord(id, r)
 	}
 	t.logIndex++
 	r.stamp, r.index, r.changed = stamp, t.logIndex, now
@@ -361,13 +361,21 @@
 	if hot {
 		r.pushes = hotPushes
 	}
-	t.buckets[r.bucket] ^= stamp
+	t.hashRecord(id, r)
 	return true
 }
 
+// hashRecord adds the record to its bucket's hash, or takes it out again. Totals of
+// data centres go by the vector, as they change every few seconds.
+func (t *Table) hashRecord(id recordID, r *slowRecord) {
+	if id.kind != recordUsage {
+		t.buckets[r.bucket] ^= r.stamp
+	}
+}
+
 func (t *Table) forget(id recordID) {
 	if r := t.slow[id]; r != nil {
-		t.buckets[r.bucket] ^= r.stamp
+		t.hashRecord(id, r)
 		delete(t.slow, id)
 	}
 }
--- a/mcpeer/bench_test.go
+++ b/mcpeer/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"marigoldcroft"
 	"marigoldcroft/mcpeer"
 )
 
@@ -42,3 +45,80 @@
 	b.ReportMetric(bytes-float64(proto.Size(r)+proto.Size(answer)), "overhead-B/call")
 	b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(calls), "cpu-us/call")
 }
+
+// idleLoader answers polls without a network.
+type idleLoader struct{}
+
+func (idleLoader) Load(_ context.Context, e marigoldcroft.Endpoint) (marigoldcroft.LoadReport, error) {
+	now := time.Now()
+	return marigoldcroft.LoadReport{
+		Endpoint: e.Name(), Incarnation: 1, Time: now, Running: now.Nanosecond() % 60,
+		PrefillTokens: now.UnixMicro() % 900_000, KVUsedTokens: now.UnixMicro() % 1_500_000, KVCapacityTokens: 2_000_000,
+	}, nil
+}
+
+// fixedList is an instance list that does not change.
+type fixedList struct{ listing marigoldcroft.InstanceListing }
+
+func (l *fixedList) Instances(context.Context) (marigoldcroft.InstanceListing, error) {
+	return l.listing, nil
+}
+
+// Reports what a member of a full data centre spends over real connections on
+// loopback, while all work changes each second: bytes on TCP and processor time of the
+// whole process over the number of members.
+func BenchmarkFleet(b *testing.B) {
+	const (
+		members, endpoints = 37, 67
+		settle, measured   = 20 * time.Second, 30 * time.Second
+	)
+	for b.Loop() {
+		list := &fixedList{}
+		for i := range endpoints {
+			list.listing.Endpoints = append(list.listing.Endpoints, marigoldcroft.ListedEndpoint{
+				Name: fmt.Sprintf("caption-%03d", i), DataCentre: "lima-1", Address: "http://e",
+			})
+		}
+		nodes := make([]*node, members)
+		for i := range nodes {
+			nodes[i] = start(b, identity("copo", "lima-1", fmt.Sprintf("entry-%03d", i)), nil, nil)
+			list.listing.Instances = append(list.listing.Instances, marigoldcroft.ListedInstance{
+				Name: nodes[i].member.Self.Identity.Instance(), DataCentre: "lima-1", PeerAddress: nodes[i].address,
+			})
+		}
+		ctx, cancel := context.WithCancel(b.Context())
+		var wait sync.WaitGroup
+		for i, n := range nodes {
+			n.member.List, n.member.Loader, n.member.Seed = list, idleLoader{}, uint64(i)
+			n.member.InFlight = func() map[string]marigoldcroft.InFlight { return changingWork(list) }
+			wait.Go(func() { _ = n.member.Run(ctx) })
+		}
+		time.Sleep(settle)
+		before, bytesBefore := processorTime(b), fleetBytes(nodes)
+		time.Sleep(measured)
+		used, bytes := processorTime(b)-before, fleetBytes(nodes)-bytesBefore
+		cancel()
+		wait.Wait()
+		// Each byte is counted once by its sender and once by its receiver.
+		b.ReportMetric(float64(bytes)/measured.Seconds()/members, "B/s")
+		b.ReportMetric(100*used.Seconds()/measured.Seconds()/members, "%core")
+		estimated := nodes[0].member.Traffic()
+		b.ReportMetric(float64(estimated.SentBytes+estimated.ReceivedBytes)/(settle+measured).Seconds(), "estimated-B/s")
+	}
+}
+
+func changingWork(list *fixedList) map[string]marigoldcroft.InFlight {
+	work, now := make(map[string]marigoldcroft.InFlight), time.Now().UnixMicro()
+	for i, e := range list.listing.Endpoints {
+		work[e.Name] = marigoldcroft.InFlight{Short: int(now) % (i + 3), PrefillTokens: now % int64(1000*(i+50)), KVTokens: now % int64(2000*(i+50))}
+	}
+	return work
+}
+
+func fleetBytes(nodes []*node) uint64 {
+	total := uint64(0)
+	for _, n := range nodes {
+		total += n.pool.Bytes().Sent() + n.pool.Bytes().Received() + n.received.Sent() + n.received.Received()
+	}
+	return total
+}
--- a/mcpeer/limit.go
+++ b/mcpeer/limit.go
@@ -17,6 +17,7 @@
 	maxAddress   = 256
 	maxInstances = 1024
 	maxEndpoints = 1024
+	maxCentres   = 64
 	// maxVersion bounds versions that count tenths of a second since 1970; it is in
 	// the year 5454.
 	maxVersion = 1 << 40
@@ -108,7 +109,7 @@
 	"Records.marks":      list(maxEndpoints),
 	"Records.quarantine": list(maxEndpoints),
 	"Records.summaries":  list(maxInstances),
-	"Records.usage":      list(maxTeams),
+	"Records.usage":      list(maxCentres),
 
 	"Vector.roster":         anyNumber,
 	"Vector.member_keys":    list(maxInstances),
@@ -117,6 +118,9 @@
 	"Vector.sequence_lags":  numbers(maxInstances, maxVersion+1),
 	"Vector.in_flight_lags": numbers(maxInstances, maxVersion+1),
 	"Vector.usage_lags":     numbers(maxInstances, maxVersion+1),
+	"Vector.centre_keys":    list(maxCentres),
+	"Vector.centre_base":    number(maxVersion),
+	"Vector.centre_lags":    numbers(maxCentres, maxVersion+1),
 	"Vector.load_base":      number(maxUnixMs),
 	"Vector.load_lags":      numbers(maxEndpoints, maxUnixMs+1),
 
--- a/mcpeer/peer_test.go
+++ b/mcpeer/peer_test.go
@@ -48,6 +48,8 @@
 	member  *counting
 	pool    *mcpeer.Pool
 	faults  *mcpeer.Faults
+	// received counts the bytes of the server's connections.
+	received *mcpeer.Bytes
 }
 
 func identity(deployment, centre, name string) marigoldcroft.Identity {
@@ -65,7 +67,7 @@
 	}
 	address, err := server.Listen()
 	require.NoError(t, err)
-	n.address, n.pool.PeerAddress = address, address
+	n.address, n.pool.PeerAddress, n.received = address, address, server.Bytes()
 	n.member.Self = mcmember.Self{Identity: id, PeerAddress: address}
 	n.member.Transport = n.pool
 	ctx, cancel := context.WithCancel(context.Background())
