--- a/mcjob/budget.go
+++ b/mcjob/budget.go
@@ -7,6 +7,10 @@
 	"golang.org/x/time/rate"
 )
 
+// burstSeconds is the time for which an unused share is kept. With hundreds of
+// instances a share is a fraction of a job a second, and arrivals are uneven.
+const burstSeconds = 10
+
 // budget is this instance's share of the store writes for jobs. Submissions are
 // refused when it is used up; writes for accepted jobs are never held back, since
 // their outcome must be recorded, and count as debt instead.
@@ -23,7 +27,6 @@
 	return b
 }
 
-// setInstances allows a burst of one second's share, and at least one write.
 func (b *budget) setInstances(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -32,7 +35,7 @@
 	}
 	share := b.total / float64(max(1, n))
 	b.limiter.SetLimit(rate.Limit(share))
-	b.limiter.SetBurst(int(math.Max(1, share)))
+	b.limiter.SetBurst(int(math.Max(1, share*burstSeconds)))
 }
 
 // admit takes one write, or none if the share is used up.
--- a/mcjob/failure.go
+++ b/mcjob/failure.go
@@ -61,6 +61,3 @@
 	}
 	return marigoldcroft.NewFailure(operation, KindUnavailable, cause)
 }
-
-// readFailed tells whether err says that the store did not serve the read.
-func readFailed(err error) bool { return !mcstore.IsNotFound(err) }
--- a/mcjob/sweep.go
+++ b/mcjob/sweep.go
@@ -11,6 +11,15 @@
 	"github.com/cockroachdb/errors"
 
 	"marigoldcroft"
+	"marigoldcroft/mcstore"
+)
+
+const (
+	// maxReadFailures ends a sweep, as the store is probably down.
+	maxReadFailures = 3
+	// actLimit bounds the settling of one write of a sweep, so that an object that cannot
+	// be written does not hold up its shard.
+	actLimit = 30 * time.Second
 )
 
 type (
@@ -19,6 +28,8 @@
 		number int
 		// active is true while there is such a goroutine.
 		active atomic.Bool
+		// complete is true if the last sweep could read all jobs.
+		complete bool
 		// known has the jobs at the versions last read, without their answers.
 		known map[string]claimable
 		// unreadable has the versions of objects that this instance does not understand.
@@ -91,53 +102,89 @@
 	if err != nil {
 		return err
 	}
+	unchanged := s.unchanged(entries)
 	if err := j.refresh(ctx, s, entries); err != nil {
 		return err
 	}
-	jobs := slices.Collect(maps.Values(s.known))
-	slices.SortFunc(jobs, func(a, b claimable) int { return a.document.Created.Compare(b.document.Created) })
-	for _, c := range jobs {
-		if err := j.act(ctx, c); err != nil && !errors.Is(err, errReplaced) {
+	for _, c := range unchanged {
+		if err := j.act(ctx, c); err != nil {
 			return err
 		}
 	}
 	return j.removeOrphans(ctx, s, chunks)
 }
 
-// refresh reads the objects whose version changed and forgets those that are gone.
+// unchanged forgets what is no longer listed and returns the jobs at known versions,
+// the oldest first, so that none is passed over for ever when places are few.
+func (s *shard) unchanged(entries []marigoldcroft.ObjectEntry) []claimable {
+	listed := make(map[string]marigoldcroft.Version, len(entries))
+	for _, entry := range entries {
+		listed[entry.Key] = entry.Version
+	}
+	maps.DeleteFunc(s.known, func(key string, c claimable) bool { return listed[key] != c.version })
+	maps.DeleteFunc(s.unreadable, func(key string, v marigoldcroft.Version) bool { return listed[key] != v })
+	jobs := slices.Collect(maps.Values(s.known))
+	slices.SortFunc(jobs, func(a, b claimable) int { return a.document.Created.Compare(b.document.Created) })
+	return jobs
+}
+
+// refresh reads the objects whose version changed and acts on each at once: the first
+// sweep of a shard reads all of its jobs, which takes a while.
 func (j *Jobs) refresh(ctx context.Context, s *shard, entries []marigoldcroft.ObjectEntry) error {
-	listed := make(map[string]bool, len(entries))
+	failures := 0
 	for _, entry := range entries {
-		listed[entry.Key] = true
-		if s.known[entry.Key].version == entry.Version || s.unreadable[entry.Key] == entry.Version {
+		_, known := s.known[entry.Key]
+		if _, unreadable := s.unreadable[entry.Key]; known || unreadable {
 			continue
 		}
-		object, err := j.store.get(ctx, entry.Key)
-		if err != nil {
-			delete(s.known, entry.Key)
-			if readFailed(err) {
-				return err
-			}
+		err := j.refreshOne(ctx, s, entry.Key)
+		if err == nil {
 			continue
 		}
-		document, err := decode(object.Value())
-		if err != nil {
-			j.Log.Error().Str("key", entry.Key).Err(err).Msg("jobUnreadable")
-			delete(s.known, entry.Key)
-			s.unreadable[entry.Key] = object.Version()
-			continue
+		// An object that alone cannot be read must not keep the others from their end.
+		if failures++; failures == maxReadFailures {
+			return err
 		}
-		document.Answer = nil
-		s.known[entry.Key] = claimable{document, object.Version()}
 	}
-	gone := func(key string) bool { return !listed[key] }
-	maps.DeleteFunc(s.known, func(key string, _ claimable) bool { return gone(key) })
-	maps.DeleteFunc(s.unreadable, func(key string, _ marigoldcroft.Version) bool { return gone(key) })
+	s.complete = failures == 0
 	return nil
 }
 
-// act does what one job needs now.
+func (j *Jobs) refreshOne(ctx context.Context, s *shard, key string) error {
+	object, err := j.store.get(ctx, key)
+	switch {
+	case mcstore.IsNotFound(err):
+		return nil
+	case err != nil:
+		return err
+	}
+	document, err := decode(object.Value())
+	if err != nil {
+		j.Log.Error().Str("key", key).Err(err).Msg("jobUnreadable")
+		s.unreadable[key] = object.Version()
+		return nil
+	}
+	document.Answer = nil
+	s.known[key] = claimable{document, object.Version()}
+	return j.act(ctx, s.known[key])
+}
+
+// act does what one job needs now. It returns only errors that say that the store does
+// not serve calls.
 func (j *Jobs) act(ctx context.Context, c claimable) error {
+	ctx, cancel := context.WithTimeout(ctx, actLimit)
+	defer cancel()
+	err := j.actOn(ctx, c)
+	switch kind := marigoldcroft.FailureKind[mcstore.Kind](err); {
+	case kind == mcstore.KindUnavailable, kind == mcstore.KindBudget:
+		return err
+	case err != nil && !errors.Is(err, errReplaced):
+		j.Log.Warn().Str("job", c.document.ID).Err(err).Msg("jobNotSwept")
+	}
+	return nil
+}
+
+func (j *Jobs) actOn(ctx context.Context, c claimable) error {
 	d, now := c.document, time.Now()
 	abandoned := d.State == marigoldcroft.JobRunning && j.gone(d.Owner)
 	switch {
@@ -203,7 +250,7 @@
 
 // removeOrphans deletes the chunks that were without a reference for OrphanGrace.
 func (j *Jobs) removeOrphans(ctx context.Context, s *shard, chunks []chunkEntry) error {
-	if chunks == nil {
+	if chunks == nil || !s.complete {
 		return nil
 	}
 	now := time.Now()
