Give the ledger a store budget of its own; keep teams' keys apart

Cause: the ledger's share of the store rates was divided by all instances, although at most 64 own shards; a service that keeps keys itself could have answered one team with another's outcome; the quickstart applied before the admin port was open.

--- a/mcentry/build.go
+++ b/mcentry/build.go
@@ -40,11 +40,9 @@
 	s := e.Settings
 	client := &http.Client{Transport: mcengine.NewTransport()}
 	e.engine = &mcengine.Client{HTTP: client}
-	e.store = mcstore.NewClient(mcstore.ClientConfig{
-		Store: &mcstore.HTTP{BaseURL: s.ObjectStore}, WritesPerSecond: s.Store.WritesPerSecond,
-		ReadsPerSecond: s.Store.ReadsPerSecond, CallTimeout: s.Store.CallTimeout,
-	})
-	e.metrics.Registry().MustRegister(storeCollector{e.store})
+	e.store = e.newStore(1 - ledgerShare)
+	e.ledgerStore = e.newStore(ledgerShare)
+	e.metrics.Registry().MustRegister(storeCollector{"common": e.store, "ledger": e.ledgerStore})
 	tuning := mcscheduler.Default()
 	tuning.Seed, tuning.QueueLength = seed, s.Limits.QueueLength
 	var err error
@@ -59,12 +57,21 @@
 	e.buildDurable()
 	e.watcher = &watcher{
 		membership: e.membership, events: e.membership.member.Subscribe(eventBacklog), scheduler: e.scheduler,
-		suspects: e.suspects, limiter: e.limiter, follower: e.follower, store: e.store, jobs: e.jobs, metrics: e.metrics, logger: e.logger,
+		suspects: e.suspects, limiter: e.limiter, follower: e.follower, store: e.store, ledgerStore: e.ledgerStore, jobs: e.jobs, metrics: e.metrics, logger: e.logger,
 		allotments: e.allotments,
 	}
 	return nil
 }
 
+// newStore returns a client that may use the share of the deployment's store rates.
+func (e *Entry) newStore(share float64) *mcstore.Client {
+	s := e.Settings
+	return mcstore.NewClient(mcstore.ClientConfig{
+		Store: &mcstore.HTTP{BaseURL: s.ObjectStore}, CallTimeout: s.Store.CallTimeout,
+		WritesPerSecond: share * s.Store.WritesPerSecond, ReadsPerSecond: share * s.Store.ReadsPerSecond,
+	})
+}
+
 func (e *Entry) buildMembership(seed uint64, peerAddress string, credentials *mcpeer.Credentials, client *http.Client) {
 	pool := &mcpeer.Pool{
 		Identity: e.identity, PeerAddress: peerAddress, Credentials: credentials, TracerProvider: e.tracing, Faults: e.Faults,
--- a/mcentry/collector.go
+++ b/mcentry/collector.go
@@ -6,14 +6,14 @@
 	"marigoldcroft/mcstore"
 )
 
-// storeCollector exports the counts of the object store's client.
-type storeCollector struct{ store *mcstore.Client }
+// storeCollector exports the counts of the object store's clients by their use.
+type storeCollector map[string]*mcstore.Client
 
 var (
 	storeCalls = prometheus.NewDesc("marigoldcroft_store_calls_total",
-		"Calls of the object store by kind; overBudget and breakerOpen were not made.", []string{"kind"}, nil)
+		"Calls of the object store by kind; overBudget and breakerOpen were not made.", []string{"use", "kind"}, nil)
 	storeBreaker = prometheus.NewDesc("marigoldcroft_store_breaker_state",
-		"0 closed, 1 half open, 2 open.", nil, nil)
+		"0 closed, 1 half open, 2 open.", []string{"use"}, nil)
 )
 
 // Describe sends the descriptions.
@@ -24,12 +24,14 @@
 
 // Collect sends the counts as they are now.
 func (c storeCollector) Collect(metrics chan<- prometheus.Metric) {
-	n := c.store.Counts()
-	for kind, count := range map[string]uint64{
-		"get": n.Get, "list": n.List, "watch": n.Watch, "put": n.Put, "delete": n.Delete,
-		"overBudget": n.OverBudget, "breakerOpen": n.BreakerOpen, "failed": n.Failed, "unknown": n.Unknown, "resolved": n.Resolved,
-	} {
-		metrics <- prometheus.MustNewConstMetric(storeCalls, prometheus.CounterValue, float64(count), kind)
+	for use, client := range c {
+		n := client.Counts()
+		for kind, count := range map[string]uint64{
+			"get": n.Get, "list": n.List, "watch": n.Watch, "put": n.Put, "delete": n.Delete,
+			"overBudget": n.OverBudget, "breakerOpen": n.BreakerOpen, "failed": n.Failed, "unknown": n.Unknown, "resolved": n.Resolved,
+		} {
+			metrics <- prometheus.MustNewConstMetric(storeCalls, prometheus.CounterValue, float64(count), use, kind)
+		}
+		metrics <- prometheus.MustNewConstMetric(storeBreaker, prometheus.GaugeValue, float64(client.Breaker()), use)
 	}
-	metrics <- prometheus.MustNewConstMetric(storeBreaker, prometheus.GaugeValue, float64(c.store.Breaker()))
 }
--- a/mcentry/ledger.go
+++ b/mcentry/ledger.go
@@ -15,9 +15,13 @@
 	"marigoldcroft/mcservice"
 )
 
-// jobWriteShare is the share of the deployment's store writes that jobs may use; the
-// rest is for actions and configuration.
-const jobWriteShare = 0.5
+const (
+	// ledgerShare is the share of the deployment's store rates for actions. Their
+	// client has a budget of its own, as only the owners of shards write them.
+	ledgerShare = 0.4
+	// jobWriteShare is the share of the deployment's store writes that jobs may use.
+	jobWriteShare = 0.4
+)
 
 // ledgerPeers tells the ledger about other instances.
 type ledgerPeers struct{ *membership }
@@ -80,7 +84,7 @@
 func (e *Entry) buildDurable() {
 	m := e.membership
 	e.service = mcservice.NewClient(mcservice.Config{MaxBodyBytes: e.Settings.Limits.MaxBodyBytes})
-	e.ledger = &mcledger.Ledger{Store: e.store, Identity: e.identity, Peers: ledgerPeers{m}, Log: e.logger}
+	e.ledger = &mcledger.Ledger{Store: e.ledgerStore, Identity: e.identity, Peers: ledgerPeers{m}, Log: e.logger}
 	e.actions = &mcledger.Executor{Ledger: e.ledger, Service: e.service, Log: e.logger}
 	e.jobs = &mcjob.Jobs{
 		Store: e.store, Identity: e.identity, Runner: e.gateway, Peers: jobPeers{m}, Log: e.logger,
--- a/mcentry/watch.go
+++ b/mcentry/watch.go
@@ -9,6 +9,7 @@
 	"marigoldcroft"
 	"marigoldcroft/mcconfig"
 	"marigoldcroft/mcjob"
+	"marigoldcroft/mcledger"
 	"marigoldcroft/mclimit"
 	"marigoldcroft/mcmember"
 	"marigoldcroft/mcmessage"
@@ -41,9 +42,11 @@
 	allotments *allotments
 	follower   *mcconfig.Follower
 	store      *mcstore.Client
-	jobs       *mcjob.Jobs
-	metrics    *mcobserve.Metrics
-	logger     zerolog.Logger
+	// ledgerStore is shared by the owners of ledger shards only.
+	ledgerStore *mcstore.Client
+	jobs        *mcjob.Jobs
+	metrics     *mcobserve.Metrics
+	logger      zerolog.Logger
 
 	// told holds the endpoints at which the scheduler knows work of each peer.
 	told map[string]map[string]marigoldcroft.InFlight
@@ -135,6 +138,7 @@
 	}
 	w.limiter.SetMembers(others)
 	w.store.SetInstances(live)
+	w.ledgerStore.SetInstances(min(live, mcledger.ShardCount))
 	w.jobs.SetInstances(live)
 }
 
--- a/mcgateway/service.go
+++ b/mcgateway/service.go
@@ -21,7 +21,9 @@
 
 // serviceCall is a checked call of a plain service.
 type serviceCall struct {
-	template  marigoldcroft.Template
+	template marigoldcroft.Template
+	// key is the caller's; the call's Key names the team as well.
+	key       string
 	call      marigoldcroft.ServiceCall
 	endpoints []marigoldcroft.Endpoint
 }
@@ -76,6 +78,11 @@
 	if x.r.URL.RawQuery != "" {
 		path += "?" + x.r.URL.RawQuery
 	}
+	sentKey := key
+	if key != "" {
+		// Teams do not share the key space of a service that keeps keys itself.
+		sentKey = x.team.Name() + "/" + key
+	}
 	header := make(http.Header)
 	for _, name := range forwardedHeaders {
 		if value := x.r.Header.Get(name); value != "" {
@@ -84,7 +91,8 @@
 	}
 	return &serviceCall{
 		template:  t,
-		call:      marigoldcroft.ServiceCall{RequestID: x.id, Key: key, Method: x.r.Method, Path: path, Header: header, Body: body},
+		key:       key,
+		call:      marigoldcroft.ServiceCall{RequestID: x.id, Key: sentKey, Method: x.r.Method, Path: path, Header: header, Body: body},
 		endpoints: g.Services(service),
 	}, nil
 }
@@ -142,7 +150,7 @@
 // runOnce runs the call through the ledger.
 func (g *Gateway) runOnce(ctx context.Context, x *exchange, s *serviceCall) *Problem {
 	result := g.Actions.Execute(ctx, mcledger.Call{
-		Key:  marigoldcroft.NewActionKey(x.team.Name(), s.template.Service(), s.call.Key),
+		Key:  marigoldcroft.NewActionKey(x.team.Name(), s.template.Service(), s.key),
 		Call: s.call, Endpoints: s.endpoints,
 	})
 	g.Metrics.Actions.WithLabelValues(string(result.Kind)).Inc()
--- a/mcmeasure/control.go
+++ b/mcmeasure/control.go
@@ -31,7 +31,7 @@
 	fmt.Fprintln(w, "| members | endpoints | bytes a second | calls a second | share of a core % | interval | load age p99 | work age p99 | wrong suspicions | wrong removals |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|")
 	for _, n := range controlSizes {
-		c := mcmember.MeasureControl(n, int(float64(n)*endpointsPerMember), controlDuration, 0)
+		c := mcmember.MeasureControl(n, int(float64(n)*endpointsPerMember), controlDuration)
 		fmt.Fprintf(w, "| %d | %d | %.0f | %.1f | %.3f | %s | %s | %s | %d | %d |\n", n, c.Endpoints, c.BytesPerSecond, c.CallsPerSecond,
 			c.CPUShare*100, round(c.Interval), round(c.LoadAgeP99), round(c.WorkAgeP99), c.Suspicions, c.Removals)
 	}
--- a/scripts/quickstart/fleet.go
+++ b/scripts/quickstart/fleet.go
@@ -22,6 +22,7 @@
 	entryCount  = 3
 	dataCentre  = "lima-1"
 	readyStep   = 50 * time.Millisecond
+	startLimit  = 30 * time.Second
 	stopLimit   = 30 * time.Second
 )
 
@@ -40,7 +41,7 @@
 )
 
 // start starts the stand-ins first, then the entry instances, and waits until all are ready.
-func (f *fleet) start() error {
+func (f *fleet) start(ctx context.Context) error {
 	fmt.Println("== starting 4 engines, 1 plain service, object store, instance list and 3 entry instances")
 	store, list, listing := freeAddress(), freeAddress(), marigoldcroft.InstanceListing{}
 	for i := range engineCount {
@@ -71,7 +72,7 @@
 			return err
 		}
 	}
-	return nil
+	return f.waitFor(ctx, "/healthz")
 }
 
 func (f *fleet) startPlatform(store, list string, listing marigoldcroft.InstanceListing) error {
@@ -145,13 +146,15 @@
 	return errors.Join(failures...)
 }
 
-// waitReady polls /readyz of every entry instance until all are ready.
-func (f *fleet) waitReady(ctx context.Context) error {
+// waitFor polls the path at every entry instance until all answer 200.
+func (f *fleet) waitFor(ctx context.Context, path string) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
 	for _, e := range f.entries {
-		for !ready(ctx, e) {
+		for !answers(ctx, "http://"+e.caller+path) {
 			select {
 			case <-ctx.Done():
-				return fmt.Errorf("entry instance %s is not ready: %w", e.caller, ctx.Err())
+				return fmt.Errorf("entry instance %s does not answer %s: %w", e.caller, path, ctx.Err())
 			case <-time.After(readyStep):
 			}
 		}
@@ -159,8 +162,8 @@
 	return nil
 }
 
-func ready(ctx context.Context, e entry) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.caller+"/readyz", nil)
+func answers(ctx context.Context, address string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return false
 	}
--- a/scripts/quickstart/main.go
+++ b/scripts/quickstart/main.go
@@ -34,7 +34,7 @@
 			err = stopErr
 		}
 	}()
-	if err := f.start(); err != nil {
+	if err := f.start(ctx); err != nil {
 		return err
 	}
 	steps := []func(context.Context, *fleet) error{applySamples, askShort, runJob, orderOnce, showStatus}
--- a/scripts/quickstart/step.go
+++ b/scripts/quickstart/step.go
@@ -32,7 +32,7 @@
 			return err
 		}
 	}
-	return f.waitReady(ctx)
+	return f.waitFor(ctx, "/readyz")
 }
 
 // verb runs an operator's verb against the first entry instance and shows it.
@@ -141,7 +141,7 @@
 		}
 		fmt.Printf("try %2d at %s: %d %s\n", i+1, entryName(i%entryCount), response.StatusCode, bytes.TrimSpace(text))
 	}
-	return f.checkRuns(ctx, key.String())
+	return f.checkRuns(ctx, "studio-cusco/"+key.String())
 }
 
 // checkRuns asks the service how often it ran the order.
