Keep own messages within the limits that peers check

Cause: a name from the instance list, a load report without a time or a NaN in a team's use got into the table, and all peers would have refused every message that carried it. A record with an incarnation of the far future could never be replaced.

--- a/mcmember/apply.go
+++ b/mcmember/apply.go
@@ -50,7 +50,8 @@
 // applyMember merges a member of the own data centre.
 func (t *Table) applyMember(now time.Time, r *mcmessage.MemberRecord, hot bool) {
 	name := r.GetInstance()
-	if r.GetDataCentre() != t.self.Identity.DataCentre() || t.tooFarAhead(now, max(r.GetSequence(), r.GetGoneSequence())) {
+	if r.GetDataCentre() != t.self.Identity.DataCentre() || startsTooLate(now, r.GetIncarnation()) ||
+		t.tooFarAhead(now, max(r.GetSequence(), r.GetGoneSequence())) {
 		return
 	}
 	if name == t.self.Identity.Instance() {
@@ -98,6 +99,12 @@
 	return sequence > versionAt(now.Add(maxAhead))
 }
 
+// startsTooLate tells whether an incarnation, which is a start time in ns, lies further
+// ahead than clocks differ. No restart could ever follow it.
+func startsTooLate(now time.Time, incarnation uint64) bool {
+	return incarnation > uint64(now.Add(maxAhead).UnixNano())
+}
+
 func loadTooFarAhead(now time.Time, version uint64) bool {
 	return version > loadVersionAt(now.Add(maxAhead))
 }
@@ -266,7 +273,8 @@
 
 // applySummary merges a member of another data centre.
 func (t *Table) applySummary(now time.Time, r *mcmessage.MemberSummary, hot bool) {
-	if r.GetDataCentre() == t.self.Identity.DataCentre() || t.tooFarAhead(now, r.GetSequence()) {
+	if r.GetDataCentre() == t.self.Identity.DataCentre() || startsTooLate(now, r.GetIncarnation()) ||
+		t.tooFarAhead(now, r.GetSequence()) {
 		return
 	}
 	cur := t.summaries[r.GetInstance()]
--- a/mcmember/converge_test.go
+++ b/mcmember/converge_test.go
@@ -78,7 +78,7 @@
 	endpoint := fmt.Sprint("e", draw(2, "endpoint"))
 	switch draw(6, "change") {
 	case 0:
-		table.SetLeaving(m.now, endpoint, draw(1, "leaving") == 1)
+		require.NoError(m.t, table.SetLeaving(m.now, endpoint, draw(1, "leaving") == 1))
 	case 1:
 		table.SetQuarantine(m.now, &mcmessage.QuarantineEntry{
 			Fingerprint: uint64(draw(1, "fingerprint")), Crashes: uint32(draw(3, "crashes")),
--- a/mcmember/endpoint_test.go
+++ b/mcmember/endpoint_test.go
@@ -177,21 +177,21 @@
 			within: 4 * time.Second,
 		},
 		"an operator marks it": {
-			act:    func(f *fleet, _ *backend) { f.members[instanceName(centreA, 0)].SetLeaving(endpoint, true) },
+			act:    func(f *fleet, _ *backend) { f.mark(0, endpoint, true) },
 			within: 2 * time.Second, leaving: true,
 		},
 		"an operator's mark outlives a restart": {
 			act: func(f *fleet, b *backend) {
-				f.members[instanceName(centreA, 0)].SetLeaving(endpoint, true)
+				f.mark(0, endpoint, true)
 				b.set(func(string, string) (marigoldcroft.LoadReport, error) { return report(2, false), nil })
 			},
 			within: 5 * time.Second, leaving: true,
 		},
 		"it joins again": {
 			act: func(f *fleet, _ *backend) {
-				f.members[instanceName(centreA, 0)].SetLeaving(endpoint, true)
+				f.mark(0, endpoint, true)
 				time.Sleep(5 * time.Second)
-				f.members[instanceName(centreA, 3)].SetLeaving(endpoint, false)
+				f.mark(3, endpoint, false)
 			},
 			within: 2 * time.Second,
 		},
@@ -203,7 +203,7 @@
 			act: func(f *fleet, _ *backend) {
 				f.list.change(listLeaving)
 				time.Sleep(10 * time.Second)
-				f.members[instanceName(centreA, 0)].SetLeaving(endpoint, false)
+				f.mark(0, endpoint, false)
 			},
 			within: 20 * time.Second,
 		},
--- a/mcmember/local_command.go
+++ b/mcmember/local_command.go
@@ -4,13 +4,14 @@
 	"cmp"
 	"slices"
 	"time"
+	"unicode/utf8"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"marigoldcroft"
 	"marigoldcroft/mcmessage"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -34,6 +35,30 @@
 	stuckClock = 2 * time.Second
 )
 
+// Bounds of what this member originates. Peers refuse a whole message in which one
+// field is beyond its limit, so such values must not get into the table.
+const (
+	maxNameBytes   = 64
+	maxTokens      = 1 << 40
+	maxTokenRate   = 1e12
+	maxUnixMs      = 1 << 46
+	maxKnownConfig = 1 << 53
+)
+
+func validName(name string) bool {
+	return name != "" && len(name) <= maxNameBytes && utf8.ValidString(name)
+}
+
+// clampRate returns a finite number between 0 and maximum.
+func clampRate(value, maximum float64) float32 {
+	if !(value > 0) {
+		return 0
+	}
+	return float32(min(value, maximum))
+}
+
+func clampUnixMs(ms int64) int64 { return min(max(ms, 0), maxUnixMs) }
+
 // TeamUsage is one team's use at one instance.
 type TeamUsage struct {
 	Team            string
@@ -54,7 +79,8 @@
 // SetRevision tells the configuration revision in force here and the newest one
 // that this instance knows of.
 func (t *Table) SetRevision(now time.Time, inForce, newest uint64) {
-	t.applyRevision(newest)
+	inForce = min(inForce, maxKnownConfig)
+	t.applyRevision(min(newest, maxKnownConfig))
 	own := t.own.record
 	if own.GetConfigRevision() != inForce || own.GetConfigNewestSeen() != t.newestRevision {
 		t.writeOwn(now, func(r *mcmessage.MemberRecord) {
@@ -132,8 +158,8 @@
 	for i := range chunk {
 		u := uses[(t.usageCursor+i)%len(uses)]
 		chunk[i] = &mcmessage.TeamUse{
-			Team: xxhash.Sum64String(u.Team), TokensPerSecond: float32(u.TokensPerSecond),
-			Concurrency: count32(u.Concurrency), Share: float32(u.Share),
+			Team: xxhash.Sum64String(u.Team), TokensPerSecond: clampRate(u.TokensPerSecond, maxTokenRate),
+			Concurrency: count32(u.Concurrency), Share: clampRate(u.Share, 1),
 		}
 	}
 	if len(uses) > n {
@@ -156,17 +182,22 @@
 func (t *Table) SetQuarantine(now time.Time, q *mcmessage.QuarantineEntry) {
 	cur := t.quarantine[q.GetFingerprint()]
 	t.applyQuarantine(now, &mcmessage.QuarantineEntry{
-		Fingerprint: q.GetFingerprint(), Crashes: q.GetCrashes(), Quarantined: q.GetQuarantined(),
-		Cleared: q.GetCleared(), ExpiresUnixMs: q.GetExpiresUnixMs(),
+		Fingerprint: q.GetFingerprint(), Crashes: min(q.GetCrashes(), maxCount), Quarantined: q.GetQuarantined(),
+		Cleared: q.GetCleared(), ExpiresUnixMs: clampUnixMs(q.GetExpiresUnixMs()),
 		Version: max(cur.GetVersion()+1, versionAt(now)),
 	}, true)
 }
 
 // SetLeaving marks an endpoint as leaving, or as joined again, on behalf of an
-// operator.
-func (t *Table) SetLeaving(now time.Time, endpoint string, leaving bool) {
+// operator. The endpoint may be in any data centre.
+func (t *Table) SetLeaving(now time.Time, endpoint string, leaving bool) error {
+	if !validName(endpoint) {
+		return marigoldcroft.NewFailure("mark endpoint", KindInvalid,
+			errors.Newf("the name has %d bytes, the limits are 1 and %d bytes of UTF-8", len(endpoint), maxNameBytes))
+	}
 	version := max(t.marks[endpoint].GetVersion()+1, versionAt(now))
 	t.setMark(now, endpoint, leaving, version, mcmessage.MarkSource_MARK_SOURCE_OPERATOR, now)
+	return nil
 }
 
 func (t *Table) setMark(now time.Time, name string, leaving bool, version uint64, source mcmessage.MarkSource, at time.Time) {
@@ -176,7 +207,7 @@
 	}
 	t.applyMark(now, &mcmessage.EndpointMark{
 		Endpoint: name, EndpointIncarnation: incarnation, Version: version, Leaving: leaving,
-		Source: source, MarkedUnixMs: at.UnixMilli(),
+		Source: source, MarkedUnixMs: clampUnixMs(at.UnixMilli()),
 	}, true)
 }
 
@@ -203,6 +234,9 @@
 	}
 	listed := make(map[string]bool, len(listing.Endpoints))
 	for _, l := range listing.Endpoints {
+		if !validName(l.Name) {
+			continue
+		}
 		t.applyListedFlag(now, l.Name, l.Leaving)
 		if l.DataCentre == t.self.Identity.DataCentre() {
 			listed[l.Name] = true
@@ -301,7 +335,7 @@
 
 // observeState takes a restart or a changed capacity from the report.
 func (t *Table) observeState(now time.Time, e *endpoint, report marigoldcroft.LoadReport) *endpoint {
-	capacity := uint64(max(report.KVCapacityTokens, 0))
+	capacity := uint64(min(max(report.KVCapacityTokens, 0), maxTokens))
 	if e.state.GetVersion() > 0 && report.Incarnation == e.state.GetEndpointIncarnation() && capacity == e.state.GetKvCapacityTokens() {
 		return e
 	}
--- a/mcmember/member.go
+++ b/mcmember/member.go
@@ -146,7 +146,13 @@
 // deliver needs mu. A subscriber that is too slow loses its oldest events and is
 // told so.
 func (m *Member) deliver(e Event) {
-	if e.Kind != EventLoad && e.Kind != EventInFlight {
+	switch e.Kind {
+	case EventLoad, EventInFlight:
+	case EventResumed:
+		m.Logger.Warn().Dur("gap", e.Gap).Msg("memberResumed")
+	case EventSelfRemoved:
+		m.Logger.Warn().Uint64("incarnation", e.Revision).Msg("memberRemovedByPeers")
+	default:
 		m.Logger.Debug().Str("kind", string(e.Kind)).Str("name", e.Name).Msg("memberChange")
 	}
 	for _, ring := range m.subscribers {
--- a/mcmember/member_api.go
+++ b/mcmember/member_api.go
@@ -23,8 +23,8 @@
 }
 
 // SetLeaving is Table.SetLeaving.
-func (m *Member) SetLeaving(endpoint string, leaving bool) {
-	m.do(func(t *Table, now time.Time) { t.SetLeaving(now, endpoint, leaving) })
+func (m *Member) SetLeaving(endpoint string, leaving bool) error {
+	return query(m, func(t *Table, now time.Time) error { return t.SetLeaving(now, endpoint, leaving) })
 }
 
 // ObserveLoad is Table.ObserveLoad.
--- a/mcmember/network_test.go
+++ b/mcmember/network_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
 
 	"marigoldcroft"
@@ -16,6 +18,8 @@
 	"marigoldcroft/mcmessage"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // network joins members in memory through the Transport interface.
 type network struct {
 	mu      sync.Mutex
@@ -162,6 +166,11 @@
 	synctest.Wait()
 }
 
+// mark marks an endpoint at the i-th instance of centreA on behalf of an operator.
+func (f *fleet) mark(i int, endpoint string, leaving bool) {
+	require.NoError(f.t, f.members[instanceName(centreA, i)].SetLeaving(endpoint, leaving))
+}
+
 // kill cuts the member off and ends it, so that nobody hears its farewell.
 func (f *fleet) kill(name string) {
 	f.mu.Lock()
--- a/mcmember/probe_test.go
+++ b/mcmember/probe_test.go
@@ -1,6 +1,7 @@
 package mcmember_test
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,13 +52,16 @@
 }
 
 // Guards against a late record of an ended run that replaces that of the present one
-// when the clock was set back in between.
-func TestOldIncarnationIsIgnored(t *testing.T) {
+// when the clock was set back in between, and against one of the far future, which no
+// restart could replace.
+func TestOldAndImpossibleIncarnationsAreIgnored(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	table := mcmember.NewTable(mcmember.Self{Identity: marigoldcroft.NewIdentity("copo", region, centreA, "a", now, 1)}, now, 1)
 	for _, r := range []*mcmessage.MemberRecord{
 		{Instance: "b", DataCentre: centreA, PeerAddress: "new", Incarnation: 5, Sequence: 18_000_000_000, Version: 18_000_000_000},
 		{Instance: "b", DataCentre: centreA, PeerAddress: "old", Incarnation: 4, Sequence: 18_000_000_009, Version: 18_000_000_009, GoneSequence: 18_000_000_009},
+		{Instance: "b", DataCentre: centreA, PeerAddress: "late", Incarnation: math.MaxUint64, Sequence: 18_000_000_000, Version: 18_000_000_000},
+		{Instance: "a", DataCentre: centreA, PeerAddress: "late", Incarnation: math.MaxUint64, Sequence: 18_000_000_000, Version: 18_000_000_000},
 	} {
 		table.Serve(now, &mcmessage.ExchangeRequest{Records: &mcmessage.Records{Members: []*mcmessage.MemberRecord{r}}})
 	}
@@ -65,6 +69,8 @@
 	require.Len(t, views, 2)
 	require.Equal(t, "new", views[1].Address)
 	require.Equal(t, live, views[1].State)
+	require.Equal(t, table.Request(now, true).Request.GetSender().GetIncarnation(), views[0].Incarnation)
+	require.Less(t, views[0].Incarnation, uint64(now.Add(time.Hour).UnixNano()))
 }
 
 // Guards against messages above the limit, and against records that never get their
--- a/mcmember/relay.go
+++ b/mcmember/relay.go
@@ -237,7 +237,7 @@
 			if totals[team] == nil {
 				totals[team] = &mcmessage.TeamUse{Team: team}
 			}
-			totals[team].TokensPerSecond += use.use.GetTokensPerSecond()
+			totals[team].TokensPerSecond = min(totals[team].TokensPerSecond+use.use.GetTokensPerSecond(), maxTokenRate)
 			totals[team].Concurrency += use.use.GetConcurrency()
 			totals[team].Share += use.use.GetShare()
 		}
--- a/mcmember/relay_test.go
+++ b/mcmember/relay_test.go
@@ -29,7 +29,7 @@
 	first, second := instanceName(centreA, 0), instanceName(centreB, 0)
 	share := func(f *fleet) {
 		m := f.members[first]
-		m.SetLeaving("far", true)
+		require.NoError(f.t, m.SetLeaving("far", true))
 		m.SetQuarantine(&mcmessage.QuarantineEntry{Fingerprint: 5, Crashes: 1, ExpiresUnixMs: time.Now().Add(3 * time.Hour).UnixMilli()})
 		m.SetRevision(41, 42)
 	}
--- a/mcpeer/validate_test.go
+++ b/mcpeer/validate_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
+	"marigoldcroft"
 	"marigoldcroft/mcmember"
 	"marigoldcroft/mcmessage"
 	"marigoldcroft/mcpeer"
@@ -85,6 +86,63 @@
 	}
 }
 
+// Guards against a member whose messages all peers refuse, because a caller, the
+// instance list or an endpoint gave it a value beyond the limits.
+func TestOwnMessagesPassWithExtremeInput(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	long := strings.Repeat("x", 65)
+	cases := map[string]func(table *mcmember.Table) error{
+		"listed names": func(table *mcmember.Table) error {
+			table.ApplyListing(now, marigoldcroft.InstanceListing{Endpoints: []marigoldcroft.ListedEndpoint{
+				{Name: long, DataCentre: "lima", Leaving: true}, {DataCentre: "lima", Leaving: true}, {Name: "\xff", DataCentre: "lima", Leaving: true},
+			}})
+			return nil
+		},
+		"report": func(table *mcmember.Table) error {
+			return table.ObservePoll(now, now, marigoldcroft.LoadReport{
+				Endpoint: "e", Incarnation: math.MaxUint64, Running: math.MaxInt, Waiting: -1, Leaving: true,
+				PrefillTokens: math.MaxInt64, KVUsedTokens: -1, KVCapacityTokens: math.MaxInt64,
+			})
+		},
+		"report of the far future": func(table *mcmember.Table) error {
+			return table.ObservePoll(now, now, marigoldcroft.LoadReport{Endpoint: "e", Time: now.AddDate(5000, 0, 0), Leaving: true})
+		},
+		"work": func(table *mcmember.Table) error {
+			table.SetInFlight(now, map[string]marigoldcroft.InFlight{"e": {Short: -1, Long: math.MaxInt, PrefillTokens: math.MaxInt64, KVTokens: -1}})
+			return nil
+		},
+		"usage": func(table *mcmember.Table) error {
+			table.SetUsage(now, []mcmember.TeamUsage{{TokensPerSecond: math.NaN(), Share: math.Inf(1), Concurrency: -1}, {TokensPerSecond: math.Inf(1), Share: -1}})
+			return nil
+		},
+		"revision": func(table *mcmember.Table) error {
+			table.SetRevision(now, math.MaxUint64, math.MaxUint64)
+			return nil
+		},
+		"quarantine": func(table *mcmember.Table) error {
+			table.SetQuarantine(now, &mcmessage.QuarantineEntry{Crashes: math.MaxUint32, ExpiresUnixMs: math.MaxInt64})
+			return nil
+		},
+		"mark": func(table *mcmember.Table) error { return table.SetLeaving(now, "e", true) },
+	}
+	for name, act := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := mcmember.NewTable(mcmember.Self{Identity: identity("copo", "lima", "a"), PeerAddress: "127.0.0.1:1"}, now, 1)
+			table.ApplyListing(now, marigoldcroft.InstanceListing{Endpoints: []marigoldcroft.ListedEndpoint{{Name: "e", DataCentre: "lima", Address: "http://e"}}})
+			require.NoError(t, table.ObservePoll(now.Add(-time.Minute), now.Add(-time.Minute), marigoldcroft.LoadReport{Endpoint: "e"}))
+			require.NoError(t, act(table))
+			request := table.Request(now, true).Request
+			require.NoError(t, mcpeer.Validate(request))
+			_, err := proto.Marshal(request)
+			require.NoError(t, err)
+			relay := table.RelayRequest(now, mcmember.Contact{Instance: "b"})
+			require.NoError(t, mcpeer.Validate(relay))
+		})
+	}
+	table := mcmember.NewTable(mcmember.Self{Identity: identity("copo", "lima", "a")}, now, 1)
+	require.Equal(t, mcmember.KindInvalid, marigoldcroft.FailureKind[mcmember.Kind](table.SetLeaving(now, long, true)))
+}
+
 // Guards against input that passes validation and then crashes the table, changes
 // the receiver's own record or makes it send an answer that peers refuse.
 func FuzzExchangeRequest(f *testing.F) {
