--- a/mcjob/fault_test.go
+++ b/mcjob/fault_test.go
@@ -38,7 +38,7 @@
 	in := submission("key", "body")
 	id := jobID(in.Team, in.Key)
 	c := newCluster(t, func(c *cluster, _ *Jobs) {
-		c.fault, c.faultAt, c.shard = fault, step, shardOf(id)
+		c.fault, c.faultAt, c.shards = fault, step, map[int]bool{shardOf(id): true}
 		c.sweeper.Store(0)
 	})
 	status, err := submitTo(t, c, 0, in)
--- a/mcjob/harness_test.go
+++ b/mcjob/harness_test.go
@@ -37,17 +37,17 @@
 		calm atomic.Int64
 		// sweeper is the node that owns all shards, or -1 for both.
 		sweeper atomic.Int32
-		// shard is the only swept one, or -1.
-		shard int
+		// shards are the swept ones, or nil for all.
+		shards map[int]bool
 		// final has the final state of each job that ever ended.
 		final      map[string]marigoldcroft.JobState
 		violations []string
 		// fault is applied at call number faultAt of node 0 that is no list or watch.
-		fault                string
-		faultAt              int
-		calls                int
-		running, mostRunning atomic.Int32
-		run                  func(ctx context.Context, n *node, body []byte) (string, error)
+		fault   string
+		faultAt int
+		calls   int
+		running atomic.Int32
+		run     func(ctx context.Context, n *node, body []byte) (string, error)
 	}
 
 	// node is one incarnation of an instance; as a store it is the cluster's one with the
@@ -72,7 +72,7 @@
 )
 
 func newCluster(t *testing.T, change ...func(*cluster, *Jobs)) *cluster {
-	c := &cluster{final: make(map[string]marigoldcroft.JobState), shard: -1}
+	c := &cluster{final: make(map[string]marigoldcroft.JobState)}
 	c.sweeper.Store(1)
 	c.run = func(ctx context.Context, n *node, body []byte) (string, error) {
 		if !sleep(ctx, time.Second) {
@@ -153,9 +153,14 @@
 
 func (n *node) wait() { time.Sleep(time.Until(time.Unix(0, n.resume.Load()))) }
 
+func (n *node) unreachable() bool {
+	n.wait()
+	return n.dead.Load() || n.cut.Load() || n.c.down.Load()
+}
+
 func (n *node) Owns(shard int) bool {
 	sweeper := n.c.sweeper.Load()
-	return (sweeper < 0 || sweeper == int32(n.index)) && (n.c.shard < 0 || n.c.shard == shard)
+	return (sweeper < 0 || sweeper == int32(n.index)) && (n.c.shards == nil || n.c.shards[shard])
 }
 
 func (n *node) Gone(instance string, incarnation uint64) bool {
@@ -166,11 +171,8 @@
 }
 
 func (n *node) RunJob(ctx context.Context, _ marigoldcroft.JobStatus, body []byte) (string, error) {
-	running := n.c.running.Add(1)
+	n.c.running.Add(1)
 	defer n.c.running.Add(-1)
-	for most := n.c.mostRunning.Load(); running > most && !n.c.mostRunning.CompareAndSwap(most, running); {
-		most = n.c.mostRunning.Load()
-	}
 	return n.c.run(ctx, n, body)
 }
 
@@ -206,8 +208,7 @@
 	case "paused":
 		n.pause()
 	}
-	n.wait()
-	if n.dead.Load() || n.cut.Load() || n.c.down.Load() || fault == "refused" {
+	if n.unreachable() || fault == "refused" {
 		return errCut
 	}
 	if write && fault == "lost before" {
@@ -237,14 +238,14 @@
 }
 
 func (n *node) List(ctx context.Context, prefix, after string, limit int) ([]marigoldcroft.ObjectEntry, error) {
-	if n.wait(); n.dead.Load() || n.cut.Load() || n.c.down.Load() {
+	if n.unreachable() {
 		return nil, errCut
 	}
 	return n.c.Memory.List(ctx, prefix, after, limit)
 }
 
 func (n *node) Watch(ctx context.Context, key string, known marigoldcroft.Version, wait time.Duration) (marigoldcroft.Object, error) {
-	if n.dead.Load() || n.cut.Load() || n.c.down.Load() {
+	if n.unreachable() {
 		return marigoldcroft.Object{}, errCut
 	}
 	defer n.wait()
--- a/mcjob/jobs_test.go
+++ b/mcjob/jobs_test.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"errors"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,56 +29,43 @@
 
 // Guards against answers to Submit that say something else than what was recorded.
 func TestSubmit(t *testing.T) {
-	in := func() marigoldcroft.JobSubmission { return submission("key", "body") }
-	with := func(change func(*marigoldcroft.JobSubmission)) marigoldcroft.JobSubmission {
-		s := in()
-		change(&s)
-		return s
-	}
 	down := func(_ *testing.T, c *cluster) { c.down.Store(true) }
-	first := func(t *testing.T, c *cluster) {
-		_, err := submitTo(t, c, 0, in())
-		require.NoError(t, err)
+	accept := func(key string) func(*testing.T, *cluster) {
+		return func(t *testing.T, c *cluster) {
+			// A thousandth of the budget is used up by one job.
+			c.nodes[1].jobs.SetInstances(1000)
+			_, err := submitTo(t, c, 1, submission(key, "body"))
+			require.NoError(t, err)
+		}
 	}
+	stop := func(t *testing.T, c *cluster) { require.NoError(t, c.nodes[1].jobs.Release(t.Context())) }
 	cases := []struct {
 		name    string
 		prepare func(t *testing.T, c *cluster)
-		in      func() marigoldcroft.JobSubmission
+		// index is the instance that gets the submission.
+		index   int
+		change  func(s *marigoldcroft.JobSubmission)
 		kind    Kind
 		store   mcstore.Kind
 		objects int
 	}{
-		{"new", nil, in, "", "", 1},
-		{"same key at another instance", first, in, "", "", 1},
-		{"same key of another team", first, func() marigoldcroft.JobSubmission {
-			return with(func(s *marigoldcroft.JobSubmission) { s.Team = "other" })
-		}, "", "", 2},
-		{"no key", first, func() marigoldcroft.JobSubmission { return submission("", "body") }, "", "", 2},
-		{"same key with another body", first, func() marigoldcroft.JobSubmission { return submission("key", "other") }, KindKeyReused, "", 1},
-		{"same key with another template", first, func() marigoldcroft.JobSubmission {
-			return with(func(s *marigoldcroft.JobSubmission) { s.Template = "other" })
-		}, KindKeyReused, "", 1},
-		{"body too large", nil, func() marigoldcroft.JobSubmission {
-			return submission("key", strings.Repeat("x", MaxBodyBytes+1))
+		{"new", nil, 0, nil, "", "", 1},
+		{"same key at another instance", accept("key"), 0, nil, "", "", 1},
+		{"same key of another team", accept("key"), 0, func(s *marigoldcroft.JobSubmission) { s.Team = "other" }, "", "", 2},
+		{"no key", accept("key"), 0, func(s *marigoldcroft.JobSubmission) { s.Key = "" }, "", "", 2},
+		{"same key, other body", accept("key"), 0, func(s *marigoldcroft.JobSubmission) { s.Body = nil }, KindKeyReused, "", 1},
+		{"same key, other template", accept("key"), 0, func(s *marigoldcroft.JobSubmission) { s.Template = "" }, KindKeyReused, "", 1},
+		{"body too large", nil, 0, func(s *marigoldcroft.JobSubmission) {
+			s.Body = make([]byte, MaxBodyBytes+1)
 		}, KindInvalid, mcstore.KindTooLarge, 0},
-		{"deadline passed", nil, func() marigoldcroft.JobSubmission {
-			return with(func(s *marigoldcroft.JobSubmission) { s.Deadline = time.Now() })
+		{"deadline passed", nil, 0, func(s *marigoldcroft.JobSubmission) {
+			s.Deadline = time.Now()
 		}, KindInvalid, mcstore.KindUnavailable, 0},
-		{"store down, no key", down, func() marigoldcroft.JobSubmission { return submission("", "body") }, KindRefused, mcstore.KindUnavailable, 0},
-		{"store down, an earlier submission may be recorded", down, in, KindUnknown, mcstore.KindUnknown, 0},
-		{"over budget", func(t *testing.T, c *cluster) {
-			c.nodes[1].jobs.SetInstances(1000)
-			_, err := submitTo(t, c, 1, submission("", "first"))
-			require.NoError(t, err)
-		}, in, KindRefused, mcstore.KindBudget, 1},
-		{"recorded before, over budget", func(t *testing.T, c *cluster) {
-			c.nodes[1].jobs.SetInstances(1000)
-			_, err := submitTo(t, c, 1, in())
-			require.NoError(t, err)
-		}, in, "", "", 1},
-		{"stopped", func(t *testing.T, c *cluster) {
-			require.NoError(t, c.nodes[1].jobs.Release(t.Context()))
-		}, in, KindRefused, mcstore.KindUnavailable, 0},
+		{"store down, no key", down, 0, func(s *marigoldcroft.JobSubmission) { s.Key = "" }, KindRefused, mcstore.KindUnavailable, 0},
+		{"store down, an earlier submission may be recorded", down, 0, nil, KindUnknown, mcstore.KindUnknown, 0},
+		{"over budget", accept("first"), 1, nil, KindRefused, mcstore.KindBudget, 1},
+		{"over budget, recorded before", accept("key"), 1, nil, "", "", 1},
+		{"stopped", stop, 1, nil, KindRefused, mcstore.KindUnavailable, 0},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -86,7 +74,11 @@
 				if tc.prepare != nil {
 					tc.prepare(t, c)
 				}
-				_, err := submitTo(t, c, 1, tc.in())
+				in := submission("key", "body")
+				if tc.change != nil {
+					tc.change(&in)
+				}
+				_, err := submitTo(t, c, tc.index, in)
 				require.Equal(t, tc.kind, marigoldcroft.FailureKind[Kind](err), "%v", err)
 				require.Equal(t, tc.store, marigoldcroft.FailureKind[mcstore.Kind](err), "%v", err)
 				require.Len(t, c.stored(t, jobPrefix), tc.objects)
@@ -103,13 +95,11 @@
 			c := newCluster(t)
 			var status [2]marigoldcroft.JobStatus
 			var errs [2]error
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				status[0], errs[0] = submitTo(t, c, 0, submission("key", bodies[0]))
-			}()
-			status[1], errs[1] = submitTo(t, c, 1, submission("key", bodies[1]))
-			<-done
+			var wg sync.WaitGroup
+			for i, body := range bodies {
+				wg.Go(func() { status[i], errs[i] = submitTo(t, c, i, submission("key", body)) })
+			}
+			wg.Wait()
 			winner := 0
 			if errs[0] != nil {
 				winner = 1
@@ -253,21 +243,17 @@
 			_, err := submitTo(t, c, 0, submission("", "body"))
 			require.NoError(t, err)
 		}
-		time.Sleep(testLimit / 2)
-		counts := c.nodes[0].jobs.Counts()
-		require.Equal(t, uint64(count), counts.Done)
-		require.Equal(t, int32(2), c.mostRunning.Load())
+		// Each run takes a second.
+		for done := uint64(0); done < count; done += 2 {
+			require.Equal(t, done, c.nodes[0].jobs.Counts().Done)
+			time.Sleep(500 * time.Millisecond)
+			require.Equal(t, int32(2), c.running.Load())
+			time.Sleep(550 * time.Millisecond)
+		}
+		require.Equal(t, uint64(count), c.nodes[0].jobs.Counts().Done)
 	})
 }
 
-// endCounts keeps the counts that do not depend on the number of sweeps.
-func endCounts(c Counts) Counts {
-	return Counts{
-		Accepted: c.Accepted, Refused: c.Refused, Claimed: c.Claimed, TakenOver: c.TakenOver,
-		Done: c.Done, Failed: c.Failed, Expired: c.Expired, Cancelled: c.Cancelled, Released: c.Released,
-	}
-}
-
 // Guards against a budget that counts submissions instead of their writes, or that
 // does not follow the number of instances.
 func TestBudget(t *testing.T) {
@@ -327,7 +313,8 @@
 		for _, id := range ids {
 			require.Equal(t, marigoldcroft.JobDone, c.ended(id))
 		}
-		require.Equal(t, Counts{Claimed: 3, TakenOver: 2, Done: 3}, endCounts(c.nodes[1].jobs.Counts()))
+		counts := c.nodes[1].jobs.Counts()
+		require.Equal(t, []uint64{3, 2, 3}, []uint64{counts.Claimed, counts.TakenOver, counts.Done})
 		require.Empty(t, c.violations)
 	})
 }
--- a/mcjob/measure.go
+++ b/mcjob/measure.go
@@ -26,7 +26,7 @@
 		BodyBytes int
 		// PromptChunks and AnswerChunks count stored chunks.
 		PromptChunks, AnswerChunks int
-		// Counts includes 4 lists for each of the 2 sweeps' shard and the removal.
+		// Counts includes the lists of the sweeps, which serve all jobs of a shard.
 		Counts Counts
 	}
 
--- a/mcjob/property_test.go
+++ b/mcjob/property_test.go
@@ -53,6 +53,10 @@
 	c := newCluster(t, func(c *cluster, j *Jobs) {
 		j.MaxRunning = 2
 		c.sweeper.Store(-1)
+		c.shards = make(map[int]bool)
+		for _, s := range steps {
+			c.shards[shardOf(jobID("team", s.key))] = true
+		}
 		c.run = func(ctx context.Context, _ *node, body []byte) (string, error) {
 			if !sleep(ctx, length) {
 				return "", ctx.Err()
--- a/mcjob/run.go
+++ b/mcjob/run.go
@@ -128,8 +128,11 @@
 	close(c.settled)
 	if !returned {
 		// A runner that ignores its context keeps its place, so that the bound on running
-		// jobs holds.
-		<-results
+		// jobs holds. It does not keep the process from ending.
+		select {
+		case <-results:
+		case <-j.life.Done():
+		}
 	}
 }
 
