--- a/mccommand/main.go
+++ b/mccommand/main.go
@@ -30,7 +30,22 @@
 
 // verbs is the lookup table, in the order of the help text.
 func verbs() []Verb {
-	return []Verb{versionVerb()}
+	return []Verb{
+		applyVerb(),
+		validateVerb(),
+		getVerb(),
+		historyVerb(),
+		deleteVerb(),
+		rollbackVerb(),
+		statusVerb(),
+		drainVerb(),
+		endpointVerb(),
+		explainVerb(),
+		jobVerb(),
+		quarantineVerb(),
+		completionVerb(),
+		versionVerb(),
+	}
 }
 
 // Main runs the verb that arguments name and returns the exit code.
--- a/mccommand/verb_version.go
+++ b/mccommand/verb_version.go
@@ -18,7 +18,11 @@
 	}
 }
 
-func runVersion(_ []string, stdout, _ io.Writer) int {
+func runVersion(arguments []string, stdout, stderr io.Writer) int {
+	c := newCall(versionVerb(), stdout, stderr)
+	if code, ok := c.parse(arguments); !ok {
+		return code
+	}
 	fmt.Fprintf(stdout, "marigoldcroft %s %s\n", productVersion, runtime.Version())
 	return exitDone
 }
