Merge divergent configuration instead of overwriting it

Cause: an instance that lags could repair a restored store with content older than a change in force elsewhere, and the others would have taken the change back. Change: a head lists the changes it contains; a follower refuses a head that lacks the change in force and repairs by merging objects, the higher revision wins.

--- a/mcadmin/client.go
+++ b/mcadmin/client.go
@@ -165,11 +165,15 @@
 	return nil
 }
 
-// decodeFailure turns an error answer into an error of the same kind.
+// decodeFailure turns an error answer into an error of the same kind. The cause of a
+// conflict is a mcconfig.ConflictError with the diffs.
 func decodeFailure(operation string, status int, raw []byte) error {
 	var body errorBody
 	if json.Unmarshal(raw, &body) != nil || body.Code == "" {
 		return marigoldcroft.NewFailure(operation, KindUnavailable, errors.Newf("HTTP status %d", status))
 	}
+	if len(body.Conflicts) > 0 {
+		return marigoldcroft.NewFailure(operation, body.Code, mcconfig.NewConflictError(body.Conflicts))
+	}
 	return marigoldcroft.NewFailure(operation, body.Code, errors.New(body.Message))
 }
--- a/mcconfig/editor_command.go
+++ b/mcconfig/editor_command.go
@@ -182,7 +182,7 @@
 			return base{}, marigoldcroft.NewFailure("read head", KindUnavailable, err)
 		}
 		switch inForce := e.Follower.inForce(); {
-		case head.Revision < inForce.Revision():
+		case e.Follower.behind(head):
 			if err := e.Follower.repair(ctx); err != nil {
 				return base{}, marigoldcroft.NewFailure("repair store", KindUnavailable, err)
 			}
--- a/mcconfig/fault_test.go
+++ b/mcconfig/fault_test.go
@@ -117,6 +117,27 @@
 			_, ok := fresh.Current().Template("search")
 			require.True(t, ok)
 		},
+		"instance that lags repairs an older store and goes on": func(t *testing.T, s *site) {
+			backup := copyOf(t, s.store.ObjectStore)
+			s.mustApply(template("search", 3000))
+			front := &faultyStore{ObjectStore: s.store}
+			lagging := &mcconfig.Follower{Store: front, Deployment: "d"}
+			defer run(t, lagging)()
+			<-lagging.Ready()
+			front.set(func(f *faultyStore) { f.down = true })
+			s.mustApply(template("caption", 2000))
+			// The lagging instance alone reaches the store, which has come back older.
+			s.store.set(func(f *faultyStore) { f.down = true })
+			front.set(func(f *faultyStore) { f.ObjectStore, f.down = backup, false })
+			time.Sleep(inForceBound)
+			_, err := (&mcconfig.Editor{Store: front, Follower: lagging}).Apply(t.Context(), []mcconfig.Change{template("search", 4000)}, false)
+			require.NoError(t, err)
+			s.store.set(func(f *faultyStore) { f.ObjectStore, f.down = backup, false })
+			time.Sleep(inForceBound)
+			s.requireDeadline("caption", 2000)
+			s.requireDeadline("search", 4000)
+			require.Equal(t, s.a.Current().Revision(), lagging.Current().Revision())
+		},
 		"change right after the store came back older": func(t *testing.T, s *site) {
 			backup := copyOf(t, s.store.ObjectStore)
 			s.mustApply(template("caption", 2000))
--- a/mcconfig/follower.go
+++ b/mcconfig/follower.go
@@ -305,10 +305,10 @@
 	return decodeHeadObject(object, err)
 }
 
-// follow applies a head that the store holds, or repairs the store when the head is
-// older than the one in force.
+// follow applies a head that the store holds, or repairs the store when the head lacks
+// the change in force.
 func (f *Follower) follow(ctx context.Context, head Head) error {
-	if head.Revision < f.inForce().Revision() {
+	if f.behind(head) {
 		// The pause spreads the instances, so that mostly one of them repairs.
 		sleep(ctx, rand.N(firstPause))
 		return f.repair(ctx)
--- a/mcconfig/head.go
+++ b/mcconfig/head.go
@@ -115,6 +115,19 @@
 	return 0, false
 }
 
+// follows tells whether the change that made base is part of h. It cannot be told, and
+// true is returned, when more than maxRecent changes came later.
+func (h Head) follows(base Head) bool {
+	if len(base.Recent) == 0 {
+		return true
+	}
+	last := base.Recent[len(base.Recent)-1]
+	if slices.Contains(h.Recent, last) {
+		return true
+	}
+	return len(h.Recent) == maxRecent && h.Recent[0].Revision > last.Revision
+}
+
 // next returns a head of a higher revision with the given pages replaced.
 func (h Head) next(revision uint64, refs []PageRef, writeID string) Head {
 	byPage := make(map[int]PageRef, len(h.Pages)+len(refs))
--- a/mcconfig/load.go
+++ b/mcconfig/load.go
@@ -25,6 +25,11 @@
 	if head.Revision <= current.Revision() {
 		return nil
 	}
+	if !head.follows(current.head) {
+		f.refused.Add(1)
+		return marigoldcroft.NewFailure(fmt.Sprintf("revision %d", head.Revision), KindConflict,
+			errors.Newf("it was made without revision %d, which is in force", current.Revision()))
+	}
 	next, err := f.load(ctx, current, head)
 	if err != nil {
 		f.refused.Add(1)
--- a/mcconfig/repair.go
+++ b/mcconfig/repair.go
@@ -1,13 +1,24 @@
 package mcconfig
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"strings"
 
 	"marigoldcroft"
 )
 
-// repair brings a store that came back with an older head up to the configuration in
-// force: it writes the pages that differ and a head of a revision above all seen.
+// behind tells whether a head of the store lacks the change in force here: the store
+// came back with older content, or another instance went on from such content.
+func (f *Follower) behind(head Head) bool {
+	current := f.inForce().head
+	return head.Revision < current.Revision || !head.follows(current)
+}
+
+// repair brings a store that is behind up to the configuration in force: it writes the
+// pages that differ and a head of a revision above all seen. Changes that were
+// accepted on the older content are kept: of each object the higher revision counts.
 // Of several instances that repair at once, the conditional update lets one through.
 func (f *Follower) repair(ctx context.Context) error {
 	f.adopting <- struct{}{}
@@ -16,23 +27,25 @@
 	if err != nil {
 		return err
 	}
-	current := f.snapshot.Load()
-	if head.Revision >= current.Revision() {
+	if !f.behind(head) {
 		return nil
 	}
-	stored := make(map[int]PageRef, len(head.Pages))
-	for _, ref := range head.Pages {
-		stored[ref.Page] = ref
-	}
-	var lost []Page
-	for _, page := range current.pages {
-		if page != nil && stored[page.ref.Page] != page.ref {
-			lost = append(lost, page.decode())
-		}
+	f.see(head.Revision)
+	current := f.snapshot.Load()
+	merged, own, err := f.merge(ctx, current, head)
+	if err != nil {
+		return err
 	}
+	from := *current
+	from.head.Recent = mergeRecent(current.head.Recent, head.Recent)
 	writeID := newWriteID()
 	for revision := f.newest.Load() + 1; ; revision++ {
-		next, pages, err := current.rewrite(lost, revision, writeID)
+		next, pages, err := from.rewrite(merged, revision, writeID)
+		if IsInvalid(err) {
+			// The merged contents break a cross check; those in force do not.
+			f.report("configMergeRefused", err)
+			next, pages, err = from.rewrite(own, revision, writeID)
+		}
 		if err != nil {
 			return err
 		}
@@ -55,6 +68,71 @@
 	}
 }
 
+// merge returns the contents of the pages in which the head differs from current, once
+// merged by object and once as they are in current.
+func (f *Follower) merge(ctx context.Context, current *Snapshot, head Head) (merged, own []Page, err error) {
+	stored := make(map[int]PageRef, len(head.Pages))
+	for _, ref := range head.Pages {
+		stored[ref.Page] = ref
+	}
+	for number, page := range current.pages {
+		ref, inStore := stored[number]
+		if page == nil && !inStore || page != nil && page.ref == ref {
+			continue
+		}
+		content := Page{Page: number}
+		if page != nil {
+			content = page.decode()
+		}
+		own = append(own, content)
+		if inStore {
+			theirs, err := f.readContent(ctx, ref)
+			if err != nil {
+				return nil, nil, err
+			}
+			content.Entries = mergeEntries(content.Entries, theirs.Entries)
+		}
+		merged = append(merged, content)
+	}
+	return merged, own, nil
+}
+
+// readContent reads a page of the store; one that is missing or malformed is empty.
+func (f *Follower) readContent(ctx context.Context, ref PageRef) (Page, error) {
+	raw, err := f.readPage(ctx, ref)
+	if err == nil {
+		var page Page
+		if page, err = DecodePage(raw); err == nil {
+			return page, nil
+		}
+	}
+	if marigoldcroft.FailureKind[Kind](err) == KindCorrupt {
+		return Page{}, nil
+	}
+	return Page{}, err
+}
+
+// mergeEntries returns of each object the entry with the higher revision; of equal
+// ones that of mine.
+func mergeEntries(mine, theirs []Entry) []Entry {
+	page := Page{Entries: slices.Clone(mine)}
+	for _, e := range theirs {
+		if kept, ok := page.find(e.ObjectName); !ok || e.Revision > kept.Revision {
+			page.set(e)
+		}
+	}
+	return page.Entries
+}
+
+// mergeRecent returns the changes of both lists in the order of their revisions.
+func mergeRecent(mine, theirs []Accepted) []Accepted {
+	all := slices.Concat(mine, theirs)
+	slices.SortFunc(all, func(a, b Accepted) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), strings.Compare(a.WriteID, b.WriteID))
+	})
+	return slices.Compact(all)
+}
+
 // rewrite returns the snapshot in which the pages with their new contents have the
 // given revision, and these pages.
 func (s *Snapshot) rewrite(contents []Page, revision uint64, writeID string) (*Snapshot, []*loadedPage, error) {
