--- a/mcconfig/measure.go
+++ b/mcconfig/measure.go
@@ -86,8 +86,8 @@
 	return result, nil
 }
 
+// fill writes all teams in one change, which an editor would split.
 func fill(ctx context.Context, store *measuredStore, teams int) error {
-	editor := &Editor{Store: store, Follower: &Follower{Store: store, Deployment: "measure"}}
 	changes := []Change{measureTemplate("t0", 1000), measureTemplate("t1", 1000), measureTemplate("t2", 1000)}
 	for i := range teams {
 		spec := marigoldcroft.TeamSpec{
@@ -96,12 +96,17 @@
 		}
 		changes = append(changes, Change{Name: ObjectName{ObjectTeam, spec.Name}, Object: Object{Team: &spec}})
 	}
-	for chunk := range slices.Chunk(changes, maxChanges) {
-		if _, err := editor.Apply(ctx, chunk, false); err != nil {
-			return err
-		}
+	from := base{snapshot: emptySnapshot()}
+	contents := edit(from, changes, make([]Outcome, len(changes)), 1)
+	next, pages, err := from.snapshot.rewrite(contents, 1, newWriteID())
+	if err != nil {
+		return err
+	}
+	if _, err := createPages(ctx, store, pages, newWriteID()); err != nil {
+		return err
 	}
-	return nil
+	_, err = putHead(ctx, store, next.head, 0, "", newWriteID())
+	return err
 }
 
 func measureTemplate(name string, deadlineMs int64) Change {
