Bound the end of a job at a planned stop

Cause: a run that could not record its end kept a planned stop open until the job's deadline when the store was down; a head could wait on another without heeding its context.

--- a/mcconfig/load.go
+++ b/mcconfig/load.go
@@ -18,8 +18,10 @@
 // adopt applies head when it is higher than the one in force. After an error the
 // snapshot in force is unchanged.
 func (f *Follower) adopt(ctx context.Context, head Head) error {
-	f.adopting <- struct{}{}
-	defer func() { <-f.adopting }()
+	if err := f.lock(ctx); err != nil {
+		return err
+	}
+	defer f.unlock()
 	f.see(head.Revision)
 	current := f.snapshot.Load()
 	if head.Revision <= current.Revision() {
@@ -39,6 +41,19 @@
 	return nil
 }
 
+// lock takes the place of adopting.
+func (f *Follower) lock(ctx context.Context) error {
+	f.init()
+	select {
+	case f.adopting <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return marigoldcroft.NewFailure("apply head", KindUnavailable, ctx.Err())
+	}
+}
+
+func (f *Follower) unlock() { <-f.adopting }
+
 // put makes a snapshot the one in force; it needs adopting.
 func (f *Follower) put(next *Snapshot) {
 	if next.Revision() <= f.snapshot.Load().Revision() {
--- a/mcconfig/repair.go
+++ b/mcconfig/repair.go
@@ -21,8 +21,10 @@
 // accepted on the older content are kept: of each object the higher revision counts.
 // Of several instances that repair at once, the conditional update lets one through.
 func (f *Follower) repair(ctx context.Context) error {
-	f.adopting <- struct{}{}
-	defer func() { <-f.adopting }()
+	if err := f.lock(ctx); err != nil {
+		return err
+	}
+	defer f.unlock()
 	head, version, err := readHead(ctx, f.Store)
 	if err != nil {
 		return err
--- a/mcjob/jobs_test.go
+++ b/mcjob/jobs_test.go
@@ -222,6 +222,18 @@
 			time.Sleep(time.Second)
 			p.requireJob(job.ID, marigoldcroft.JobDone, "b: read it")
 		},
+		"planned stop ends while the store is down": func(t *testing.T, p *pair) {
+			defer start(t, p.a)()
+			_, err := p.a.Submit(t.Context(), p.submission(""))
+			require.NoError(t, err)
+			time.Sleep(time.Second)
+			p.aStore.set(0)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			began := time.Now()
+			require.NoError(t, p.a.Release(ctx))
+			require.Less(t, time.Since(began), 30*time.Second)
+		},
 		"answers of all writes lost": func(t *testing.T, p *pair) {
 			close(p.aRuns)
 			p.aStore.loseAnswers = 10
--- a/mcjob/sweep.go
+++ b/mcjob/sweep.go
@@ -226,25 +226,28 @@
 			end(r, marigoldcroft.JobFailed, "", "the answer is larger than 900 KiB")
 		}
 	}
-	j.finish(context.WithoutCancel(ctx), job, change)
+	j.finish(ctx, job, change)
 }
 
 // finish writes the end of a run and tries again while the store is unavailable. The
-// job's deadline bounds it: past it a sweeper ends the job.
-func (j *Jobs) finish(ctx context.Context, job stored, change func(*Record)) {
+// job's deadline bounds it: past it a sweeper ends the job. At a planned stop it is
+// bounded by settleLimit; the job is then claimed again when this run is gone.
+func (j *Jobs) finish(run context.Context, job stored, change func(*Record)) {
 	limit := job.Deadline
 	if least := time.Now().Add(settleLimit); limit.Before(least) {
 		limit = least
 	}
-	ctx, cancel := context.WithDeadline(ctx, limit)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(run), limit)
 	defer cancel()
+	defer context.AfterFunc(run, func() { time.AfterFunc(settleLimit, cancel) })()
 	for {
 		ended, err := j.update(ctx, job, change)
 		if err == nil {
-			j.logJob("jobEnded", job.ID, job.Epoch, nil)
-			if ended.Owner == "" && !ended.State.Final() {
-				j.logJob("jobReleased", job.ID, job.Epoch, nil)
+			event := "jobEnded"
+			if !ended.State.Final() {
+				event = "jobReleased"
 			}
+			j.logJob(event, job.ID, job.Epoch, nil)
 			return
 		}
 		if errors.Is(err, errConflict) || ctx.Err() != nil {
