--- a/mcgateway/input_test.go
+++ b/mcgateway/input_test.go
@@ -21,6 +21,7 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcgateway"
+	"marigoldcroft/mcjob"
 	"marigoldcroft/mclimit"
 	"marigoldcroft/mcstore"
 )
@@ -161,11 +162,26 @@
 	for id, code := range map[string]int{"j1": 200, "j2": 404, "j3": 503, "j4": 404} {
 		require.Equal(t, code, b.request(t.Context(), http.MethodGet, "/v1/jobs/"+id, "").Code, id)
 	}
-	for kind, notRun := range map[mcstore.Kind]bool{mcstore.KindBudget: true, mcstore.KindUnavailable: true, mcstore.KindUnknown: false} {
-		store.err = marigoldcroft.NewFailure("put", kind, nil)
+	stored := func(kind mcjob.Kind, cause mcstore.Kind) error {
+		return marigoldcroft.NewFailure("submit", kind, marigoldcroft.NewFailure("put", cause, nil))
+	}
+	for _, c := range []struct {
+		err    error
+		code   int
+		notRun bool
+	}{
+		{stored(mcjob.KindRefused, mcstore.KindBudget), 503, true},
+		{stored(mcjob.KindRefused, mcstore.KindUnavailable), 503, true},
+		{stored(mcjob.KindUnknown, mcstore.KindUnknown), 503, false},
+		{stored(mcjob.KindInvalid, mcstore.KindTooLarge), 413, true},
+		{stored(mcjob.KindInvalid, mcstore.KindUnavailable), 400, true},
+		{marigoldcroft.NewFailure("submit", mcjob.KindKeyReused, nil), 422, true},
+		{errors.New("lost"), 503, false},
+	} {
+		store.err = c.err
 		w := b.request(t.Context(), http.MethodPost, "/v1/jobs", body("caption", ""))
-		require.Equal(t, http.StatusServiceUnavailable, w.Code)
-		require.Equal(t, notRun, outcome(t, w.Body.String()).NotRun, kind)
+		require.Equal(t, c.code, w.Code, c.err)
+		require.Equal(t, c.notRun, outcome(t, w.Body.String()).NotRun, c.err)
 	}
 }
 
--- a/mcgateway/jobs.go
+++ b/mcgateway/jobs.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"marigoldcroft"
+	"marigoldcroft/mcjob"
 	"marigoldcroft/mcquarantine"
 	"marigoldcroft/mcstore"
 )
@@ -48,11 +49,15 @@
 // jobProblem says notRun only for errors that exclude that the job was recorded.
 func jobProblem(err error) *Problem {
 	problem := notRun(CodeStoreUnavailable, "the job could not be recorded: "+err.Error()).after(time.Second)
-	switch marigoldcroft.FailureKind[mcstore.Kind](err) {
-	case mcstore.KindUnavailable, mcstore.KindBudget, mcstore.KindTooLarge, mcstore.KindBadKey:
-		return problem
-	}
-	if marigoldcroft.NotSent(err) {
+	stored := marigoldcroft.FailureKind[mcstore.Kind](err)
+	switch {
+	case mcjob.IsKind(err, mcjob.KindKeyReused):
+		return notRun(CodeKeyReused, "header "+headerKey+": another job has this key")
+	case stored == mcstore.KindTooLarge:
+		return notRun(CodeTooLarge, "body: "+err.Error())
+	case mcjob.IsKind(err, mcjob.KindInvalid):
+		return notRun(CodeBadRequest, err.Error())
+	case stored == mcstore.KindUnavailable, stored == mcstore.KindBudget, marigoldcroft.NotSent(err):
 		return problem
 	}
 	problem.NotRun, problem.Outcome = false, OutcomeUnknown
