--- a/mcjob/fault_test.go
+++ b/mcjob/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,27 +20,56 @@
 	// steps is the number of store calls of a job without faults: three to accept with
 	// its chunk, a claim, the body, the answer, the reads of the sweeps and the removal.
 	const steps = 8
-	for _, fault := range []string{
-		"dies before", "dies after", "lost before", "lost after", "late", "soon", "refused", "outage", "slow", "paused",
-	} {
-		t.Run(fault, func(t *testing.T) {
+	cases := []struct {
+		fault string
+		large bool
+	}{
+		{"dies before", false},
+		{"dies after", false},
+		{"lost before", false},
+		{"lost after", false},
+		{"late", false},
+		{"soon", false},
+		{"refused", false},
+		{"outage", false},
+		{"slow", false},
+		{"paused", false},
+		{"dies before", true},
+		{"dies after", true},
+		{"lost after", true},
+		{"paused", true},
+	}
+	for _, tc := range cases {
+		t.Run(fmt.Sprintf("%s/large=%t", tc.fault, tc.large), func(t *testing.T) {
+			tail := ""
+			if tc.large {
+				tail = incompressible(inlineAnswerBytes + 1)
+			}
 			step := 1
 			for reached := true; reached; step++ {
-				synctest.Test(t, func(t *testing.T) { reached = faultAt(t, fault, step) })
+				synctest.Test(t, func(t *testing.T) { reached = faultAt(t, tc.fault, step, tail) })
 			}
 			require.Greater(t, step-1, steps, "the fault was not tried at every step")
 		})
 	}
 }
 
-// faultAt returns false if the job had fewer than step calls.
-func faultAt(t *testing.T, fault string, step int) bool {
-	name := fmt.Sprintf("%s at call %d", fault, step)
+func incompressible(length int) string {
+	b := make([]byte, length)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(b)
+	return string(b)
+}
+
+// faultAt returns false if the job had fewer than step calls. The tail is added to the
+// answer.
+func faultAt(t *testing.T, fault string, step int, tail string) bool {
+	name := fmt.Sprintf("call %d", step)
 	in := submission("key", "body")
 	id := jobID(in.Team, in.Key)
 	c := newCluster(t, func(c *cluster, _ *Jobs) {
 		c.fault, c.faultAt, c.shards = fault, step, map[int]bool{shardOf(id): true}
 		c.sweeper.Store(0)
+		c.tail = tail
 	})
 	status, err := submitTo(t, c, 0, in)
 	if IsKind(err, KindRefused) {
@@ -56,8 +86,12 @@
 	require.Equal(t, marigoldcroft.JobDone, c.ended(id), name)
 	status, err = c.nodes[1].jobs.Job(t.Context(), id)
 	require.NoError(t, err, name)
-	require.Contains(t, []string{"body by 0", "body by 1"}, status.Answer, name)
-	time.Sleep(ResultRetention + OrphanGrace + 3*time.Minute)
+	require.True(t, status.Answer == "body by 0"+tail || status.Answer == "body by 1"+tail, name)
+	document, _, err := c.nodes[1].jobs.read(t.Context(), id)
+	require.NoError(t, err, name)
+	time.Sleep(OrphanGrace + 3*time.Minute)
+	require.Len(t, c.stored(t, answerPrefix), document.Answers.Count, "%s: orphans are left", name)
+	time.Sleep(ResultRetention)
 	for _, prefix := range []string{jobPrefix, promptPrefix, answerPrefix} {
 		require.Empty(t, c.stored(t, prefix), "%s: left behind", name)
 	}
--- a/mcjob/harness_test.go
+++ b/mcjob/harness_test.go
@@ -23,6 +23,8 @@
 	// sweeper and a store that is up: HangGrace and one sweep, with room for slow calls.
 	endBound = HangGrace + SweepInterval + 5*time.Second
 	callTime = 2 * time.Millisecond
+	// unservedName ends the key of an object that the store lists and does not serve.
+	unservedName = "unserved"
 )
 
 type (
@@ -47,7 +49,9 @@
 		faultAt int
 		calls   int
 		running atomic.Int32
-		run     func(ctx context.Context, n *node, body []byte) (string, error)
+		// tail is added to each answer.
+		tail string
+		run  func(ctx context.Context, n *node, body []byte) (string, error)
 	}
 
 	// node is one incarnation of an instance; as a store it is the cluster's one with the
@@ -78,7 +82,7 @@
 		if !sleep(ctx, time.Second) {
 			return "", context.Cause(ctx)
 		}
-		return fmt.Sprintf("%s by %d", body, n.index), nil
+		return fmt.Sprintf("%s by %d%s", body, n.index, c.tail), nil
 	}
 	for i := range c.nodes {
 		c.nodes[i] = c.newNode(i)
@@ -231,7 +235,9 @@
 
 func (n *node) Get(ctx context.Context, key string) (object marigoldcroft.Object, err error) {
 	err = n.call(ctx, false, func(ctx context.Context) error {
-		object, err = n.c.Memory.Get(ctx, key)
+		if object, err = n.c.Memory.Get(ctx, key); strings.HasSuffix(key, unservedName) {
+			err = errCut
+		}
 		return err
 	})
 	return object, err
--- a/mcjob/jobs_test.go
+++ b/mcjob/jobs_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"strings"
 	"sync"
@@ -123,8 +122,7 @@
 // Guards against jobs whose state, error or answer is not what became of them, and
 // against ends later than the bound.
 func TestEnd(t *testing.T) {
-	large := make([]byte, 3<<20)
-	_, _ = rand.Read(large)
+	large := incompressible(3 << 20)
 	answer := func(answer string, err error) func(context.Context, *node, []byte) (string, error) {
 		return func(context.Context, *node, []byte) (string, error) { return answer, err }
 	}
@@ -139,7 +137,7 @@
 		latest time.Duration
 	}{
 		{"done", answer("yes", nil), nil, marigoldcroft.JobDone, "yes", "", 0},
-		{"done with a large answer", answer(string(large), nil), nil, marigoldcroft.JobDone, string(large), "", 0},
+		{"done with a large answer", answer(large, nil), nil, marigoldcroft.JobDone, large, "", 0},
 		{"answer too large", answer(strings.Repeat("x", MaxBodyBytes+1), nil), nil, marigoldcroft.JobFailed, "", "the answer has", 0},
 		{"failed", answer("", errors.New("engine lost")), nil, marigoldcroft.JobFailed, "", "engine lost", 0},
 		{"runner stops at the deadline", untilStopped, nil, marigoldcroft.JobExpired, "", "deadline", testLimit + time.Second},
@@ -151,6 +149,19 @@
 		{"store down past the deadline", untilStopped, func(_ *testing.T, c *cluster, _ string) {
 			c.outage(2 * testLimit)
 		}, marigoldcroft.JobExpired, "", "deadline", 2*testLimit + endBound},
+		{"objects of its shard cannot be read", func(ctx context.Context, n *node, _ []byte) (string, error) {
+			if n.index == 0 {
+				return untilStopped(ctx, n, nil)
+			}
+			return "yes", nil
+		}, func(t *testing.T, c *cluster, id string) {
+			for i, name := range []string{"", unservedName, "another format"} {
+				_, err := c.Memory.Put(t.Context(), jobPrefix+id[:2]+"/ "+name, []byte(`{"format":2}`[:12*i/2]), "", "")
+				require.NoError(t, err)
+			}
+			time.Sleep(time.Second)
+			c.nodes[0].die()
+		}, marigoldcroft.JobDone, "yes", "", detection + SweepInterval + 2*time.Second},
 		{"prompt lost", answer("", nil), func(t *testing.T, c *cluster, _ string) {
 			entry := c.stored(t, promptPrefix)[0]
 			require.NoError(t, c.Memory.Delete(t.Context(), entry.Key, entry.Version, ""))
@@ -185,7 +196,9 @@
 				if tc.during != nil {
 					tc.during(t, c, status.ID)
 				}
+				objects := len(c.stored(t, jobPrefix))
 				time.Sleep(10 * time.Minute)
+				require.Len(t, c.stored(t, jobPrefix), objects)
 				status, err = c.nodes[1].jobs.Job(t.Context(), status.ID)
 				require.NoError(t, err)
 				require.Equal(t, tc.state, status.State, status.Error)
@@ -309,7 +322,11 @@
 		require.Equal(t, uint64(1), document.Epoch)
 		require.Zero(t, document.Owner)
 		require.Equal(t, uint64(2), c.nodes[0].jobs.Counts().Released)
-		time.Sleep(2*SweepInterval + 3*time.Second)
+		c.sweeper.Store(0)
+		time.Sleep(2 * SweepInterval)
+		require.Equal(t, uint64(2), c.nodes[0].jobs.Counts().Claimed, "a stopped instance claimed a job")
+		c.sweeper.Store(1)
+		time.Sleep(3*SweepInterval + 3*time.Second)
 		for _, id := range ids {
 			require.Equal(t, marigoldcroft.JobDone, c.ended(id))
 		}
