Follow a difference of records up with every peer

Cause: a member asked for what it lacked in three steps, and an answer of a peer that agreed with it started them anew. If one peer alone held a newer record and no longer pushed it, others kept missing it. TestTablesConverge found this in one of some thousand checks (two versions of a quarantine entry at three tables).

Change: bucket hashes and full lists are sent for 20 s after a difference, whatever other peers answer.

Result: the recorded failing case passes, and 5,000 checks of TestTablesConverge pass.

--- a/mcmember/exchange.go
+++ b/mcmember/exchange.go
@@ -21,6 +21,9 @@
 	// maxRecentBytes bounds the recent records that are sent to a requester that has
 	// not listed what it holds.
 	maxRecentBytes = 600
+	// unequalTime is how long a difference is followed up with any peer. An answer of a
+	// peer that agrees must not end it, as only one peer may hold what is lacking.
+	unequalTime = 20 * time.Second
 	// agreedTime is how long an answer counts as a sign that peers have the same roster.
 	agreedTime = 2 * MaxInterval
 
@@ -83,9 +86,9 @@
 		ConfigRevision:   t.newestRevision,
 		MaxResponseBytes: MaxMessageBytes,
 	}
-	if t.unequal {
+	if now.Before(t.unequalUntil) {
 		request.BucketHashes = t.bucketHashes()
-		t.listFullBuckets(request)
+		t.listFullBuckets(now, request)
 	}
 	push := min(MaxMessageBytes-proto.Size(request)-tagBytes, maxPushBytes)
 	request.Records = t.hotRecords(now, &push)
@@ -158,16 +161,17 @@
 	}
 	t.acknowledged = max(t.acknowledged, sent.sequence)
 	t.agreedRoster, t.agreedAt = answer.GetRoster(), now
-	t.unequal = answer.GetUnequal()
+	if answer.GetUnequal() {
+		t.unequalUntil = now.Add(unequalTime)
+	}
 	// Ages count from the sending of the request, so that they are never too young.
 	v := view{members: sent.roster.members, endpoints: sent.roster.endpoints, vector: sent.Request.GetVector()}
 	t.applyUpdates(now, sent.at, v, answer.GetUpdates())
 	t.applyRecords(now, answer.GetRecords(), false)
 	t.applyRevision(answer.GetConfigRevision())
-	t.wantFull = [bucketCount]bool{}
 	for _, bucket := range answer.GetUnequalBuckets() {
 		if bucket < bucketCount {
-			t.wantFull[bucket] = true
+			t.fullUntil[bucket] = now.Add(unequalTime)
 		}
 	}
 	return answer.GetRosterMismatch()
--- a/mcmember/records.go
+++ b/mcmember/records.go
@@ -41,13 +41,12 @@
 	return hashes
 }
 
-// listFullBuckets lists the stamps of the buckets that differed at the last
-// exchange, so that the answer holds exactly what is lacking.
-func (t *Table) listFullBuckets(request *mcmessage.ExchangeRequest) {
+// listFullBuckets lists the stamps of the buckets that have differed lately, so that the answer holds exactly what is lacking.
+func (t *Table) listFullBuckets(now time.Time, request *mcmessage.ExchangeRequest) {
 	offset := t.random.IntN(bucketCount)
 	for i := range bucketCount {
 		bucket := (i + offset) % bucketCount
-		if t.wantFull[bucket] && len(request.FullBuckets) < maxFullBuckets {
+		if now.Before(t.fullUntil[bucket]) && len(request.FullBuckets) < maxFullBuckets {
 			request.FullBuckets = append(request.FullBuckets, uint32(bucket))
 		}
 	}
--- a/mcmember/table.go
+++ b/mcmember/table.go
@@ -165,14 +165,16 @@
 		slow     map[recordID]*slowRecord
 		buckets  [bucketCount]uint64
 		logIndex uint64
-		wantFull [bucketCount]bool
+		// fullUntil is the time until which requests list a bucket's records.
+		fullUntil [bucketCount]time.Time
 
 		roster *roster
 		// agreedRoster is the roster of the peer that answered last, at agreedAt.
 		agreedRoster uint64
 		agreedAt     time.Time
-		// unequal is set while the records of the last peer differed.
-		unequal bool
+		// unequalUntil is the time until which requests carry bucket hashes, because the
+		// records of a peer differed.
+		unequalUntil time.Time
 
 		newestRevision uint64
 		lastTick       time.Time
