Test partitions and outages; pass ledger shards on when the platform is cut off

Change: the owner rule leaves out an instance whose store breaker is not closed; the release is bounded by 10 s; a table of seven cuts over two data centres checks what goes on, what is refused, and that no action runs twice and no revision goes back.

--- a/mcentry/ledger.go
+++ b/mcentry/ledger.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"time"
 
 	"marigoldcroft"
 	"marigoldcroft/mcjob"
@@ -13,6 +14,7 @@
 	"marigoldcroft/mcmessage"
 	"marigoldcroft/mcorder"
 	"marigoldcroft/mcservice"
+	"marigoldcroft/mcstore"
 )
 
 const (
@@ -21,15 +23,28 @@
 	ledgerShare = 0.4
 	// jobWriteShare is the share of the deployment's store writes that jobs may use.
 	jobWriteShare = 0.4
+	// releaseLimit bounds the release of jobs and shards at a planned stop. With the
+	// store down it cannot succeed, and others take over without it.
+	releaseLimit = 10 * time.Second
 )
 
 // ledgerPeers tells the ledger about other instances.
-type ledgerPeers struct{ *membership }
+type ledgerPeers struct {
+	*membership
+	// store is the client whose breaker tells whether the platform can be reached; the
+	// configuration's watch keeps it up to date.
+	store *mcstore.Client
+}
 
 // Owner returns the instance that should own the shard, over all data centres, as a
-// retry may come through any of them.
+// retry may come through any of them. An instance that is cut off from the platform
+// passes its own shards on to one that may reach it.
 func (p ledgerPeers) Owner(shard int) string {
-	return mcmember.Home("ledger/"+strconv.Itoa(shard), p.member.DeploymentCandidates())
+	candidates := p.member.DeploymentCandidates()
+	if p.store.Breaker() != mcstore.BreakerClosed {
+		candidates = slices.DeleteFunc(candidates, func(name string) bool { return name == p.self })
+	}
+	return mcmember.Home("ledger/"+strconv.Itoa(shard), candidates)
 }
 
 // Client returns a client of the instance's ledger.
@@ -84,7 +99,7 @@
 func (e *Entry) buildDurable() {
 	m := e.membership
 	e.service = mcservice.NewClient(mcservice.Config{MaxBodyBytes: e.Settings.Limits.MaxBodyBytes})
-	e.ledger = &mcledger.Ledger{Store: e.ledgerStore, Identity: e.identity, Peers: ledgerPeers{m}, Log: e.logger}
+	e.ledger = &mcledger.Ledger{Store: e.ledgerStore, Identity: e.identity, Peers: ledgerPeers{m, e.store}, Log: e.logger}
 	e.actions = &mcledger.Executor{Ledger: e.ledger, Service: e.service, Log: e.logger}
 	e.jobs = &mcjob.Jobs{
 		Store: e.store, Identity: e.identity, Runner: e.gateway, Peers: jobPeers{m}, Log: e.logger,
@@ -106,6 +121,8 @@
 
 // releaseDurable gives jobs and ledger shards up for others to take at once.
 func (e *Entry) releaseDurable(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseLimit)
+	defer cancel()
 	if err := waitFor(ctx, e.actions.Wait); err != nil {
 		e.logger.Warn().Err(err).Msg("outcomesNotRecorded")
 	}
--- /dev/null
+++ b/mcentry/partition_test.go
@@ -0,0 +1,295 @@
+package mcentry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcconfig"
+	"marigoldcroft/mcentry"
+	"marigoldcroft/mcpeer"
+	"marigoldcroft/mcsetting"
+	"marigoldcroft/mcstandin"
+)
+
+const (
+	settle = 40 * time.Second
+	step   = 50 * time.Millisecond
+)
+
+// cut stands between a data centre and the platform and drops calls while it is set.
+type cut struct {
+	on   atomic.Bool
+	next http.Handler
+}
+
+func (c *cut) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c.on.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	c.next.ServeHTTP(w, r)
+}
+
+// centre is one data centre: an instance, an engine, and its way to the platform.
+type centre struct {
+	name           string
+	entry          *mcentry.Entry
+	faults         *mcpeer.Faults
+	store, listing *cut
+}
+
+// world is two data centres over one platform and one plain service in each.
+type world struct {
+	t       *testing.T
+	store   *mcstandin.ObjectStore
+	service *mcstandin.Service
+	list    *mcstandin.InstanceList
+	centres [2]*centre
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, store: mcstandin.NewObjectStore(1), service: mcstandin.NewService("orders", 1), list: &mcstandin.InstanceList{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	var listing marigoldcroft.InstanceListing
+	for i, name := range []string{"a", "b"} {
+		engine := &mcstandin.Engine{Crash: func() {}, Settings: mcstandin.EngineSettings{
+			Name: "engine-" + name, Model: "caption", PrefillRate: 500_000, TokenTime: time.Millisecond, KVCapacity: 450_000,
+		}}
+		running.Go(func() { engine.Run(ctx) })
+		c := &centre{name: name, faults: &mcpeer.Faults{}, store: &cut{next: w.store}, listing: &cut{next: w.list.Handler()}}
+		w.centres[i] = c
+		s := mcsetting.Default()
+		s.Deployment, s.Region, s.DataCentre, s.Instance = "test", "r", name, name+"-1"
+		s.CallerAddress, s.PeerAddress, s.AdminAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+		s.ObjectStore, s.InstanceList = w.serve(c.store), w.serve(c.listing)
+		s.Store.CallTimeout, s.Stop.LameDuck, s.Stop.Limit, s.Log.Level = 500*time.Millisecond, 0, 10*time.Second, "warn"
+		c.entry = &mcentry.Entry{Settings: s, Output: os.Stderr, Faults: c.faults}
+		require.NoError(t, c.entry.Start(ctx))
+		listing.Instances = append(listing.Instances, marigoldcroft.ListedInstance{Name: s.Instance, DataCentre: name, Region: "r", PeerAddress: c.entry.PeerAddress()})
+		listing.Endpoints = append(listing.Endpoints,
+			marigoldcroft.ListedEndpoint{Name: "engine-" + name, Kind: marigoldcroft.EndpointEngine, Address: w.serve(engine.Handler()), DataCentre: name, Pool: "caption"},
+			marigoldcroft.ListedEndpoint{Name: "orders-" + name, Kind: marigoldcroft.EndpointService, Address: w.serve(w.service), DataCentre: name, Pool: "orders"})
+	}
+	w.list.Show(listing)
+	// The instances stop before the stand-ins do.
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	for _, c := range w.centres {
+		running.Go(func() { assert.NoError(t, c.entry.Serve(ctx), "the planned stop of %s", c.name) })
+	}
+	w.configure()
+	return w
+}
+
+func (w *world) serve(h http.Handler) string {
+	server := httptest.NewServer(h)
+	w.t.Cleanup(func() {
+		server.CloseClientConnections()
+		_ = server.Listener.Close()
+	})
+	return server.URL
+}
+
+func (w *world) configure() {
+	text, err := os.ReadFile("../examples/copo-andino.yaml")
+	require.NoError(w.t, err)
+	changes, err := mcconfig.DecodeFile("copo-andino.yaml", text)
+	require.NoError(w.t, err)
+	w.eventually("the configuration is accepted", func() bool {
+		_, err := w.centres[0].entry.Editor().Apply(context.Background(), changes, false)
+		return err == nil
+	})
+	for _, c := range w.centres {
+		w.eventually("data centre "+c.name+" serves everything", func() bool {
+			return c.ask() == http.StatusOK && c.lookUp() == http.StatusOK && c.order(newKey()).status == http.StatusOK
+		})
+	}
+}
+
+func (w *world) eventually(what string, holds func() bool) {
+	require.Eventually(w.t, holds, settle, step, "never: %s", what)
+}
+
+// reply is the answer to an order.
+type reply struct {
+	status  int
+	notRun  bool
+	outcome string
+}
+
+func (c *centre) call(method, path, template, key, body string) (int, []byte) {
+	r, err := http.NewRequest(method, "http://"+c.entry.CallerAddress()+path, strings.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	r.Header.Set("Authorization", "Bearer copo-key")
+	r.Header.Set("X-Template", template)
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, text
+}
+
+func (c *centre) ask() int {
+	status, _ := c.call(http.MethodPost, "/v1/chat/completions", "caption", "", `{"messages":[{"role":"user","content":"caption"}],"max_tokens":3}`)
+	return status
+}
+
+func (c *centre) lookUp() int {
+	status, _ := c.call(http.MethodGet, "/v1/services/orders/catalogue", "catalogue-lookup", "", "")
+	return status
+}
+
+func (c *centre) order(key string) reply {
+	status, text := c.call(http.MethodPost, "/v1/services/orders/prints", "print-order", key, `{"print":1}`)
+	var problem struct {
+		NotRun  bool   `json:"notRun"`
+		Outcome string `json:"outcome"`
+	}
+	// A whole answer of the service has other fields, which leaves these empty.
+	_ = json.Unmarshal(text, &problem)
+	return reply{status, problem.NotRun, problem.Outcome}
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// partition cuts data centre b off: from peers, to peers only, from the platform.
+type partition struct {
+	toPeers, fromPeers, platform    bool
+	storeDown, storeSlow, listStale bool
+}
+
+func (w *world) apply(p partition) {
+	a, b := w.centres[0], w.centres[1]
+	var toA, fromA []string
+	if p.toPeers {
+		toA = []string{a.entry.PeerAddress()}
+	}
+	if p.fromPeers {
+		fromA = []string{a.entry.PeerAddress()}
+	}
+	b.faults.Set(toA, fromA)
+	b.store.on.Store(p.platform)
+	b.listing.on.Store(p.platform || p.listStale)
+	a.listing.on.Store(p.listStale)
+	faults := mcstandin.ObjectStoreFaults{Outage: p.storeDown}
+	if p.storeSlow {
+		faults.SlowMs = 200
+	}
+	w.store.SetFaults(faults)
+}
+
+// Guards against a cut or an outage that stops what could go on, that runs an action
+// twice, that turns a refusal into a lie, or that brings old configuration back.
+func TestPartitions(t *testing.T) {
+	cases := []struct {
+		name string
+		cut  partition
+		// ordersAtA and ordersAtB tell whether actions go on there.
+		ordersAtA, ordersAtB bool
+		// follows tells whether b gets a new revision while the cut lasts.
+		follows bool
+	}{
+		{"cut from peers", partition{toPeers: true, fromPeers: true}, true, true, true},
+		{"cut in one direction", partition{toPeers: true}, true, true, true},
+		{"cut from the platform", partition{platform: true}, true, true, true},
+		{"cut from both", partition{toPeers: true, fromPeers: true, platform: true}, true, false, false},
+		{"store slow", partition{storeSlow: true}, true, true, true},
+		{"store down", partition{storeDown: true}, false, false, false},
+		{"instance list out of reach", partition{listStale: true}, true, true, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t)
+			w.apply(c.cut)
+			goesOn := [2]bool{c.ordersAtA, c.ordersAtB}
+			keys := [2]string{newKey(), newKey()}
+			for i, centre := range w.centres {
+				w.eventually("models and lookups go on in "+centre.name, func() bool {
+					return centre.ask() == http.StatusOK && centre.lookUp() == http.StatusOK
+				})
+				w.checkOrder(centre, keys[i], goesOn[i])
+			}
+			revision := w.change(!c.cut.storeDown)
+			b := w.centres[1].entry
+			if c.follows {
+				w.eventually("b follows", func() bool { return b.Editor().Follower.Current().Revision() >= revision })
+			}
+			before := b.Editor().Follower.Current().Revision()
+			w.apply(partition{})
+			w.eventually("b catches up", func() bool { return b.Editor().Follower.Current().Revision() >= revision })
+			require.GreaterOrEqual(t, b.Editor().Follower.Current().Revision(), before)
+			for i, centre := range w.centres {
+				w.eventually("the order ends in "+centre.name, func() bool {
+					r := centre.order(keys[i])
+					return r.status == http.StatusOK || r.outcome == "unknown" && r.status == http.StatusBadGateway
+				})
+				w.centres[1-i].order(keys[i])
+			}
+			for key, runs := range w.service.Runs() {
+				if key != "" {
+					require.Equal(t, 1, runs, "runs of key %s", key)
+				}
+			}
+		})
+	}
+}
+
+// checkOrder sends an order. Where it cannot go on it is refused, and the refusal is
+// true: the service has not run it.
+func (w *world) checkOrder(c *centre, key string, goesOn bool) {
+	if goesOn {
+		w.eventually("the order runs in "+c.name, func() bool { return c.order(key).status == http.StatusOK })
+		return
+	}
+	for range 3 {
+		r := c.order(key)
+		require.NotEqual(w.t, http.StatusOK, r.status)
+		require.Contains(w.t, []string{"unknown", "notRun"}, r.outcome, fmt.Sprint(r))
+		require.Zero(w.t, w.service.Runs()["studio-cusco/"+key], "a refused order ran")
+	}
+}
+
+// change edits a template at a and returns the revision; with the store down nothing
+// is accepted.
+func (w *world) change(possible bool) uint64 {
+	template := marigoldcroft.TemplateSpec{Name: "extra", Model: "caption", Urgency: "batch", Repeat: marigoldcroft.RepeatIdempotent, DeadlineMs: 1000}
+	object := mcconfig.Object{Template: &template}
+	editor := w.centres[0].entry.Editor()
+	ctx, cancel := context.WithTimeout(context.Background(), settle)
+	defer cancel()
+	result, err := editor.Apply(ctx, []mcconfig.Change{{Name: object.ID(), Object: object}}, false)
+	if !possible {
+		require.Error(w.t, err)
+		return editor.Follower.Current().Revision()
+	}
+	require.NoError(w.t, err)
+	return result.Revision
+}
