--- a/mcconfig/fault_test.go
+++ b/mcconfig/fault_test.go
@@ -161,7 +161,7 @@
 			s.requireDeadline("caption", 2000)
 		},
 		"watch gap with a hint": func(_ *testing.T, s *site) {
-			s.store.set(func(f *faultyStore) { f.deafWatch = true })
+			s.store.set(func(f *faultyStore) { f.watchMisses = true })
 			revision := s.mustApply(template("caption", 2000))
 			s.b.Hint(revision)
 			time.Sleep(inForceBound)
--- a/mcconfig/follower_test.go
+++ b/mcconfig/follower_test.go
@@ -28,8 +28,8 @@
 	// loseAnswers is the number of writes whose answer is lost; dropWrites that of
 	// writes that are lost as well.
 	loseAnswers, dropWrites int
-	// deafWatch makes watches miss all changes.
-	deafWatch bool
+	// watchMisses makes watches miss all changes.
+	watchMisses bool
 	// afterLost runs between a write whose answer is lost and the caller's next step.
 	afterLost func(key string)
 	// beforePut runs before a write, without the lock.
@@ -96,9 +96,9 @@
 		return marigoldcroft.Object{}, err
 	}
 	s.mu.Lock()
-	deaf := s.deafWatch
+	misses := s.watchMisses
 	s.mu.Unlock()
-	if deaf && known != "" {
+	if misses && known != "" {
 		<-ctx.Done()
 		return marigoldcroft.Object{}, marigoldcroft.NewFailure("watch", mcstore.KindUnavailable, ctx.Err())
 	}
--- a/mcconfig/object.go
+++ b/mcconfig/object.go
@@ -22,7 +22,7 @@
 )
 
 // PageCount is the number of pages that objects are spread over. At 40,000 teams a
-// page holds about 160 objects in 60 KB.
+// page holds about 160 objects in 56 KB.
 const PageCount = 256
 
 type (
--- a/mcconfig/property_test.go
+++ b/mcconfig/property_test.go
@@ -136,8 +136,8 @@
 		w.store.set(func(f *faultyStore) { f.dropWrites = s.value % 4 })
 	case "outage":
 		w.store.set(func(f *faultyStore) { f.down = !f.down })
-	case "deaf":
-		w.store.set(func(f *faultyStore) { f.deafWatch = !f.deafWatch })
+	case "watchMisses":
+		w.store.set(func(f *faultyStore) { f.watchMisses = !f.watchMisses })
 	case "hint":
 		w.followers[s.follower].Hint(w.followers[(s.follower+1)%3].Current().Revision())
 	case "restart":
@@ -159,7 +159,7 @@
 }
 
 func (w *world) finish() {
-	w.store.set(func(f *faultyStore) { f.down, f.deafWatch, f.loseAnswers, f.dropWrites = false, false, 0, 0 })
+	w.store.set(func(f *faultyStore) { f.down, f.watchMisses, f.loseAnswers, f.dropWrites = false, false, 0, 0 })
 	w.edits.Wait()
 	time.Sleep(2 * inForceBound)
 	for name := range 3 {
@@ -192,7 +192,7 @@
 		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
 			return step{
 				action: rapid.SampledFrom([]string{
-					"apply", "apply", "apply", "loseAnswers", "dropWrites", "outage", "deaf", "hint", "restart", "restore",
+					"apply", "apply", "apply", "loseAnswers", "dropWrites", "outage", "watchMisses", "hint", "restart", "restore",
 				}).Draw(rt, "action"),
 				follower: rapid.IntRange(0, 2).Draw(rt, "follower"),
 				value:    rapid.IntRange(0, 999).Draw(rt, "value"),
--- a/mcjob/jobs.go
+++ b/mcjob/jobs.go
@@ -32,7 +32,7 @@
 	// Membership is what the daemon knows of the instances.
 	Membership interface {
 		// Gone tells whether the run owner, in the form instance/incarnation, has ended.
-		// It is false in doubt: a job of a run that is only unreachable stays with it.
+		// It is false when this is not known: a job of a run that is only unreachable stays with it.
 		Gone(owner string) bool
 		// OwnsShard tells whether this instance comes first for the shard (rendezvous).
 		// Two instances that both think so cause extra claims but no double write.
@@ -61,10 +61,10 @@
 		mu sync.Mutex
 		// held maps the ids of claimed jobs to the cancellation of their run.
 		held map[string]context.CancelCauseFunc
-		// doubtful holds jobs whose claim may have been written.
-		doubtful map[string]bool
-		draining bool
-		running  sync.WaitGroup
+		// unconfirmed holds jobs whose claim may have been written.
+		unconfirmed map[string]bool
+		draining    bool
+		running     sync.WaitGroup
 
 		claims, lost atomic.Uint64
 	}
@@ -106,7 +106,7 @@
 		j.slots = make(chan struct{}, j.Concurrency)
 		j.wake = make(chan struct{}, 1)
 		j.held = make(map[string]context.CancelCauseFunc)
-		j.doubtful = make(map[string]bool)
+		j.unconfirmed = make(map[string]bool)
 	})
 }
 
--- a/mcjob/sweep.go
+++ b/mcjob/sweep.go
@@ -67,7 +67,7 @@
 		}
 	}
 	j.checkHeld(ctx)
-	j.checkDoubtful(ctx, runs)
+	j.checkUnconfirmed(ctx, runs)
 }
 
 func (j *Jobs) sweepShard(ctx, runs context.Context, shard int, known map[string]stored, seen map[string]bool) error {
@@ -93,7 +93,7 @@
 				}
 				known[id] = job
 			}
-			j.tend(ctx, runs, job)
+			j.process(ctx, runs, job)
 		}
 		if len(entries) < listPage {
 			return nil
@@ -107,8 +107,8 @@
 	return j.Store.List(ctx, prefix, after, listPage)
 }
 
-// tend does what the state of one job asks for.
-func (j *Jobs) tend(ctx, runs context.Context, job stored) {
+// process does what the state of one job asks for.
+func (j *Jobs) process(ctx, runs context.Context, job stored) {
 	var err error
 	switch {
 	case job.State.Final():
@@ -124,7 +124,7 @@
 		err = j.claim(ctx, runs, job)
 	}
 	if err != nil && !errors.Is(err, errConflict) {
-		j.logJob("jobTendFailed", job.ID, job.Epoch, err)
+		j.logJob("jobUpdateFailed", job.ID, job.Epoch, err)
 	}
 }
 
@@ -188,7 +188,7 @@
 		cancel(err)
 		j.running.Done()
 		if !errors.Is(err, errConflict) {
-			j.doubt(job.ID)
+			j.noteUnconfirmed(job.ID)
 		}
 		return stored{}, nil, err
 	}
@@ -297,19 +297,19 @@
 	}
 }
 
-// doubt notes a claim that may have been written although it was not confirmed.
-func (j *Jobs) doubt(id string) {
+// noteUnconfirmed notes a claim that may have been written although it was not confirmed.
+func (j *Jobs) noteUnconfirmed(id string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.doubtful[id] = true
+	j.unconfirmed[id] = true
 }
 
-// checkDoubtful claims again the jobs that carry this run as owner without being run
+// checkUnconfirmed claims again the jobs that carry this run as owner without being run
 // here: no other instance takes them while this run lives.
-func (j *Jobs) checkDoubtful(ctx, runs context.Context) {
+func (j *Jobs) checkUnconfirmed(ctx, runs context.Context) {
 	j.mu.Lock()
-	ids := make([]string, 0, len(j.doubtful))
-	for id := range j.doubtful {
+	ids := make([]string, 0, len(j.unconfirmed))
+	for id := range j.unconfirmed {
 		if _, busy := j.held[id]; !busy {
 			ids = append(ids, id)
 		}
@@ -321,7 +321,7 @@
 			return
 		}
 		j.mu.Lock()
-		delete(j.doubtful, id)
+		delete(j.unconfirmed, id)
 		j.mu.Unlock()
 		if err != nil || job.Owner != j.Identity.Owner() {
 			continue
@@ -333,7 +333,7 @@
 		_, busy := j.held[id]
 		j.mu.Unlock()
 		if !busy {
-			j.doubt(id)
+			j.noteUnconfirmed(id)
 		}
 	}
 }
