Choose the later of two changes with one revision when merging

Cause: a trial of the property test in which the store comes back older before a change has spread showed two accepted changes of one object with one revision, of which the earlier stayed. Change: the later by the editors' clocks stays; instances agree on it. Result: the new fault case is red without the rule; go test -race ./mcconfig passes.

--- a/mcconfig/fault_test.go
+++ b/mcconfig/fault_test.go
@@ -120,23 +120,14 @@
 		"instance that lags repairs an older store and goes on": func(t *testing.T, s *site) {
 			backup := copyOf(t, s.store.ObjectStore)
 			s.mustApply(template("search", 3000))
-			front := &faultyStore{ObjectStore: s.store}
-			lagging := &mcconfig.Follower{Store: front, Deployment: "d"}
-			defer run(t, lagging)()
-			<-lagging.Ready()
-			front.set(func(f *faultyStore) { f.down = true })
-			s.mustApply(template("caption", 2000))
-			// The lagging instance alone reaches the store, which has come back older.
-			s.store.set(func(f *faultyStore) { f.down = true })
-			front.set(func(f *faultyStore) { f.ObjectStore, f.down = backup, false })
-			time.Sleep(inForceBound)
-			_, err := (&mcconfig.Editor{Store: front, Follower: lagging}).Apply(t.Context(), []mcconfig.Change{template("search", 4000)}, false)
-			require.NoError(t, err)
-			s.store.set(func(f *faultyStore) { f.ObjectStore, f.down = backup, false })
-			time.Sleep(inForceBound)
+			s.applyBehind(backup, template("caption", 2000), template("search", 4000))
 			s.requireDeadline("caption", 2000)
 			s.requireDeadline("search", 4000)
-			require.Equal(t, s.a.Current().Revision(), lagging.Current().Revision())
+		},
+		"one object changed on both sides of an older store": func(t *testing.T, s *site) {
+			backup := copyOf(t, s.store.ObjectStore)
+			s.applyBehind(backup, template("caption", 2000), template("caption", 3000))
+			s.requireDeadline("caption", 3000)
 		},
 		"change right after the store came back older": func(t *testing.T, s *site) {
 			backup := copyOf(t, s.store.ObjectStore)
@@ -261,6 +252,25 @@
 	})
 }
 
+// applyBehind applies ahead here, while an instance that lags is cut off. That one then
+// alone reaches the store, which has come back as backup, and applies behind there.
+func (s *site) applyBehind(backup marigoldcroft.ObjectStore, ahead, behind mcconfig.Change) {
+	front := &faultyStore{ObjectStore: s.store}
+	lagging := &mcconfig.Follower{Store: front, Deployment: "d"}
+	defer run(s.t, lagging)()
+	<-lagging.Ready()
+	front.set(func(f *faultyStore) { f.down = true })
+	s.mustApply(ahead)
+	s.store.set(func(f *faultyStore) { f.down = true })
+	front.set(func(f *faultyStore) { f.ObjectStore, f.down = backup, false })
+	time.Sleep(inForceBound)
+	_, err := (&mcconfig.Editor{Store: front, Follower: lagging}).Apply(s.t.Context(), []mcconfig.Change{behind}, false)
+	require.NoError(s.t, err)
+	s.store.set(func(f *faultyStore) { f.ObjectStore, f.down = backup, false })
+	time.Sleep(inForceBound)
+	require.Equal(s.t, s.a.Current().Revision(), lagging.Current().Revision())
+}
+
 // raceWith makes another operator's change of other come first: it is accepted
 // between the reading and the writing of the next head by this site's editor.
 func (s *site) raceWith(other mcconfig.Change) {
--- a/mcconfig/repair.go
+++ b/mcconfig/repair.go
@@ -115,11 +115,13 @@
 }
 
 // mergeEntries returns of each object the entry with the higher revision; of equal
-// ones that of mine.
+// ones the later by the editors' clocks, so that all instances choose the same.
 func mergeEntries(mine, theirs []Entry) []Entry {
 	page := Page{Entries: slices.Clone(mine)}
 	for _, e := range theirs {
-		if kept, ok := page.find(e.ObjectName); !ok || e.Revision > kept.Revision {
+		kept, ok := page.find(e.ObjectName)
+		later := e.Revision == kept.Revision && e.Time.After(kept.Time)
+		if !ok || e.Revision > kept.Revision || later {
 			page.set(e)
 		}
 	}
