End a run that peers gave up; measure head-of-line wait; map job errors

Cause: an instance that peers had removed after a long pause went on under an incarnation that others treat as gone: its jobs were taken over and its streams cancelled for ever; the head-of-line metric was never observed; operators saw a missing job as unavailable. Change: such a run stops gracefully and exits with an error; the metric counts short work's wait while long work runs; kinds of job errors are mapped.

--- a/mcadmin/server.go
+++ b/mcadmin/server.go
@@ -12,6 +12,7 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcconfig"
+	"marigoldcroft/mcjob"
 )
 
 const (
@@ -113,8 +114,12 @@
 		problem.Kind = KindConflict
 	case mcconfig.IsNotFound(err):
 		problem.Kind = KindNotFound
-	case mcconfig.IsUnknown(err):
+	case mcconfig.IsUnknown(err), mcjob.IsKind(err, mcjob.KindUnknown):
 		problem.Kind = KindUnknown
+	case mcjob.IsKind(err, mcjob.KindNotFound):
+		problem.Kind = KindNotFound
+	case mcjob.IsKind(err, mcjob.KindEnded):
+		problem.Kind = KindConflict
 	}
 	return problem
 }
--- a/mcentry/build.go
+++ b/mcentry/build.go
@@ -58,7 +58,7 @@
 	e.watcher = &watcher{
 		membership: e.membership, events: e.membership.member.Subscribe(eventBacklog), scheduler: e.scheduler,
 		suspects: e.suspects, limiter: e.limiter, follower: e.follower, store: e.store, ledgerStore: e.ledgerStore, jobs: e.jobs, metrics: e.metrics, logger: e.logger,
-		allotments: e.allotments,
+		allotments: e.allotments, replaced: e.endReplacedRun,
 	}
 	return nil
 }
--- a/mcentry/entry.go
+++ b/mcentry/entry.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,6 +43,8 @@
 	KindServe Kind = "cannot serve"
 	// KindStopLimit means that the planned stop ended requests that still ran.
 	KindStopLimit Kind = "stop limit reached"
+	// KindGivenUp means that peers had given this run up, so that it stopped.
+	KindGivenUp Kind = "run given up by peers"
 )
 
 const (
@@ -89,6 +92,7 @@
 	// drain is closed when an operator asks for the planned stop.
 	drain       chan struct{}
 	drainOnce   sync.Once
+	givenUp     atomic.Bool
 	peerAddress string
 	duties      sync.WaitGroup
 }
--- a/mcentry/stop.go
+++ b/mcentry/stop.go
@@ -34,9 +34,21 @@
 		return marigoldcroft.NewFailure("stop", KindStopLimit, err)
 	}
 	e.logger.Info().Msg("stopped")
+	if e.givenUp.Load() {
+		return marigoldcroft.NewFailure("stop", KindGivenUp, nil)
+	}
 	return nil
 }
 
+// endReplacedRun begins a planned stop because peers have given this run up, for
+// example after a long pause: they take its jobs over and cancel its streams, so that a
+// new run with a new incarnation must go on.
+func (e *Entry) endReplacedRun() {
+	e.logger.Error().Uint64("incarnation", e.identity.Incarnation()).Msg("runGivenUpByPeers")
+	e.givenUp.Store(true)
+	e.drainOnce.Do(func() { close(e.drain) })
+}
+
 // finish waits for the callers' requests, gives up what others can take over, and then
 // waits for the requests that peers handed on.
 func (e *Entry) finish(ctx context.Context, server *http.Server) error {
--- a/mcentry/watch.go
+++ b/mcentry/watch.go
@@ -46,7 +46,9 @@
 	ledgerStore *mcstore.Client
 	jobs        *mcjob.Jobs
 	metrics     *mcobserve.Metrics
-	logger      zerolog.Logger
+	// replaced is called when peers have given this run up.
+	replaced func()
+	logger   zerolog.Logger
 
 	// told holds the endpoints at which the scheduler knows work of each peer.
 	told map[string]map[string]marigoldcroft.InFlight
@@ -91,7 +93,9 @@
 		w.mergeQuarantine()
 	case mcmember.EventConfig:
 		w.follower.Hint(event.Revision)
-	case mcmember.EventDropped, mcmember.EventResumed, mcmember.EventSelfRemoved:
+	case mcmember.EventSelfRemoved:
+		w.replaced()
+	case mcmember.EventDropped, mcmember.EventResumed:
 		w.logger.Warn().Str("kind", string(event.Kind)).Dur("gapMs", event.Gap).Msg("membershipResynchronised")
 		w.resync()
 	}
--- a/mcgateway/attempt.go
+++ b/mcgateway/attempt.go
@@ -96,7 +96,7 @@
 			return refusal{a.decision}
 		}
 	}
-	a.run.gateway.Metrics.QueueWait.WithLabelValues(a.decision.Class.String()).Observe(time.Since(a.submitted).Seconds())
+	a.run.gateway.observeWait(a.decision.Class, time.Since(a.submitted))
 	select {
 	case a.dispatched <- a.decision:
 	default:
@@ -104,6 +104,15 @@
 	return nil
 }
 
+// observeWait records the time in the queue; that of short work counts as head-of-line
+// wait while long work runs.
+func (g *Gateway) observeWait(class marigoldcroft.Class, waited time.Duration) {
+	g.Metrics.QueueWait.WithLabelValues(class.String()).Observe(waited.Seconds())
+	if class == marigoldcroft.ClassShort && g.longRunning.Load() > 0 {
+		g.Metrics.HeadOfLine.Observe(waited.Seconds())
+	}
+}
+
 // dispatch runs the work on the endpoint of the decision.
 func (a *attempt) dispatch() error {
 	g := a.run.gateway
@@ -114,6 +123,10 @@
 	if !a.run.out.begin() {
 		return errNotSent
 	}
+	if a.decision.Class != marigoldcroft.ClassShort {
+		g.longRunning.Add(1)
+		defer g.longRunning.Add(-1)
+	}
 	ctx, span := g.Tracer.Start(a.ctx, "engine attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("endpoint", endpoint.Name()), attribute.Int("attempt", a.id.Attempt())))
 	defer span.End()
--- a/mcgateway/gateway.go
+++ b/mcgateway/gateway.go
@@ -76,10 +76,12 @@
 	// draining is true from the start of a planned stop.
 	draining atomic.Bool
 	inFlight atomic.Int64
-	active   sync.WaitGroup
-	tokens   tokenEstimator
-	flights  flightTable
-	retries  mclimit.RetryBudget
+	// longRunning counts long work that this instance has on endpoints.
+	longRunning atomic.Int64
+	active      sync.WaitGroup
+	tokens      tokenEstimator
+	flights     flightTable
+	retries     mclimit.RetryBudget
 }
 
 // Handler returns the callers' HTTP interface.
