Class work by the prefill rate that completions have proved

Cause: at the crest the learned prefill rate fell, so that prompts of 4,000 tokens were classed as long, waited behind long work and missed their deadline (15,576 refusals as longSaturated at one instance); retries with little time left also went before admitted work by deadline. Ruled out: waiting in the instance's queue (237 of 237 dispatches within 25 ms). Change: classes follow the highest rate proved lately; short work of the highest level counts as due at its start limit. TestOverloadDoesNotTurnShortWorkLong fails with the mean.

--- a/mcmeasure/serving.go
+++ b/mcmeasure/serving.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"time"
 
 	"marigoldcroft/mcload"
@@ -129,9 +128,6 @@
 			s.Resident, s.Rate, s.Duration = residentJobs, crestCalmRate, 3*phase
 			s.Swing = mcload.Swing{Start: phase, Ramp: 2 * time.Second, Length: phase, Factor: 5}
 			report := mcload.Run(ctx, s)
-			if err := report.WriteTable(os.Stderr); err != nil {
-				return err
-			}
 			calm, crest := report.Row("short", mcload.PartCalm), report.Row("short", mcload.PartCrest)
 			fmt.Fprintf(w, "| %s | %.1f | %.1f | %.2f | %d | %d | %d | %d |\n", policy, calm.FirstToken.P95, crest.FirstToken.P95,
 				crest.FirstToken.P95/calm.FirstToken.P95, crest.Outcomes[mcload.OutcomeWhole], crest.Outcomes[mcload.OutcomeRefused],
--- a/mcscheduler/behaviour_test.go
+++ b/mcscheduler/behaviour_test.go
@@ -533,3 +533,22 @@
 	require.Equal(t, []string{"dispatch r2"}, actions(decisions))
 	require.Equal(t, "e1", decisions[0].Endpoint)
 }
+
+// Guards against a short prompt that is classed as long, and then waits behind long
+// work, because an overload has lowered the learned prefill rate.
+func TestOverloadDoesNotTurnShortWorkLong(t *testing.T) {
+	s := newScheduler(t, mcscheduler.PolicyLengthAware, 1, nil)
+	finish := func(n int, firstToken time.Duration) {
+		w := work(n, 4000, 10)
+		require.Equal(t, marigoldcroft.ActionDispatch, s.Submit(at(n), w).Action)
+		s.FirstToken(at(n), w.ID)
+		s.Finish(at(n), w.ID, marigoldcroft.Completion{
+			Succeeded: true, PromptTokens: 4000, OutputTokens: 10, FirstToken: firstToken, Total: firstToken + time.Second,
+		})
+	}
+	finish(1, 320*time.Millisecond)
+	for n := 2; n < 30; n++ {
+		finish(n, 3*time.Second)
+	}
+	require.Equal(t, marigoldcroft.ClassShort, s.Explain(at(40), work(1000, 4000, 10)).Class)
+}
--- a/mcscheduler/cost.go
+++ b/mcscheduler/cost.go
@@ -1,6 +1,7 @@
 package mcscheduler
 
 import (
+	"math"
 	"time"
 
 	"marigoldcroft"
@@ -18,6 +19,8 @@
 	// endpointRateLifetime is the age of an endpoint's last completion after which the
 	// model's rates are used for it again.
 	endpointRateLifetime = 60 * time.Second
+	// provedHalfLife lets the classes follow endpoints that have become slower for good.
+	provedHalfLife = 5 * time.Minute
 	// cachedShareSeed is the share of a prompt expected in the cache on a first hit.
 	cachedShareSeed = 0.5
 )
@@ -44,6 +47,10 @@
 		// cachedShare is cached over prompt tokens where a prefix was expected.
 		cachedShare ewma
 		sampledAt   time.Duration
+		// proved is the highest prefill rate that a completion has shown lately, in
+		// tokens a second.
+		proved   float64
+		provedAt time.Duration
 	}
 )
 
@@ -91,6 +98,7 @@
 		busy := max(first-p.cost.decode.value, first/2)
 		low, high := uncached/first, (uncached+it.ahead+float64(it.joined))/busy
 		weight := uncached / (uncached + smallPromptTokens)
+		p.cost.prove(now, low)
 		own.prefill.observe(low, high, weight)
 		p.cost.prefill.observe(low, high, weight)
 	}
@@ -109,6 +117,21 @@
 	}
 }
 
+// prove takes a rate that an endpoint has reached at least.
+func (c *modelCost) prove(now time.Duration, rate float64) {
+	if rate >= c.capability(now) {
+		c.proved, c.provedAt = rate, now
+	}
+}
+
+// capability returns the prefill rate by which work is classed. Under overload the
+// learned rate falls, as other instances' work on an endpoint is only partly known; by
+// that rate a short prompt would turn long and wait behind long work.
+func (c *modelCost) capability(now time.Duration) float64 {
+	proved := c.proved * math.Exp2(-float64(now-c.provedAt)/float64(provedHalfLife))
+	return max(c.prefill.value, proved)
+}
+
 // rate returns the endpoint's prefill rate in tokens a second.
 func (e *endpoint) rate() float64 {
 	if e.cost.prefill.samples == 0 {
--- a/mcscheduler/item.go
+++ b/mcscheduler/item.go
@@ -40,7 +40,9 @@
 		// level is the urgency after ageing; order sorts within a team and level.
 		level int
 		order int64
-		team  *team
+		// topOrder bounds order at the highest level; math.MaxInt64 means no bound.
+		topOrder int64
+		team     *team
 		// due is the time of the next expiry or ageing step.
 		due        time.Duration
 		queueIndex int
@@ -72,6 +74,14 @@
 	}
 )
 
+// riseTo sets the level; at the highest one the item sorts by topOrder at the latest.
+func (it *item) riseTo(level int) {
+	it.level = level
+	if level == 0 {
+		it.order = min(it.order, it.topOrder)
+	}
+}
+
 // excludes tells whether an earlier attempt failed on the endpoint.
 func (it *item) excludes(e *endpoint) bool {
 	for _, name := range it.work.Exclude {
--- a/mcscheduler/lengthaware.go
+++ b/mcscheduler/lengthaware.go
@@ -19,13 +19,22 @@
 // lengthAware implements the policy that keeps short work fast beside long work.
 type lengthAware struct{ s *scheduler }
 
-// prepare chooses the lane and takes the predicted service time off the deadline; within a team and level the earliest deadline goes first.
+// prepare chooses the lane and takes the predicted service time off the deadline. Within
+// a team and level the earliest deadline goes first. Short work of the highest level
+// counts as due at its start limit: under overload, callers that retry come back with
+// less and less time left, and by deadline alone each of them would go before admitted
+// work that has waited longer.
 func (r *lengthAware) prepare(now time.Duration, it *item) {
 	if p := it.pool; p.serviceTrusted(now) {
 		it.expiry -= seconds(it.prefillSeconds + p.decodeSeconds(it.work.OutputTokens))
 	}
 	it.level = it.urgency()
 	it.order = int64(it.deadline)
+	if it.class == marigoldcroft.ClassShort {
+		c := &r.s.settings
+		it.topOrder = int64(it.submitted + time.Duration(it.urgency())*c.AgingStep + c.UrgentStartLimit)
+		it.riseTo(it.level)
+	}
 	switch {
 	case it.work.Alone:
 		it.lane = laneSuspect
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -127,11 +127,11 @@
 }
 
 // class returns the class of work by its predicted prefill and its memory.
-func (p *pool) class(work *marigoldcroft.Work) marigoldcroft.Class {
+func (p *pool) class(now time.Duration, work *marigoldcroft.Work) marigoldcroft.Class {
 	switch {
 	case work.PromptTokens+work.OutputTokens > p.largest:
 		return marigoldcroft.ClassHuge
-	case p.prefillSeconds(work.PromptTokens) > p.shortTime.Seconds():
+	case float64(work.PromptTokens) > p.shortTime.Seconds()*p.cost.capability(now):
 		return marigoldcroft.ClassLong
 	}
 	return marigoldcroft.ClassShort
--- a/mcscheduler/scheduler.go
+++ b/mcscheduler/scheduler.go
@@ -143,12 +143,12 @@
 	*it = item{
 		work: work, pool: p, submitted: now, deadline: noDeadline,
 		kv: work.PromptTokens + work.OutputTokens, prefill: work.PromptTokens,
-		sequence: s.sequence, queueIndex: -1, timerIndex: -1,
+		sequence: s.sequence, queueIndex: -1, timerIndex: -1, topOrder: math.MaxInt64,
 	}
 	if !work.Deadline.IsZero() {
 		it.deadline = min(noDeadline, s.since(work.Deadline))
 	}
-	it.class = p.class(&work)
+	it.class = p.class(now, &work)
 	it.prefillSeconds = p.prefillSeconds(work.PromptTokens)
 	it.expiry = it.deadline
 	s.rules.prepare(now, it)
@@ -169,7 +169,7 @@
 	if it.team == nil {
 		it.team = it.pool.lanes[it.lane].team(now, it.work.Team)
 	}
-	it.level = s.agedLevel(now, it)
+	it.riseTo(s.agedLevel(now, it))
 	it.pool.lanes[it.lane].push(it)
 	it.pool.dirty = true
 	s.queued++
--- a/mcscheduler/scheduler_command.go
+++ b/mcscheduler/scheduler_command.go
@@ -143,11 +143,11 @@
 func (s *scheduler) age(now time.Duration, it *item) {
 	level := s.agedLevel(now, it)
 	if it.state == stateParked {
-		it.level = level
+		it.riseTo(level)
 	} else {
 		l := &it.pool.lanes[it.lane]
 		l.remove(it)
-		it.level = level
+		it.riseTo(level)
 		l.push(it)
 		it.pool.dirty = true
 	}
