--- a/cmd/marigoldcroft/process_test.go
+++ b/cmd/marigoldcroft/process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -238,17 +239,25 @@
 	}
 	const retries = 40
 	var codes []string
+	var message string
 	for i := range retries {
-		codes = append(codes, f.ask(f.entries[i%len(f.entries)], poison))
+		var code string
+		code, message = f.ask(f.entries[i%len(f.entries)], poison)
+		codes = append(codes, code)
 	}
 	const promised = 3
 	require.LessOrEqual(t, f.crashed.Load(), int32(promised), "engines lost; answers: %v", codes)
 	require.Equal(t, "quarantined", codes[retries-1], "answers: %v", codes)
-	require.Equal(t, "ok", f.ask(f.entries[0], "harmless"))
+	code, _ := f.ask(f.entries[0], "harmless")
+	require.Equal(t, "ok", code)
+	id := regexp.MustCompile("quarantine ([0-9a-f]{16})").FindStringSubmatch(message)
+	require.Len(t, id, 2, "the answer names no quarantine: %s", message)
+	output, err := f.operate("quarantine", "clear", id[1])
+	require.NoError(t, err, output)
 }
 
-// ask sends one short question and returns the error code or "ok".
-func (f *fleet) ask(p *process, text string) string {
+// ask sends one short question and returns the error code or "ok", and the message.
+func (f *fleet) ask(p *process, text string) (code, message string) {
 	body := fmt.Sprintf(`{"messages":[{"role":"user","content":%q}],"max_tokens":5}`, text)
 	r, err := http.NewRequest(http.MethodPost, "http://"+p.caller+"/v1/chat/completions", strings.NewReader(body))
 	require.NoError(f.t, err)
@@ -258,11 +267,12 @@
 	require.NoError(f.t, err)
 	defer response.Body.Close()
 	var problem struct {
-		Code string `json:"code"`
+		Code    string `json:"code"`
+		Message string `json:"message"`
 	}
 	require.NoError(f.t, json.NewDecoder(response.Body).Decode(&problem))
 	if response.StatusCode == http.StatusOK {
-		return "ok"
+		return "ok", ""
 	}
-	return problem.Code
+	return problem.Code, problem.Message
 }
--- a/mcconfig/follower.go
+++ b/mcconfig/follower.go
@@ -285,6 +285,9 @@
 		} else {
 			f.watchErrors.Add(1)
 		}
+		if ctx.Err() != nil {
+			break
+		}
 		if err != nil {
 			known = ""
 			f.report("configWatchFailed", err)
--- a/mcgateway/execute.go
+++ b/mcgateway/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"marigoldcroft"
@@ -28,7 +29,7 @@
 // the charge with what the request used.
 func (g *Gateway) admit(request *modelRequest) (func(flightResult), *Problem) {
 	if g.Suspects != nil && g.Suspects.Check(time.Now(), request.fingerprint) == mcquarantine.VerdictQuarantined {
-		return nil, quarantined()
+		return nil, quarantined(request.fingerprint)
 	}
 	if g.Teams == nil {
 		return func(flightResult) {}, nil
@@ -44,8 +45,9 @@
 	}, nil
 }
 
-func quarantined() *Problem {
-	return notRun(CodeQuarantined, "this request crashed endpoints and is not run again until its quarantine ends")
+// quarantined names the id with which an operator can end the quarantine.
+func quarantined(f mcquarantine.Fingerprint) *Problem {
+	return notRun(CodeQuarantined, fmt.Sprintf("this request crashed endpoints and is not run again until quarantine %016x ends", uint64(f)))
 }
 
 // flightResult is what one caller gets of a flight.
--- a/mcgateway/jobs.go
+++ b/mcgateway/jobs.go
@@ -31,7 +31,7 @@
 		return problem
 	}
 	if g.Suspects != nil && g.Suspects.Check(time.Now(), request.fingerprint) == mcquarantine.VerdictQuarantined {
-		return quarantined()
+		return quarantined(request.fingerprint)
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), jobCallTimeout)
 	defer cancel()
--- a/mcgateway/run.go
+++ b/mcgateway/run.go
@@ -129,7 +129,7 @@
 	for ctx.Err() == nil {
 		switch suspects.Enter(time.Now(), r.request.fingerprint, r.request.origin) {
 		case mcquarantine.VerdictQuarantined:
-			return false, quarantined()
+			return false, quarantined(r.request.fingerprint)
 		case mcquarantine.VerdictAlone:
 			return true, nil
 		case mcquarantine.VerdictRun:
