Prefer an instance's own endpoints for short work under load

Cause: at the crest, seven instances with views of each other up to seconds old crowded the same endpoints. Also one health probe instead of three.

--- a/mcentry/watch.go
+++ b/mcentry/watch.go
@@ -140,6 +140,7 @@
 			others = append(others, view.Instance)
 		}
 	}
+	w.scheduler.SetMembers(time.Now(), w.membership.self, w.membership.member.Candidates())
 	w.limiter.SetMembers(others)
 	w.store.SetInstances(live)
 	w.ledgerStore.SetInstances(min(live, mcledger.ShardCount))
--- a/mcload/balance.go
+++ b/mcload/balance.go
@@ -36,7 +36,7 @@
 	for i, target := range b.targets {
 		polls.Go(func() {
 			for {
-				b.ready[i].Store(isReady(ctx, target))
+				b.ready[i].Store(Answers(ctx, target+"/readyz"))
 				if !pause(ctx, healthInterval) {
 					return
 				}
@@ -46,10 +46,11 @@
 	polls.Wait()
 }
 
-func isReady(ctx context.Context, target string) bool {
+// Answers tells whether the address answers a GET with 200 within a second.
+func Answers(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target+"/readyz", nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return false
 	}
--- a/mcmeasure/cluster.go
+++ b/mcmeasure/cluster.go
@@ -17,6 +17,7 @@
 	"marigoldcroft/mcconfig"
 	"marigoldcroft/mcentry"
 	"marigoldcroft/mcgateway"
+	"marigoldcroft/mcload"
 	"marigoldcroft/mcsetting"
 	"marigoldcroft/mcstandin"
 )
@@ -183,7 +184,7 @@
 // waitReady polls /readyz of every instance until all are ready.
 func (c *Cluster) waitReady(ctx context.Context) error {
 	for _, target := range c.Targets {
-		for !ready(ctx, target) {
+		for !mcload.Answers(ctx, target+"/readyz") {
 			select {
 			case <-ctx.Done():
 				return errors.Newf("%s is not ready within %s", target, readyWait)
@@ -193,16 +194,3 @@
 	}
 	return nil
 }
-
-func ready(ctx context.Context, target string) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target+"/readyz", nil)
-	if err != nil {
-		return false
-	}
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
--- a/mcscheduler/behaviour_test.go
+++ b/mcscheduler/behaviour_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -552,3 +553,36 @@
 	}
 	require.Equal(t, marigoldcroft.ClassShort, s.Explain(at(40), work(1000, 4000, 10)).Class)
 }
+
+// Guards against instances that crowd the same loaded endpoints because none of them
+// knows the work of the others, and against idle endpoints that only one instance uses.
+func TestInstancesPreferTheirOwnLoadedEndpoints(t *testing.T) {
+	cases := []struct {
+		name, self string
+		prefill    int64
+		want       []string
+	}{
+		{"first instance, loaded", "a", 3000, []string{"e0", "e2"}},
+		{"second instance, loaded", "b", 3000, []string{"e1", "e3"}},
+		// Short work keeps out of the long set, which is e1.
+		{"idle endpoints are for all", "a", 0, []string{"e0", "e2", "e3"}},
+		{"an instance that is no member has none of its own", "c", 3000, []string{"e0", "e1", "e2", "e3"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScheduler(t, mcscheduler.PolicyLengthAware, 4, nil)
+			s.SetMembers(at(0), c.self, []string{"b", "a"})
+			for e := range 4 {
+				s.Observe(at(1), marigoldcroft.LoadReport{Endpoint: fmt.Sprintf("e%d", e), Running: 2, PrefillTokens: c.prefill, KVUsedTokens: 9000})
+			}
+			used := make(map[string]bool)
+			for n := range 100 {
+				d := s.Submit(at(2), work(n, 100, 10))
+				require.Equal(t, marigoldcroft.ActionDispatch, d.Action)
+				used[d.Endpoint] = true
+				s.Finish(at(2), d.ID, marigoldcroft.Completion{})
+			}
+			require.Equal(t, c.want, slices.Sorted(maps.Keys(used)))
+		})
+	}
+}
--- a/mcscheduler/lengthaware.go
+++ b/mcscheduler/lengthaware.go
@@ -84,6 +84,9 @@
 			}
 			continue
 		}
+		if e.away && it.class == marigoldcroft.ClassShort {
+			wait *= awayFactor
+		}
 		if first > p.longSet.size && i < p.longSet.size {
 			// Short work keeps out of the long set while the rest has room.
 			wait += r.s.settings.ChunkDelay.Seconds()
--- a/mcscheduler/scheduler.go
+++ b/mcscheduler/scheduler.go
@@ -91,9 +91,11 @@
 		timers   indexedHeap
 		queued   int
 		sequence uint64
-		spare    []*item
-		stash    []*item
-		forgetAt time.Duration
+		// share is this instance's place among the shares instances of the data centre.
+		share, shares int
+		spare         []*item
+		stash         []*item
+		forgetAt      time.Duration
 	}
 )
 
--- a/mcscheduler/view.go
+++ b/mcscheduler/view.go
@@ -51,9 +51,11 @@
 	// what this instance and its peers had there when it was asked for; own work is
 	// always counted exactly, so a report never erases a later dispatch.
 	endpoint struct {
-		name          string
-		pool          *pool
-		leaving       bool
+		name    string
+		pool    *pool
+		leaving bool
+		// away is true for an endpoint that is another instance's own; see awayFactor.
+		away          bool
 		reportLeaving bool
 		down          bool
 		downAt        time.Duration
--- a/scheduler.go
+++ b/scheduler.go
@@ -118,6 +118,9 @@
 	ObservePeer(now time.Time, peer, endpoint string, load InFlight)
 	// SetEndpoints replaces the set of endpoints; those that are leaving get no work.
 	SetEndpoints(now time.Time, endpoints []Endpoint)
+	// SetMembers tells which instances of the data centre, self among them, share the
+	// endpoints.
+	SetMembers(now time.Time, self string, members []string)
 	// EndpointDown marks an endpoint as dead until a newer report is observed.
 	EndpointDown(now time.Time, endpoint string)
 	// Explain returns what Submit would decide, without admitting anything.
--- a/scripts/quickstart/fleet.go
+++ b/scripts/quickstart/fleet.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +14,7 @@
 	"time"
 
 	"marigoldcroft"
+	"marigoldcroft/mcload"
 )
 
 const (
@@ -151,7 +151,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	for _, e := range f.entries {
-		for !answers(ctx, "http://"+e.caller+path) {
+		for !mcload.Answers(ctx, "http://"+e.caller+path) {
 			select {
 			case <-ctx.Done():
 				return fmt.Errorf("entry instance %s does not answer %s: %w", e.caller, path, ctx.Err())
@@ -162,19 +162,6 @@
 	return nil
 }
 
-func answers(ctx context.Context, address string) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return false
-	}
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 // freeAddress returns a loopback address with a port that was free a moment ago.
 func freeAddress() string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
