Move the store's contract suite to a package of its own

Cause: mcstore imported testing into the daemon. Change: mccontract.Run; the bounds of keys and values are exported.

--- a/mcstore/contract.go
+++ b/mccontract/contract.go
@@ -1,4 +1,5 @@
-package mcstore
+// Package mccontract checks object stores against what marigoldcroft relies on.
+package mccontract
 
 import (
 	"context"
@@ -8,6 +9,7 @@
 	"time"
 
 	"marigoldcroft"
+	"marigoldcroft/mcstore"
 )
 
 // contractWait is how long contract cases wait for an event that must come; it only
@@ -33,9 +35,9 @@
 	{"a call with an ended context has no effect", contractCancelled},
 }
 
-// RunContract checks what marigoldcroft relies on in an object store. newStore
+// Run checks what marigoldcroft relies on in an object store. newStore
 // returns an empty store.
-func RunContract(t *testing.T, newStore func(t *testing.T) marigoldcroft.ObjectStore) {
+func Run(t *testing.T, newStore func(t *testing.T) marigoldcroft.ObjectStore) {
 	for _, c := range contractCases {
 		t.Run(c.name, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(t.Context(), contractWait)
@@ -47,12 +49,12 @@
 
 func contractMissing(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
 	_, err := store.Get(ctx, "none")
-	expectKind(t, err, KindNotFound)
+	expectKind(t, err, mcstore.KindNotFound)
 	_, err = store.Watch(ctx, "none", "", 10*time.Millisecond)
-	expectKind(t, err, KindNotFound)
-	expectKind(t, store.Delete(ctx, "none", "1", "w1"), KindNotFound)
+	expectKind(t, err, mcstore.KindNotFound)
+	expectKind(t, store.Delete(ctx, "none", "1", "w1"), mcstore.KindNotFound)
 	_, err = store.Put(ctx, "none", nil, "1", "w2")
-	expectKind(t, err, KindConflict)
+	expectKind(t, err, mcstore.KindConflict)
 }
 
 func contractRead(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
@@ -70,9 +72,9 @@
 	second := mustPut(ctx, t, store, "k", "two", first)
 	for _, expected := range []marigoldcroft.Version{"", first} {
 		_, err := store.Put(ctx, "k", []byte("late"), expected, "late")
-		expectKind(t, err, KindConflict)
+		expectKind(t, err, mcstore.KindConflict)
 	}
-	expectKind(t, store.Delete(ctx, "k", first, "late"), KindConflict)
+	expectKind(t, store.Delete(ctx, "k", first, "late"), mcstore.KindConflict)
 	object, err := store.Get(ctx, "k")
 	expectKind(t, err, "")
 	if object.Version() != second || string(object.Value()) != "two" {
@@ -84,7 +86,7 @@
 	first := mustPut(ctx, t, store, "k", "one", "")
 	expectKind(t, store.Delete(ctx, "k", first, "d"), "")
 	_, err := store.Get(ctx, "k")
-	expectKind(t, err, KindNotFound)
+	expectKind(t, err, mcstore.KindNotFound)
 	second := mustPut(ctx, t, store, "k", "one", "")
 	if first == second {
 		t.Fatalf("version %q was used twice", first)
@@ -92,7 +94,7 @@
 }
 
 func contractKeys(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
-	for _, key := range []string{"a/b/../c", "a//b", "a b%2F?x=1", "ä/ö", strings.Repeat("k", maxKeyBytes)} {
+	for _, key := range []string{"a/b/../c", "a//b", "a b%2F?x=1", "ä/ö", strings.Repeat("k", mcstore.MaxKeyBytes)} {
 		mustPut(ctx, t, store, key, "v "+key[:1], "")
 		object, err := store.Get(ctx, key)
 		expectKind(t, err, "")
@@ -102,21 +104,21 @@
 		_, err = store.Watch(ctx, key, "other", time.Millisecond)
 		expectKind(t, err, "")
 	}
-	_, err := store.Put(ctx, strings.Repeat("k", maxKeyBytes+1), nil, "", "w")
-	expectKind(t, err, KindBadKey)
+	_, err := store.Put(ctx, strings.Repeat("k", mcstore.MaxKeyBytes+1), nil, "", "w")
+	expectKind(t, err, mcstore.KindBadKey)
 }
 
 func contractSize(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
-	large := make([]byte, maxValueBytes)
+	large := make([]byte, mcstore.MaxValueBytes)
 	_, err := store.Put(ctx, "k", large, "", "w")
 	expectKind(t, err, "")
 	object, err := store.Get(ctx, "k")
 	expectKind(t, err, "")
-	if len(object.Value()) != maxValueBytes {
-		t.Fatalf("got %d bytes, want %d", len(object.Value()), maxValueBytes)
+	if len(object.Value()) != mcstore.MaxValueBytes {
+		t.Fatalf("got %d bytes, want %d", len(object.Value()), mcstore.MaxValueBytes)
 	}
 	_, err = store.Put(ctx, "k2", append(large, 0), "", "w")
-	expectKind(t, err, KindTooLarge)
+	expectKind(t, err, mcstore.KindTooLarge)
 }
 
 func contractList(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore) {
@@ -171,7 +173,7 @@
 	}
 	deleted := watch(second)
 	expectKind(t, store.Delete(ctx, "k", second, "d"), "")
-	expectKind(t, (<-deleted).err, KindNotFound)
+	expectKind(t, (<-deleted).err, mcstore.KindNotFound)
 	created := watch("")
 	third := mustPut(ctx, t, store, "k", "three", "")
 	if got := <-created; got.err != nil || got.object.Version() != third {
@@ -194,7 +196,7 @@
 		if err := <-errs; err == nil {
 			won++
 		} else {
-			expectKind(t, err, KindConflict)
+			expectKind(t, err, mcstore.KindConflict)
 		}
 	}
 	if won != 1 {
@@ -206,11 +208,11 @@
 	ended, cancel := context.WithCancel(ctx)
 	cancel()
 	_, err := store.Put(ended, "k", []byte("v"), "", "w")
-	expectKind(t, err, KindUnavailable)
+	expectKind(t, err, mcstore.KindUnavailable)
 	_, err = store.Get(ended, "k")
-	expectKind(t, err, KindUnavailable)
+	expectKind(t, err, mcstore.KindUnavailable)
 	_, err = store.Get(ctx, "k")
-	expectKind(t, err, KindNotFound)
+	expectKind(t, err, mcstore.KindNotFound)
 }
 
 func mustPut(ctx context.Context, t *testing.T, store marigoldcroft.ObjectStore, key, value string, expected marigoldcroft.Version) marigoldcroft.Version {
@@ -220,9 +222,9 @@
 	return version
 }
 
-func expectKind(t *testing.T, err error, want Kind) {
+func expectKind(t *testing.T, err error, want mcstore.Kind) {
 	t.Helper()
-	if got := marigoldcroft.FailureKind[Kind](err); got != want || (err == nil) != (want == "") {
+	if got := marigoldcroft.FailureKind[mcstore.Kind](err); got != want || (err == nil) != (want == "") {
 		t.Fatalf("got error %v, want kind %q", err, want)
 	}
 }
--- a/mcstore/contract_test.go
+++ b/mcstore/contract_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"marigoldcroft"
+	"marigoldcroft/mccontract"
 	"marigoldcroft/mcstandin"
 	"marigoldcroft/mcstore"
 )
@@ -21,7 +22,7 @@
 			return store
 		},
 	} {
-		t.Run(name, func(t *testing.T) { mcstore.RunContract(t, newStore) })
+		t.Run(name, func(t *testing.T) { mccontract.Run(t, newStore) })
 	}
 }
 
--- a/mcstore/http_query.go
+++ b/mcstore/http_query.go
@@ -43,7 +43,7 @@
 }
 
 func (h *HTTP) read(ctx context.Context, operation, key, path string) (marigoldcroft.Object, error) {
-	answer, _, err := h.send(ctx, http.MethodGet, path, nil, nil, maxValueBytes)
+	answer, _, err := h.send(ctx, http.MethodGet, path, nil, nil, MaxValueBytes)
 	if err != nil {
 		return marigoldcroft.Object{}, marigoldcroft.NewFailure(operation, KindUnavailable, err)
 	}
--- a/mcstore/memory.go
+++ b/mcstore/memory.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// maxValueBytes is the largest value that the platform's store holds.
-	maxValueBytes = 1 << 20
-	maxKeyBytes   = 512
+	// MaxValueBytes is the largest value that the platform's store holds.
+	MaxValueBytes = 1 << 20
+	// MaxKeyBytes is the longest key.
+	MaxKeyBytes = 512
 )
 
 // Memory is an object store in memory. The zero value is ready to use.
@@ -150,13 +151,13 @@
 	if err := ctx.Err(); err != nil {
 		return marigoldcroft.NewFailure("write "+key, KindUnavailable, err)
 	}
-	if key == "" || len(key) > maxKeyBytes {
+	if key == "" || len(key) > MaxKeyBytes {
 		return marigoldcroft.NewFailure("write", KindBadKey,
-			errors.Newf("the key has %d bytes; 1 to %d are allowed", len(key), maxKeyBytes))
+			errors.Newf("the key has %d bytes; 1 to %d are allowed", len(key), MaxKeyBytes))
 	}
-	if len(value) > maxValueBytes {
+	if len(value) > MaxValueBytes {
 		return marigoldcroft.NewFailure("write "+key, KindTooLarge,
-			errors.Newf("the value has %d bytes; at most %d are allowed", len(value), maxValueBytes))
+			errors.Newf("the value has %d bytes; at most %d are allowed", len(value), MaxValueBytes))
 	}
 	return nil
 }
