--- a/mcgateway/answer.go
+++ b/mcgateway/answer.go
@@ -108,12 +108,17 @@
 		Choices: []answerChoice{{Delta: &answerMessage{}, FinishReason: &end.finish}}, Usage: usageOf(end),
 	}
 	if s.event("", chunk) == nil {
-		// A caller that is gone cannot be told.
-		_, _ = fmt.Fprint(s.w, "data: [DONE]\n\n")
-		s.flusher.Flush()
+		s.mark()
 	}
 }
 
+// mark sends the end marker.
+func (s *streamSink) mark() {
+	// A caller that is gone cannot be told.
+	_, _ = fmt.Fprint(s.w, "data: [DONE]\n\n")
+	s.flusher.Flush()
+}
+
 func usageOf(end answerEnd) *answerUsage {
 	return &answerUsage{
 		PromptTokens: end.promptTokens, CompletionTokens: end.outputTokens,
--- a/mcgateway/gateway.go
+++ b/mcgateway/gateway.go
@@ -90,6 +90,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", g.entry("model", g.serveChat))
 	mux.HandleFunc("POST /v1/jobs", g.entry("job", g.serveJobSubmit))
 	mux.HandleFunc("GET /v1/jobs/{id}", g.entry("jobQuery", g.serveJobQuery))
+	mux.HandleFunc("GET /v1/jobs/{id}/stream", g.entry("jobStream", g.serveJobStream))
 	mux.HandleFunc("/v1/services/{service}/{path...}", g.entry(kindService, g.serveService))
 	mux.HandleFunc("GET /healthz", g.serveHealth)
 	mux.HandleFunc("GET /readyz", g.serveReady)
--- a/mcgateway/jobs.go
+++ b/mcgateway/jobs.go
@@ -66,17 +66,9 @@
 
 // serveJobQuery tells a team of its own jobs.
 func (g *Gateway) serveJobQuery(x *exchange) *Problem {
-	if g.JobStatus == nil {
-		return notRun(CodeNotFound, "this instance knows no jobs")
-	}
-	ctx, cancel := context.WithTimeout(x.r.Context(), jobCallTimeout)
-	defer cancel()
-	job, err := g.JobStatus.Job(ctx, x.r.PathValue("id"))
-	switch {
-	case mcstore.IsNotFound(err), err == nil && job.Team != x.team.Name():
-		return notRun(CodeNotFound, "the team has no such job")
-	case err != nil:
-		return notRun(CodeStoreUnavailable, "the job could not be read: "+err.Error()).after(time.Second)
+	job, problem := g.readJob(x)
+	if problem != nil {
+		return problem
 	}
 	return sendJob(x, http.StatusOK, job)
 }
--- /dev/null
+++ b/mcgateway/jobstream_test.go
@@ -0,0 +1,67 @@
+package mcgateway_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+)
+
+// jobReads answers with one status after the other; an empty state stands for a read
+// that fails.
+type jobReads struct{ states []marigoldcroft.JobState }
+
+func (j *jobReads) Job(context.Context, string) (marigoldcroft.JobStatus, error) {
+	state := j.states[0]
+	if len(j.states) > 1 {
+		j.states = j.states[1:]
+	}
+	if state == "" {
+		return marigoldcroft.JobStatus{}, errors.New("store is down")
+	}
+	return marigoldcroft.JobStatus{ID: "j1", Team: "studio", State: state, Answer: "text", Deadline: time.Now().Add(time.Minute)}, nil
+}
+
+// Guards against a followed job whose end is not told, or told as whole when it is not.
+func TestJobStream(t *testing.T) {
+	const accepted, running, done, lost = marigoldcroft.JobAccepted, marigoldcroft.JobRunning, marigoldcroft.JobDone, marigoldcroft.JobState("")
+	cases := []struct {
+		name   string
+		states []marigoldcroft.JobState
+		// events are the states that are sent; whole tells whether the end marker is.
+		events []string
+		whole  bool
+		code   string
+	}{
+		{"done", []marigoldcroft.JobState{accepted, running, running, done}, []string{"accepted", "running", "done"}, true, ""},
+		{"reads fail for a while", []marigoldcroft.JobState{running, lost, lost, done}, []string{"running", "done"}, true, ""},
+		{"expired", []marigoldcroft.JobState{running, marigoldcroft.JobExpired}, []string{"running", "expired"}, false, "upstreamFailed"},
+		{"never ends", []marigoldcroft.JobState{running}, []string{"running"}, false, "deadline"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(nil)
+				b.JobStatus = &jobReads{states: c.states}
+				w := b.request(t.Context(), http.MethodGet, "/v1/jobs/j1/stream", "")
+				text := w.Body.String()
+				var events []string
+				for _, part := range strings.Split(text, `"state":"`)[1:] {
+					state, _, _ := strings.Cut(part, `"`)
+					events = append(events, state)
+				}
+				require.Equal(t, c.events, events, text)
+				require.Equal(t, c.whole, strings.Contains(text, "data: [DONE]"), text)
+				require.Equal(t, c.code != "", strings.Contains(text, "event: error"), text)
+				require.Contains(t, text, c.code)
+			})
+		})
+	}
+}
--- a/mcstandin/engine.go
+++ b/mcstandin/engine.go
@@ -60,6 +60,10 @@
 		Crossed bool `json:"crossed"`
 		// RefuseAll answers 503 to new work.
 		RefuseAll bool `json:"refuseAll"`
+		// CacheLagMs publishes cache events so much later, and CacheGap drops every n-th
+		// one; 0 means none.
+		CacheLagMs int `json:"cacheLagMs"`
+		CacheGap   int `json:"cacheGap"`
 		// Leaving sets the leaving mark in the load report.
 		Leaving bool `json:"leaving"`
 	}
--- a/mcstandin/engine_http.go
+++ b/mcstandin/engine_http.go
@@ -216,7 +216,7 @@
 		after = 0
 	}
 	e.mu.Lock()
-	events := e.cache.eventsAfter(after)
+	events := e.cache.eventsAfter(after, time.Duration(e.faults.CacheLagMs)*time.Millisecond, e.faults.CacheGap)
 	e.mu.Unlock()
 	writeJSON(w, map[string]any{"events": events})
 }
--- a/mcstandin/prefixcache.go
+++ b/mcstandin/prefixcache.go
@@ -1,6 +1,10 @@
 package mcstandin
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // maxCacheEvents bounds the events that a poller can still read.
 const maxCacheEvents = 1000
@@ -12,6 +16,7 @@
 		Prefix   uint64 `json:"prefix"`
 		Tokens   int64  `json:"tokens"`
 		Dropped  bool   `json:"dropped"`
+		at       time.Time
 	}
 
 	// prefixCache remembers prompt prefixes in blocks, least recently used dropped first.
@@ -72,17 +77,20 @@
 
 func (c *prefixCache) publish(event CacheEvent) {
 	c.sequence++
-	event.Sequence = c.sequence
+	event.Sequence, event.at = c.sequence, time.Now()
 	c.events = append(c.events, event)
 	if len(c.events) > maxCacheEvents {
 		c.events = c.events[1:]
 	}
 }
 
-func (c *prefixCache) eventsAfter(sequence uint64) []CacheEvent {
+// eventsAfter returns the events after the sequence that are older than lag, without
+// every gap-th one.
+func (c *prefixCache) eventsAfter(sequence uint64, lag time.Duration, gap int) []CacheEvent {
 	events := []CacheEvent{}
 	for _, event := range c.events {
-		if event.Sequence > sequence {
+		missing := gap > 0 && event.Sequence%uint64(gap) == 0
+		if event.Sequence > sequence && time.Since(event.at) >= lag && !missing {
 			events = append(events, event)
 		}
 	}
