--- a/cmd/marigoldcroft-measure/main.go
+++ b/cmd/marigoldcroft-measure/main.go
@@ -29,19 +29,22 @@
 	}
 }
 
-func measureVerb(name, summary string, measure func(context.Context, io.Writer, []string) error) mcverb.Verb {
+func measureVerb(name, summary string, measure func(context.Context, io.Writer, mcmeasure.Options) error) mcverb.Verb {
 	verb := mcverb.Verb{Name: name, Summary: summary, Example: program + " " + name}
 	verb.Run = func(arguments []string, stdout, stderr io.Writer) int {
-		policies := strings.Join(mcmeasure.Policies, ",")
+		options := mcmeasure.DefaultOptions()
+		policies := strings.Join(options.Policies, ",")
 		p := mcverb.NewParser(program, verb)
 		p.String(&policies, "p", "policies", "scheduling policies to compare, separated by commas")
+		p.Int(&options.LongJobs, "l", "long-jobs", "callers that keep a long prompt running")
 		if err := p.ParseArgs(arguments); err != nil {
 			fmt.Fprintf(stderr, "%s %s: %v\n", program, name, err)
 			return mcverb.ExitUsage
 		}
+		options.Policies = strings.Split(policies, ",")
 		ctx, cancel := mcverb.UntilSignal()
 		defer cancel()
-		if err := measure(ctx, stdout, strings.Split(policies, ",")); err != nil {
+		if err := measure(ctx, stdout, options); err != nil {
 			fmt.Fprintf(stderr, "%s %s: %v\n", program, name, err)
 			return mcverb.ExitFailed
 		}
--- a/mcmeasure/capacity.go
+++ b/mcmeasure/capacity.go
@@ -44,7 +44,7 @@
 )
 
 // Capacity measures all slopes and writes docs/CAPACITY.md.
-func Capacity(ctx context.Context, w io.Writer, _ []string) error {
+func Capacity(ctx context.Context, w io.Writer, _ Options) error {
 	s, err := measureSlopes(ctx)
 	if err != nil {
 		return err
--- a/mcmeasure/control.go
+++ b/mcmeasure/control.go
@@ -27,7 +27,7 @@
 
 // Control measures the cost of membership for one member, the time until a dead member
 // is removed and the keys that move at a loss.
-func Control(_ context.Context, w io.Writer, _ []string) error {
+func Control(_ context.Context, w io.Writer, _ Options) error {
 	fmt.Fprintln(w, "| members | endpoints | bytes a second | calls a second | share of a core % | interval | load age p99 | work age p99 | wrong suspicions | wrong removals |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|")
 	for _, n := range controlSizes {
@@ -50,7 +50,7 @@
 func round(d time.Duration) time.Duration { return d.Round(10 * time.Millisecond) }
 
 // Actions measures the store writes of actions that run at most once.
-func Actions(ctx context.Context, w io.Writer, _ []string) error {
+func Actions(ctx context.Context, w io.Writer, _ Options) error {
 	fmt.Fprintln(w, "| callers | shards | actions | store writes per action | bytes per action | p50 | p99 | failed |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|")
 	for _, callers := range []int{1, 8, 64, 256} {
--- a/mcmeasure/serving.go
+++ b/mcmeasure/serving.go
@@ -28,6 +28,17 @@
 	mcscheduler.PolicyRoundRobin, mcscheduler.PolicyLeastOutstanding,
 }
 
+// Options are what the measuring verbs let the user choose.
+type Options struct {
+	// Policies are compared in this order.
+	Policies []string
+	// LongJobs is the number of callers that keep a long prompt running.
+	LongJobs int
+}
+
+// DefaultOptions compares all policies beside four long jobs.
+func DefaultOptions() Options { return Options{Policies: Policies, LongJobs: residentJobs} }
+
 // engineSettings are those of a stand-in that prefills a short prompt in 0.1 to 0.3 s,
 // so that the load generator and the instances leave most of the machine idle.
 func engineSettings() mcstandin.EngineSettings {
@@ -64,15 +75,15 @@
 
 // HeadOfLine measures the time to first token of short requests with and without
 // long jobs, for every policy.
-func HeadOfLine(ctx context.Context, w io.Writer, policies []string) error {
+func HeadOfLine(ctx context.Context, w io.Writer, options Options) error {
 	fmt.Fprintln(w, "| policy | short p95 alone ms | short p95 beside long jobs ms | ratio | long whole | long not whole | short not whole |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|")
-	for _, policy := range policies {
+	for _, policy := range options.Policies {
 		err := withCluster(ctx, policy, func(c *Cluster) error {
 			mcload.Run(ctx, warmUp(c.Targets))
 			alone := mcload.Run(ctx, load(c.Targets)).Row("short", mcload.PartCalm)
 			beside := load(c.Targets)
-			beside.Resident, beside.Seed = residentJobs, seed+1
+			beside.Resident, beside.Seed = options.LongJobs, seed+1
 			report := mcload.Run(ctx, beside)
 			short, long := report.Row("short", mcload.PartCalm), report.Row("long", mcload.PartCalm)
 			fmt.Fprintf(w, "| %s | %.1f | %.1f | %.2f | %d | %d | %d |\n", policy, alone.FirstToken.P95, short.FirstToken.P95,
@@ -95,7 +106,7 @@
 }
 
 // Overhead measures what an entry instance adds to a streamed short request.
-func Overhead(ctx context.Context, w io.Writer, _ []string) error {
+func Overhead(ctx context.Context, w io.Writer, _ Options) error {
 	settings := ClusterSettings{Entries: 1, Engines: 1, Policy: mcscheduler.PolicyLengthAware, Engine: engineSettings()}
 	settings.Engine.PrefillRate = 10_000_000
 	cluster, err := StartCluster(ctx, settings)
@@ -118,14 +129,14 @@
 
 // Crest measures urgent short requests when arrivals grow fivefold within 2 s and
 // refused callers retry at once.
-func Crest(ctx context.Context, w io.Writer, policies []string) error {
+func Crest(ctx context.Context, w io.Writer, options Options) error {
 	fmt.Fprintln(w, "| policy | calm p95 ms | crest p95 ms | ratio | crest whole | crest refused | crest failed | no outcome |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|")
-	for _, policy := range policies {
+	for _, policy := range options.Policies {
 		err := withCluster(ctx, policy, func(c *Cluster) error {
 			mcload.Run(ctx, warmUp(c.Targets))
 			s := load(c.Targets)
-			s.Resident, s.Rate, s.Duration = residentJobs, crestCalmRate, 3*phase
+			s.Resident, s.Rate, s.Duration = options.LongJobs, crestCalmRate, 3*phase
 			s.Swing = mcload.Swing{Start: phase, Ramp: 2 * time.Second, Length: phase, Factor: 5}
 			report := mcload.Run(ctx, s)
 			calm, crest := report.Row("short", mcload.PartCalm), report.Row("short", mcload.PartCrest)
@@ -156,10 +167,10 @@
 const crestCalmRate = 36
 
 // Goodput measures the share of callers answered whole at rates around capacity.
-func Goodput(ctx context.Context, w io.Writer, policies []string) error {
+func Goodput(ctx context.Context, w io.Writer, options Options) error {
 	fmt.Fprintln(w, "| policy | load | callers a second | whole a second | refused | failed | no outcome |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|")
-	for _, policy := range policies {
+	for _, policy := range options.Policies {
 		for _, factor := range []float64{0.5, 1, 1.5, 2, 3} {
 			err := withCluster(ctx, policy, func(c *Cluster) error { return goodput(ctx, c, w, policy, factor) })
 			if err != nil {
