--- /dev/null
+++ b/mcengine/stream_test.go
@@ -0,0 +1,94 @@
+package mcengine_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcengine"
+)
+
+const (
+	first = `data: {"id":"r/1","sequence":0,"choices":[{"delta":{"content":"a"}}]}` + "\n\n"
+	last  = `data: {"id":"r/1","sequence":1,"choices":[{"delta":{"content":"b"},"finish_reason":"stop"}],"usage":{"prompt_tokens":3,"completion_tokens":2}}` + "\n\n"
+	mark  = "data: [DONE]\n\n"
+)
+
+// read returns the text of a stream and the kind of error that ended it, "" for a
+// whole answer.
+func read(t testing.TB, status int, body string) (string, mcengine.Kind) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}))
+	defer server.Close()
+	client := &mcengine.Client{HTTP: server.Client()}
+	endpoint := marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{Name: "e", Address: server.URL})
+	stream, err := client.Generate(context.Background(), endpoint, marigoldcroft.GenerateRequest{Stream: marigoldcroft.NewStreamID("r", 1)})
+	if err != nil {
+		return "", marigoldcroft.FailureKind[mcengine.Kind](err)
+	}
+	defer stream.Close()
+	var text strings.Builder
+	for {
+		event, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return text.String(), ""
+		}
+		if err != nil {
+			return text.String(), marigoldcroft.FailureKind[mcengine.Kind](err)
+		}
+		text.WriteString(event.Text)
+	}
+}
+
+// Guards against answers of other requests, of other attempts, out of place or cut off
+// that pass as whole.
+func TestStream(t *testing.T) {
+	cases := []struct {
+		name   string
+		status int
+		body   string
+		text   string
+		kind   mcengine.Kind
+	}{
+		{"whole", 200, first + last + mark, "ab", ""},
+		{"comments and blank lines", 200, ": hello\n\n" + first + "event: x\n" + last + mark, "ab", ""},
+		{"no end marker", 200, first + last, "ab", mcengine.KindBroken},
+		{"end marker without a finish reason", 200, first + mark, "a", mcengine.KindBroken},
+		{"empty", 200, "", "", mcengine.KindBroken},
+		{"another request", 200, first + strings.ReplaceAll(last, `"r/1"`, `"s/1"`) + mark, "a", mcengine.KindMismatch},
+		{"an earlier attempt", 200, strings.ReplaceAll(first, `"r/1"`, `"r/0"`) + last + mark, "", mcengine.KindMismatch},
+		{"a gap", 200, last + mark, "", mcengine.KindMismatch},
+		{"a repetition", 200, first + first + last + mark, "a", mcengine.KindMismatch},
+		{"malformed", 200, "data: {\n\n", "", mcengine.KindBroken},
+		{"refused", 503, "busy", "", mcengine.KindRefused},
+		{"invalid", 400, "too long", "", mcengine.KindInvalid},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text, kind := read(t, c.status, c.body)
+			require.Equal(t, c.kind, kind)
+			require.Equal(t, c.text, text)
+		})
+	}
+}
+
+// Guards against a decoder that crashes, or that takes an answer without its end
+// marker as whole.
+func FuzzStream(f *testing.F) {
+	f.Add(first + last + mark)
+	f.Add(first + "data: {\"id\":1}\n\n")
+	f.Fuzz(func(t *testing.T, body string) {
+		if _, kind := read(t, http.StatusOK, body); kind == "" {
+			require.Contains(t, body, "[DONE]")
+		}
+	})
+}
--- a/mcgateway/harness_test.go
+++ b/mcgateway/harness_test.go
@@ -43,7 +43,7 @@
 }
 
 func (c config) TeamByKeyHash(hash string) (marigoldcroft.Team, bool) {
-	names := []string{"caption", "print", "dossier", "orders"}
+	names := []string{"caption", "print", "dossier", "orders", "booking"}
 	team := marigoldcroft.TeamSpec{Name: "studio", Templates: names, Concurrency: 100, TokensPerSecond: 1000, BurstTokens: 100_000}
 	return marigoldcroft.NewTeam(team), hash == mcgateway.KeyHash(callerKey)
 }
@@ -61,6 +61,8 @@
 		spec.Oversize, spec.CombinePrompt = marigoldcroft.OversizeSplit, "Combine."
 	case "orders":
 		spec.Model, spec.Service = "", "desk"
+	case "booking":
+		spec.Model, spec.Service, spec.Repeat = "", "desk", marigoldcroft.RepeatAtMostOnce
 	default:
 		return marigoldcroft.Template{}, false
 	}
