Make the rolling restart test see requests that are cut off

Cause: with server.Close in place of Shutdown the test passed: no answer outlasted the lame-duck time of 500 ms. Change: three in ten requests get answers of 2 s.

--- a/cmd/marigoldcroft/process_test.go
+++ b/cmd/marigoldcroft/process_test.go
@@ -174,7 +174,9 @@
 	return mcload.Settings{
 		Targets: f.targets(), Key: testKey, Seed: seed, Rate: 30, Duration: d, RetryNow: true, HealthChecks: true,
 		Classes: []mcload.Class{
-			{Name: "short", Template: "caption", Weight: 0.95, MinTokens: 1000, MaxTokens: 4000, OutputTokens: 20, Deadline: 10 * time.Second},
+			{Name: "short", Template: "caption", Weight: 0.65, MinTokens: 1000, MaxTokens: 4000, OutputTokens: 20, Deadline: 10 * time.Second},
+			// Answers of 2 s outlast the lame-duck time, so that a stop that cuts them shows.
+			{Name: "slow", Template: "comparison", Weight: 0.3, MinTokens: 1000, MaxTokens: 4000, OutputTokens: 1000, Deadline: time.Minute},
 			{Name: "long", Template: "comparison", Weight: 0.05, MinTokens: 100_000, MaxTokens: 300_000, OutputTokens: 20, Deadline: time.Minute},
 		},
 	}
