Show help and an example for every verb

Change: verbs without flags get their help from the lookup table and refuse other arguments; the parser's own completion subcommand is off.

--- a/mccommand/command_test.go
+++ b/mccommand/command_test.go
@@ -77,7 +77,7 @@
 
 func needsServer(arguments []string) bool {
 	switch arguments[0] {
-	case "--help", "frobnicate", "validate", "completion":
+	case "--help", "frobnicate", "validate", "completion", "version":
 		return false
 	}
 	return !strings.Contains(strings.Join(arguments, " "), "--server")
--- a/mccommand/verb_completion.go
+++ b/mccommand/verb_completion.go
@@ -11,6 +11,7 @@
 		Name:    "completion",
 		Summary: "print a completion script for bash",
 		Example: "marigoldcroft completion > /etc/bash_completion.d/marigoldcroft",
+		Plain:   true,
 		Run:     runCompletion,
 	}
 }
--- a/mccommand/verb_settings.go
+++ b/mccommand/verb_settings.go
@@ -12,6 +12,7 @@
 		Name:    "settings",
 		Summary: "print the reference of all settings in Markdown",
 		Example: "marigoldcroft settings",
+		Plain:   true,
 		Run:     runSettings,
 	}
 }
--- a/mccommand/verb_version.go
+++ b/mccommand/verb_version.go
@@ -14,6 +14,7 @@
 		Name:    "version",
 		Summary: "print the version",
 		Example: "marigoldcroft version",
+		Plain:   true,
 		Run:     runVersion,
 	}
 }
--- a/mcverb/verb.go
+++ b/mcverb/verb.go
@@ -30,6 +30,8 @@
 	Summary string
 	// Example is a command line that works.
 	Example string
+	// Plain is true for a verb that takes no flags; its help is printed for it.
+	Plain bool
 	// Run parses the arguments after the name and returns the exit code.
 	Run func(arguments []string, stdout, stderr io.Writer) int
 }
@@ -41,14 +43,28 @@
 		return ExitDone
 	}
 	for _, verb := range verbs {
-		if verb.Name == arguments[0] {
-			return verb.Run(arguments[1:], stdout, stderr)
+		if verb.Name != arguments[0] {
+			continue
 		}
+		if verb.Plain && len(arguments) > 1 {
+			return printPlainHelp(program, verb, arguments[1], stdout, stderr)
+		}
+		return verb.Run(arguments[1:], stdout, stderr)
 	}
 	fmt.Fprintf(stderr, "%s: unknown verb %q; see %s --help\n", program, arguments[0], program)
 	return ExitUsage
 }
 
+// printPlainHelp answers a flag of a verb that takes none but help.
+func printPlainHelp(program string, verb Verb, flag string, stdout, stderr io.Writer) int {
+	if flag != "--help" && flag != "-h" {
+		fmt.Fprintf(stderr, "%s %s: takes no arguments, got %q\n", program, verb.Name, flag)
+		return ExitUsage
+	}
+	fmt.Fprintf(stdout, "%s %s - %s\n\nExample: %s\n", program, verb.Name, verb.Summary, verb.Example)
+	return ExitDone
+}
+
 func printVerbs(program string, verbs []Verb, w io.Writer) {
 	fmt.Fprintf(w, "Usage: %s VERB [arguments]\n\n", program)
 	for _, verb := range verbs {
@@ -62,6 +78,7 @@
 	p.Description = verb.Summary
 	p.AdditionalHelpAppend = "\nExample: " + verb.Example
 	p.DisableShowVersionWithVersion()
+	p.ShowCompletion = false
 	return p
 }
 
