Remove logic that stood twice and state that nothing used

Change: the field goes, the handler calls the watcher, the filter is inline, the page reads the constants of mcentry and mcjob. Behaviour is unchanged.

--- a/mcentry/admin.go
+++ b/mcentry/admin.go
@@ -61,7 +61,7 @@
 
 // ClearQuarantine lets a quarantined request run again everywhere.
 func (o *operations) ClearQuarantine(fingerprint uint64) error {
-	o.entry.mergeOwnQuarantine()
+	o.entry.watcher.mergeQuarantine()
 	entry := o.entry.suspects.Clear(time.Now(), mcquarantine.Fingerprint(fingerprint))
 	if entry == nil {
 		return marigoldcroft.NewFailure("clear quarantine", mcadmin.KindNotFound, errors.Newf("no entry for fingerprint %x", fingerprint))
@@ -70,10 +70,6 @@
 	return nil
 }
 
-func (e *Entry) mergeOwnQuarantine() {
-	e.suspects.Merge(time.Now(), e.membership.member.QuarantineEntries())
-}
-
 // Status returns what this instance knows of the deployment.
 func (o *operations) Status() mcadmin.Status {
 	e := o.entry
--- a/mcentry/build.go
+++ b/mcentry/build.go
@@ -40,8 +40,8 @@
 	s := e.Settings
 	client := &http.Client{Transport: mcengine.NewTransport()}
 	e.engine = &mcengine.Client{HTTP: client}
-	e.store = e.newStore(1 - ledgerShare)
-	e.ledgerStore = e.newStore(ledgerShare)
+	e.store = e.newStore(1 - LedgerShare)
+	e.ledgerStore = e.newStore(LedgerShare)
 	e.metrics.Registry().MustRegister(storeCollector{"common": e.store, "ledger": e.ledgerStore})
 	tuning := mcscheduler.Default()
 	tuning.Seed, tuning.QueueLength = seed, s.Limits.QueueLength
--- a/mcentry/ledger.go
+++ b/mcentry/ledger.go
@@ -18,11 +18,11 @@
 )
 
 const (
-	// ledgerShare is the share of the deployment's store rates for actions. Their
+	// LedgerShare is the share of the deployment's store rates for actions. Their
 	// client has a budget of its own, as only the owners of shards write them.
-	ledgerShare = 0.4
-	// jobWriteShare is the share of the deployment's store writes that jobs may use.
-	jobWriteShare = 0.4
+	LedgerShare = 0.4
+	// JobWriteShare is the share of the deployment's store writes that jobs may use.
+	JobWriteShare = 0.4
 	// releaseLimit bounds the release of jobs and shards at a planned stop. With the
 	// store down it cannot succeed, and others take over without it.
 	releaseLimit = 10 * time.Second
@@ -103,7 +103,7 @@
 	e.actions = &mcledger.Executor{Ledger: e.ledger, Service: e.service, Log: e.logger}
 	e.jobs = &mcjob.Jobs{
 		Store: e.store, Identity: e.identity, Runner: e.gateway, Peers: jobPeers{m}, Log: e.logger,
-		WritesPerSecond: jobWriteShare * e.Settings.Store.WritesPerSecond,
+		WritesPerSecond: JobWriteShare * e.Settings.Store.WritesPerSecond,
 	}
 	e.reconciler = &mcorder.Reconciler{
 		Engine: e.engine, Endpoints: m.polledEngines, Gone: m.member.IncarnationGone, Logger: e.logger,
--- a/mcentry/membership.go
+++ b/mcentry/membership.go
@@ -44,13 +44,9 @@
 
 // engines returns the model engines of this data centre with their leaving marks.
 func (m *membership) engines() []marigoldcroft.Endpoint {
-	return m.endpoints(func(v mcmember.EndpointView) bool { return v.Endpoint.Kind() == marigoldcroft.EndpointEngine })
-}
-
-func (m *membership) endpoints(keep func(mcmember.EndpointView) bool) []marigoldcroft.Endpoint {
 	var endpoints []marigoldcroft.Endpoint
 	for _, view := range m.member.Endpoints() {
-		if view.Listed && keep(view) {
+		if view.Listed && view.Endpoint.Kind() == marigoldcroft.EndpointEngine {
 			endpoints = append(endpoints, view.Endpoint.WithLeaving(view.Leaving))
 		}
 	}
--- a/mcgateway/gateway.go
+++ b/mcgateway/gateway.go
@@ -118,7 +118,6 @@
 	start  time.Time
 	config marigoldcroft.ConfigSnapshot
 	team   marigoldcroft.Team
-	logger zerolog.Logger
 	// class is the metric label of the work, once it is known.
 	class string
 	// streamed is true when the answer began and its problem was sent as an event.
@@ -161,7 +160,6 @@
 
 func (g *Gateway) serve(x *exchange, serve handler) *Problem {
 	x.config = g.Config.Current()
-	x.logger = g.Logger.With().Str("requestId", x.id).Logger()
 	g.setConfigHeaders(x)
 	if problem := g.authenticate(x); problem != nil {
 		return problem
--- a/mcmeasure/capacity.go
+++ b/mcmeasure/capacity.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"marigoldcroft/mcentry"
+	"marigoldcroft/mcjob"
 	"marigoldcroft/mcledger"
 )
 
@@ -30,10 +32,7 @@
 	decisionMicro   = 10.0
 	storeWrites     = 300.0
 	storeReads      = 1500.0
-	ledgerShare     = 0.4
-	jobShare        = 0.4
 	watchSeconds    = 5.0
-	sweepSeconds    = 5.0
 	secondsADay     = 86_400.0
 	mebibyte        = 1 << 20
 	// pollBytes is one load report over HTTP with its headers, both ways.
@@ -128,8 +127,8 @@
 	p.line("| follower of configuration | %d teams in %d pages | a watch each %.0f s, %.3f changes/s, %.0f bytes/s | under 0.1%% of a core | %.1f MiB | immutable pages, one head, one watch; pages from peers first |",
 		teams, 256, watchSeconds, changesADay/secondsADay, changesADay/secondsADay*(headBytes+pageBytes)+watchBytes/watchSeconds, float64(s.boots[slopeTeams].HeapBytes)/mebibyte)
 	p.line("| limits | active teams | with the exchange | under 0.1%% of a core | %.1f MiB if all %d teams were active here | buckets of teams active within 60 s |", s.teamBytes*teams/mebibyte, teams)
-	p.line("| owner of ledger shards | %.1f shards | %.1f actions/s at the store's share | grows with actions | heads up to 256 KiB | group commit, one write outstanding a shard |", float64(mcledger.ShardCount)/nodes, storeWrites*ledgerShare/s.actions.WritesPerAction()/nodes)
-	p.line("| sweeper of jobs | %.1f shards | %.2f lists/s | small | ids and versions of open jobs | list each %.0f s, read what changed |", 64.0/nodes, 64.0/nodes/sweepSeconds, sweepSeconds)
+	p.line("| owner of ledger shards | %.1f shards | %.1f actions/s at the store's share | grows with actions | heads up to 256 KiB | group commit, one write outstanding a shard |", float64(mcledger.ShardCount)/nodes, storeWrites*mcentry.LedgerShare/s.actions.WritesPerAction()/nodes)
+	p.line("| sweeper of jobs | %.1f shards | %.2f lists/s | small | ids and versions of open jobs | list each %.0f s, read what changed |", float64(mcjob.ShardCount)/nodes, float64(mcjob.ShardCount)/nodes/mcjob.SweepInterval.Seconds(), mcjob.SweepInterval.Seconds())
 	p.line("| relay between data centres | summaries of %d instances | to 2 relays of each other data centre | small | under 1 MiB | two relays a side by rendezvous hashing |", nodes)
 }
 
@@ -167,22 +166,22 @@
 	p.line("| configuration changes | %.1f (peak %.0f within a second of a change) | %.3f | %.0f a day; %.1f reads an instance when no peer has the page |", changes*s.spread[40].ReadsPerChange/40*nodes, s.spread[40].ReadsPerChange/40*nodes, changes*s.spread[40].WritesPerChange, changesADay, s.spread[40].ReadsPerChange/40)
 	boot := float64(s.boots[slopeTeams].StoreReads)
 	p.line("| starts of instances | %.2f (peak %.0f for a rack of four) | | %.0f restarts a day of %.0f reads, none with peers |", restartsADay*boot/secondsADay, 4*boot, restartsADay, boot)
-	p.line("| job sweeps | %.1f | | 64 shards each %.0f s |", 64/sweepSeconds, sweepSeconds)
-	p.line("| actions | | up to %.0f | %.2f writes an action: %.0f actions/s |", storeWrites*ledgerShare, s.actions.WritesPerAction(), storeWrites*ledgerShare/s.actions.WritesPerAction())
+	p.line("| job sweeps | %.1f | | 64 shards each %.0f s |", mcjob.ShardCount/mcjob.SweepInterval.Seconds(), mcjob.SweepInterval.Seconds())
+	p.line("| actions | | up to %.0f | %.2f writes an action: %.0f actions/s |", storeWrites*mcentry.LedgerShare, s.actions.WritesPerAction(), storeWrites*mcentry.LedgerShare/s.actions.WritesPerAction())
 	big := s.jobs[100_000].Counts
 	perJob := float64(big.Puts + big.Deletes)
-	p.line("| jobs | %.0f | up to %.0f | %.0f writes a job of 100,000 tokens: %.0f jobs/s |", storeWrites*jobShare/perJob*float64(big.Gets+big.Watches), storeWrites*jobShare, perJob, storeWrites*jobShare/perJob)
+	p.line("| jobs | %.0f | up to %.0f | %.0f writes a job of 100,000 tokens: %.0f jobs/s |", storeWrites*mcentry.JobWriteShare/perJob*float64(big.Gets+big.Watches), storeWrites*mcentry.JobWriteShare, perJob, storeWrites*mcentry.JobWriteShare/perJob)
 }
 
 func (p *page) limits(s *slopes) {
 	big := s.jobs[100_000].Counts
 	perJob := float64(big.Puts + big.Deletes)
 	long := requestsASecond * longShare
-	jobs := storeWrites * jobShare / perJob
+	jobs := storeWrites * mcentry.JobWriteShare / perJob
 	p.line("\n## What breaks first")
 	p.line("")
-	p.line("1. **Durable jobs.** One prompt in fifty is over 100,000 tokens: %.0f/s. As jobs they need %.0f writes/s; the share of jobs is %.0f, enough for %.0f jobs/s: %s. Cause: %.0f writes a job against a store whose rate grows more slowly than the fleet. Long prompts that are streamed need no store; beyond the share, jobs are refused with `notRun: true`. Ways on: the prompt inside the job object below 1 MB, the claim with the creation.", long, long*perJob, storeWrites*jobShare, jobs, fits(long, jobs), perJob)
-	p.line("2. **Actions under light load.** An action alone takes two writes; %.0f writes/s then carry %.0f actions/s. Group commit lowers this to %.2f writes at 256 callers at once.", storeWrites*ledgerShare, storeWrites*ledgerShare/2, s.actions.WritesPerAction())
+	p.line("1. **Durable jobs.** One prompt in fifty is over 100,000 tokens: %.0f/s. As jobs they need %.0f writes/s; the share of jobs is %.0f, enough for %.0f jobs/s: %s. Cause: %.0f writes a job against a store whose rate grows more slowly than the fleet. Long prompts that are streamed need no store; beyond the share, jobs are refused with `notRun: true`. Ways on: the prompt inside the job object below 1 MB, the claim with the creation.", long, long*perJob, storeWrites*mcentry.JobWriteShare, jobs, fits(long, jobs), perJob)
+	p.line("2. **Actions under light load.** An action alone takes two writes; %.0f writes/s then carry %.0f actions/s. Group commit lowers this to %.2f writes at 256 callers at once.", storeWrites*mcentry.LedgerShare, storeWrites*mcentry.LedgerShare/2, s.actions.WritesPerAction())
 	p.line("3. **One full-detail group.** The version vector has to fit a 4 KiB message, which bounds a data centre to about 400 members and endpoints together; %d are planned.", centreInstances+centreEndpoints)
 	p.line("4. **All instances of a data centre starting at once without peers.** %d x %d reads at the share of %.0f reads/s take %.0f s; with any live peer the pages come from it.", centreInstances, s.boots[slopeTeams].StoreReads, storeReads, float64(centreInstances)*float64(s.boots[slopeTeams].StoreReads)/storeReads)
 	p.line("")
