Tell a restored store's reused version by its write id

Cause: took a watch that ends at the known version as unchanged. Change: a watch that ends unchanged carries the write id; another id makes the follower read the head.

--- a/mcconfig/follower.go
+++ b/mcconfig/follower.go
@@ -276,12 +276,12 @@
 // watchStore keeps one watch on the head.
 func (f *Follower) watchStore(ctx context.Context) error {
 	var known marigoldcroft.Version
-	var head Head
+	var object marigoldcroft.Object
 	pause := firstPause
 	for ctx.Err() == nil {
 		asked := time.Now()
-		next, version, err := f.watchOnce(ctx, known, head)
-		head = next
+		head, next, version, err := f.watchOnce(ctx, known, object)
+		object = next
 		if err == nil {
 			err = f.follow(ctx, head)
 		} else {
@@ -303,15 +303,26 @@
 	return ctx.Err()
 }
 
-// watchOnce returns the head when its version differs from known, or last after the wait.
-func (f *Follower) watchOnce(ctx context.Context, known marigoldcroft.Version, last Head) (Head, marigoldcroft.Version, error) {
+// watchOnce returns the head and its object when its version differs from known, or
+// those of last after the wait. It decodes last again, as following a head changes it.
+func (f *Follower) watchOnce(ctx context.Context, known marigoldcroft.Version, last marigoldcroft.Object) (Head, marigoldcroft.Object, marigoldcroft.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
 	object, err := f.Store.Watch(ctx, headKey, known, watchWait)
 	if err == nil && known != "" && object.Version() == known {
-		return last, known, nil
+		object, err = f.unchanged(ctx, object, last)
 	}
-	return decodeHeadObject(object, err)
+	head, version, err := decodeHeadObject(object, err)
+	return head, object, version, err
+}
+
+// unchanged returns last if it is what the store holds at the same version. A store that
+// was restored may use a version again for another write, which has another id.
+func (f *Follower) unchanged(ctx context.Context, object, last marigoldcroft.Object) (marigoldcroft.Object, error) {
+	if object.WriteID() == last.WriteID() {
+		return last, nil
+	}
+	return f.Store.Get(ctx, headKey)
 }
 
 // follow applies a head that the store holds, or repairs the store when the head lacks
--- a/mcstandin/objectstore.go
+++ b/mcstandin/objectstore.go
@@ -215,6 +215,7 @@
 	}
 	if err == nil && string(object.Version()) == r.FormValue("version") {
 		w.Header().Set("ETag", `"`+string(object.Version())+`"`)
+		w.Header().Set(mcstore.WriteIDHeader, object.WriteID())
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
--- a/mcstore/contract_test.go
+++ b/mcstore/contract_test.go
@@ -44,7 +44,7 @@
 		t.Fatal(err)
 	}
 	object, err := store.Watch(t.Context(), "k", version, time.Millisecond)
-	if err != nil || object.Version() != version || len(object.Value()) > 0 {
+	if err != nil || object.Version() != version || object.WriteID() != "w" || len(object.Value()) > 0 {
 		t.Fatalf("got version %q, %d bytes, %v; want version %q without a value", object.Version(), len(object.Value()), err, version)
 	}
 }
--- a/mcstore/http_query.go
+++ b/mcstore/http_query.go
@@ -19,7 +19,7 @@
 }
 
 // Watch returns the object as soon as its version differs from known. After wait it
-// returns the known version without the value, which the store does not send again.
+// returns the known version and its write id without the value, which the store does not send again.
 func (h *HTTP) Watch(ctx context.Context, key string, known marigoldcroft.Version, wait time.Duration) (marigoldcroft.Object, error) {
 	query := url.Values{"version": {string(known)}, "waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)}}
 	return h.read(ctx, "watch "+key, key, watchPath+url.PathEscape(key)+"?"+query.Encode())
@@ -49,7 +49,7 @@
 		return marigoldcroft.Object{}, marigoldcroft.NewFailure(operation, KindUnavailable, err)
 	}
 	if answer.status == http.StatusNotModified {
-		return marigoldcroft.NewObject(key, nil, parseETag(answer.header), ""), nil
+		return marigoldcroft.NewObject(key, nil, parseETag(answer.header), answer.header.Get(WriteIDHeader)), nil
 	}
 	if answer.status != http.StatusOK {
 		return marigoldcroft.Object{}, failure(operation, answer, KindUnavailable)
--- a/store.go
+++ b/store.go
@@ -46,7 +46,7 @@
 	// List returns up to limit keys with the prefix that sort after the key after.
 	List(ctx context.Context, prefix, after string, limit int) ([]ObjectEntry, error)
 	// Watch returns the object as soon as its version differs from known. When wait has
-	// passed it returns the known version, and the value may be left out. A deleted
+	// passed it returns the known version and its write id; the value may be left out. A deleted
 	// object is not found.
 	Watch(ctx context.Context, key string, known Version, wait time.Duration) (Object, error)
 }
