Read parts of long prompts only where streams bear the pause

A part of a prompt is read inside one pass of its engine, and the plan counted only the short streams there, so that long streams stood still for each part.

Change: a plan takes engines without streams, or those whose whole read stays within what their streams bear, and lets the stream be written where others already are.

--- a/mcemulate/patterns_test.go
+++ b/mcemulate/patterns_test.go
@@ -79,6 +79,20 @@
 	require.Less(t, whole["audit"].OnTimeShare(), 0.6)
 }
 
+// Pattern: prompts of some 10,000 tokens beside those of hundreds of thousands, at the mean
+// rates of the pool. Guards against parts of prompts that are read on engines which write
+// the streams of others: each such part is a pause of its own length.
+func TestLongReadsSpareLongStreams(t *testing.T) {
+	comparisons := mcemulate.Class{
+		Name: "comparison", PerSecond: steady(1.57), Prompt: 45_000, Output: 780, Spread: 0.5, MaxPrompt: 110_000,
+		Objective: 1500 * time.Millisecond, MaxPause: 600 * time.Millisecond, Deadline: 10 * time.Second,
+	}
+	results := play(t, mcscheduler.PolicyPassModel, captions(steady(28)), comparisons, audits(0.73))
+	for name, r := range results {
+		require.LessOrEqual(t, float64(r.Paused), 0.05*float64(r.Served)+1, name)
+	}
+}
+
 // Pattern: arrivals of short work jump fivefold within a second. Guards against a crest
 // whose first tokens are more than twice the calm ones (docs/design.md, 1.3), while the
 // slots of all engines suffice.
--- a/mcemulate/run.go
+++ b/mcemulate/run.go
@@ -57,8 +57,8 @@
 		Class string
 		// Asked counts requests; OnTime those that met their objective and their pauses;
 		// Served those that got a whole answer in time, on time or late; Refused those that
-		// were refused.
-		Asked, OnTime, Served, Refused int
+		// were refused; Paused those served with a longer pause than their class bears.
+		Asked, OnTime, Served, Refused, Paused int
 		// FirstP50 and FirstP95 are of served requests.
 		FirstP50, FirstP95 time.Duration
 		firsts             []time.Duration
@@ -336,7 +336,10 @@
 	result, c := &r.results[q.class], r.Classes[q.class]
 	result.Served++
 	result.firsts = append(result.firsts, q.firstAt-q.arrived)
-	if q.firstAt-q.arrived <= c.Objective && q.worstPause <= c.MaxPause {
+	switch {
+	case q.worstPause > c.MaxPause:
+		result.Paused++
+	case q.firstAt-q.arrived <= c.Objective:
 		result.OnTime++
 	}
 }
--- a/mcscheduler/passmodel.go
+++ b/mcscheduler/passmodel.go
@@ -28,8 +28,8 @@
 // several of the others at once.
 type passModel struct {
 	s *scheduler
-	// candidates is reused between calls.
-	candidates []candidate
+	// candidates and chosen are reused between calls.
+	candidates, chosen []candidate
 }
 
 // known tells whether the engines of the pool have published their figures.
--- a/mcscheduler/passmodel_long.go
+++ b/mcscheduler/passmodel_long.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -15,12 +16,21 @@
 	longWaitLimit = 1.0
 	// earlyShare of the time to the objective is early enough: no more helpers are taken.
 	earlyShare = 0.45
-	// sharedPart is the longest part in seconds that is read by engines of the set for short
-	// work as a matter of course.
-	sharedPart = 0.1
-	// partLimit is the longest part in seconds that leaves pauses of long streams within
-	// their usual bounds of 600 ms and more.
-	partLimit = 0.4
+	// longStallLimit is the longest read that leaves pauses of long streams within their
+	// usual bounds of 600 ms and more, in seconds.
+	longStallLimit = 0.35
+	// partLimit is the longest part in seconds that is read while shorter ones are as early: an
+	// engine that reads a long one cannot take streams whose pauses are bounded.
+	partLimit = 0.3
+	// longWeight is the number of short streams whose pauses weigh as much as those of a
+	// long one.
+	longWeight = 6
+	// streamBias in seconds counts against helpers with streams, which others choose for
+	// writing; readingBias against those that have the own part of a long prompt to read, as
+	// parts for others go first; idleBias against writing on an engine without streams.
+	streamBias  = 0.3
+	readingBias = 0.3
+	idleBias    = 0.2
 	// typicalEngines is the number of parts by which slow engines are compared.
 	typicalEngines = 6
 	// hostShare is the part of an engine's memory that one prompt may take when it is spread,
@@ -31,8 +41,8 @@
 	// such a prompt; spreadRetry bounds the time after which a refused one comes back.
 	spreadWaitLimit = 0.15
 	spreadRetry     = 4.0
-	// harmLimit is the number of short streams that may be stalled for one long request
-	// that would otherwise miss its objective.
+	// harmLimit is the weight of the streams that may be stalled for one long request that
+	// would otherwise miss its objective: some short ones, no long one.
 	harmLimit = 4
 )
 
@@ -41,18 +51,22 @@
 	candidate struct {
 		endpoint *endpoint
 		wait     float64
-		// reading is true while the engine has the own part of a long prompt to read. Parts
-		// that it reads for others go first and would delay that prompt.
-		reading bool
-		// streams counts the short streams that a long read would stall.
+		// order is the time in seconds to the end of a usual part, and what speaks against a
+		// part there.
+		order float64
+		// hosting is true if the engine has room for the whole prompt.
+		hosting bool
+		// streams is the weight of the streams there, and bears the longest read in seconds
+		// that leaves their pauses within their bounds.
 		streams int
+		bears   float64
 	}
 
 	// plan is a way to read a long prompt.
 	plan struct {
 		engines int
 		first   float64
-		// harm counts the short streams that would pause for too long.
+		// harm is the weight of the streams that would pause for too long.
 		harm int
 		wait float64
 	}
@@ -78,165 +92,166 @@
 // placeLong chooses engines that read the prompt in even parts. The first one also
 // keeps its memory and writes the answer.
 func (r *passModel) placeLong(now time.Duration, it *item) (placement, blocked) {
-	var best plan
-	ok := false
-	if it.hosts == 0 {
-		best, ok = r.chooseShared(now, it)
+	if why := r.collect(now, it); why != placed {
+		return placement{}, why
 	}
+	best, ok := r.choose(now, it)
 	if !ok {
-		why := r.collect(now, it, 0)
-		if why != placed {
-			return placement{}, why
-		}
-		if best, ok = r.choose(now, it); !ok {
-			return placement{}, blockedBusy
-		}
+		return placement{}, blockedBusy
 	}
-	chosen := r.candidates[:best.engines]
+	main := r.chosen[0]
 	at := placement{
-		endpoint: chosen[0].endpoint, wait: best.wait, own: best.first - best.wait,
+		endpoint: main.endpoint, wait: best.wait, own: best.first - best.wait,
 		prefill: it.prefill / int64(best.engines),
 	}
-	for _, c := range chosen[1:] {
+	for _, c := range r.chosen[1:] {
 		at.parts = append(at.parts, c.endpoint)
 	}
 	return at, placed
 }
 
-// chooseShared plans to read the prompt in small parts on the engines of short work,
-// where its stream is safe from the long parts of others.
-func (r *passModel) chooseShared(now time.Duration, it *item) (plan, bool) {
-	p := it.pool
-	if r.collect(now, it, len(p.live)-r.shortEngines(p)) != placed {
-		return plan{}, false
-	}
-	left, wait, slowest := (it.objective - now).Seconds(), 0.0, 0.0
-	for k := 1; k <= min(len(r.candidates), maxHelpers+1); k++ {
-		c := r.candidates[k-1]
-		wait = max(wait, c.wait)
-		slowest = max(slowest, 1/c.endpoint.rate())
-		part := float64(it.prefill) / float64(k) * slowest
-		first := wait + part + passesAhead*p.passSeconds()
-		if part <= sharedPart && first <= earlyShare*left {
-			return plan{engines: k, wait: wait, first: first}, true
-		}
-	}
-	return plan{}, false
-}
-
-// collect fills candidates with the live engines from a position on, the best first. The
-// first one has room for the whole prompt.
-func (r *passModel) collect(now time.Duration, it *item, from int) blocked {
-	why, main := blockedGone, -1
+// collect fills candidates with the live engines, those first that would read a part the
+// earliest. At least one of them has room for the whole prompt.
+func (r *passModel) collect(now time.Duration, it *item) blocked {
+	why, typical, hosting := blockedGone, float64(it.prefill)/typicalEngines, false
 	r.candidates = r.candidates[:0]
-	for _, e := range it.pool.live[from:] {
+	for _, e := range it.pool.live {
 		if it.excludes(e) {
 			continue
 		}
-		r.candidates = append(r.candidates, candidate{
-			endpoint: e, wait: r.wait(now, e), streams: e.shorts + e.peerShorts, reading: e.readsOwnLong(),
-		})
-	}
-	typical := float64(it.prefill) / typicalEngines
-	slices.SortStableFunc(r.candidates, func(a, b candidate) int {
-		if from == 0 && (a.streams > 0) != (b.streams > 0) {
-			return cmp.Compare(a.streams, b.streams)
+		reason := r.allowed(now, it, e)
+		c := candidate{endpoint: e, wait: r.wait(now, e), hosting: reason == placed}
+		c.describeStreams()
+		c.order = c.wait + typical/e.rate()
+		if c.streams > 0 {
+			c.order += streamBias
 		}
-		if a.reading != b.reading {
-			return order(a.reading)
-		}
-		return cmp.Compare(a.wait+typical/a.endpoint.rate(), b.wait+typical/b.endpoint.rate())
-	})
-	for i, c := range r.candidates {
-		reason := r.allowed(now, it, c.endpoint)
-		if reason == placed {
-			main = i
-			break
+		if e.readsOwnLong() {
+			c.order += readingBias
 		}
+		hosting = hosting || c.hosting
 		why = max(why, reason)
+		r.candidates = append(r.candidates, c)
 	}
-	if main < 0 {
+	if !hosting {
 		return why
 	}
-	first := r.candidates[main]
-	copy(r.candidates[1:main+1], r.candidates[:main])
-	r.candidates[0] = first
-	if it.work.Alone {
-		r.candidates = r.candidates[:1]
-	}
-	if !r.gatherHosts(now, it) {
-		return blockedMemory
-	}
+	slices.SortStableFunc(r.candidates, func(a, b candidate) int { return cmp.Compare(a.order, b.order) })
 	return placed
 }
 
-// gatherHosts moves candidates that can keep a part of the item's memory behind the
-// first one. It returns false when there are too few.
-func (r *passModel) gatherHosts(now time.Duration, it *item) bool {
-	next := 1
-	for i := 1; i < len(r.candidates) && next < it.hosts; i++ {
-		if r.candidates[i].endpoint.free(now) < it.held {
-			continue
-		}
-		host := r.candidates[i]
-		copy(r.candidates[next+1:i+1], r.candidates[next:i])
-		r.candidates[next] = host
-		next++
+// describeStreams notes what streams there are and how long a read they bear.
+func (c *candidate) describeStreams() {
+	e := c.endpoint
+	shorts, longs := e.shorts+e.peerShorts, e.longs
+	for _, p := range e.peers {
+		longs += p.mains
 	}
-	return next >= it.hosts
-}
-
-// order sorts what is marked behind what is not.
-func order(marked bool) int {
-	if marked {
-		return 1
+	c.streams, c.bears = shorts+longWeight*longs, math.Inf(1)
+	switch {
+	case shorts > 0:
+		c.bears = stallLimit
+	case longs > 0:
+		c.bears = longStallLimit
 	}
-	return -1
 }
 
-// choose compares the plans with one engine, two and so on.
+// choose compares the plans with one engine, two and so on: first those that stall no
+// stream, then those that stall a few for work that would otherwise miss its objective.
 func (r *passModel) choose(now time.Duration, it *item) (plan, bool) {
 	left := (it.objective - now).Seconds()
 	var best, harmful plan
-	wait, slowest, streams := 0.0, 0.0, 0
-	for k := 1; k <= min(len(r.candidates), maxHelpers+1); k++ {
-		c := r.candidates[k-1]
-		wait = max(wait, c.wait)
-		slowest = max(slowest, 1/c.endpoint.rate())
-		streams += c.streams
-		if k < it.hosts {
-			continue
-		}
-		pl := plan{engines: k, wait: wait}
-		part := float64(it.prefill) / float64(k) * slowest
-		pl.first = wait + part + passesAhead*it.pool.passSeconds()
-		if part > stallLimit {
-			pl.harm = streams
-		}
-		if pl.harm > 0 {
-			if harmful.engines == 0 || pl.harm < harmful.harm || pl.harm == harmful.harm && pl.first < harmful.first {
-				harmful = pl
-			}
-			continue
-		}
-		if best.engines == 0 || pl.first < best.first {
+	most := min(len(r.candidates), maxHelpers+1)
+	if it.work.Alone {
+		most = 1
+	}
+	for k := max(1, it.hosts); k <= most; k++ {
+		pl, ok := r.gather(now, it, k, false)
+		if ok && (best.engines == 0 || pl.first < best.first) {
 			best = pl
 		}
-		if pl.first <= earlyShare*left && part <= partLimit {
+		if ok && pl.first <= earlyShare*left && float64(it.prefill)/float64(k) <= partLimit*it.pool.figures.PrefillTokensPerSecond {
 			break
 		}
+		if pl, ok = r.gather(now, it, k, true); ok && pl.first <= left && (harmful.engines == 0 || pl.harm < harmful.harm) {
+			harmful = pl
+		}
 	}
 	limit := longWaitLimit
 	if it.hosts > 0 {
 		limit = spreadWaitLimit
 	}
 	useful := best.engines > 0 && best.wait <= limit
-	if useful && best.first <= left {
-		return best, true
-	}
-	if harmful.engines > 0 && harmful.harm <= harmLimit && harmful.first <= left {
-		return harmful, true
+	switch {
+	case useful && (best.first <= left || r.late(now, it)):
+		return r.gather(now, it, best.engines, false)
+	case harmful.engines > 0 && harmful.harm <= harmLimit:
+		return r.gather(now, it, harmful.engines, true)
 	}
 	// Work that can still meet its objective waits for engines to come free.
-	return best, useful && r.late(now, it)
+	return plan{}, false
+}
+
+// gather chooses so many engines for even parts of the prompt, the one that writes the
+// answer first, and predicts the first token.
+func (r *passModel) gather(now time.Duration, it *item, engines int, harming bool) (plan, bool) {
+	part := float64(it.prefill) / float64(engines)
+	main, least := -1, math.Inf(1)
+	for i, c := range r.candidates {
+		if !c.hosting || !harming && !c.bearing(part) {
+			continue
+		}
+		score := c.wait + part/c.endpoint.rate()
+		if c.streams == 0 {
+			score += idleBias
+		}
+		if harming {
+			score += float64(c.harm(part))
+		}
+		if score < least {
+			main, least = i, score
+		}
+	}
+	if main < 0 {
+		return plan{}, false
+	}
+	r.chosen = append(r.chosen[:0], r.candidates[main])
+	hosts := it.hosts
+	for i, c := range r.candidates {
+		if len(r.chosen) == engines {
+			break
+		}
+		if i == main || !harming && !c.bearing(part) {
+			continue
+		}
+		if len(r.chosen) < hosts && c.endpoint.free(now) < it.held {
+			continue
+		}
+		r.chosen = append(r.chosen, c)
+	}
+	if len(r.chosen) < engines {
+		return plan{}, false
+	}
+	pl := plan{engines: engines}
+	read := 0.0
+	for _, c := range r.chosen {
+		pl.wait = max(pl.wait, c.wait)
+		read = max(read, c.wait+part/c.endpoint.rate())
+		pl.harm += c.harm(part)
+	}
+	pl.first = read + passesAhead*it.pool.passSeconds()
+	return pl, true
+}
+
+// bearing tells whether the streams there bear the read of a part of so many tokens.
+func (c *candidate) bearing(tokens float64) bool {
+	return c.wait+tokens/c.endpoint.rate() <= c.bears
+}
+
+// harm returns the weight of the streams that the read of a part would stall.
+func (c *candidate) harm(tokens float64) int {
+	if c.bearing(tokens) {
+		return 0
+	}
+	return c.streams
 }
