Let instances confirm their copies of the store's records to each other

Ruled out: longer watches alone (a lost answer would be noticed after their end, and the lease on keys needs a confirmation every 4 s); calls with stale-ok (they confirm nothing).

Change: answers of the exchange carry a digest and the age of two copies. The first instance in rendezvous order confirms every 1.2 s, the others wait 25 s and ask themselves when nobody has confirmed their copy or a peer's newer copy differs.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -37,6 +37,16 @@
 	// instanceWait is how long a watch of the peers' records waits; they change only when
 	// instances are replaced.
 	instanceWait = 25 * time.Second
+	// sharedWait is how long a watch waits at an instance whose copies peers confirm,
+	// confirmWait at the one that confirms them for all.
+	sharedWait  = 25 * time.Second
+	confirmWait = 1200 * time.Millisecond
+	// leastPatience is the age of a copy from which the first instance in line asks the store
+	// though its watch waits; each further one waits longer by patienceStep, up to
+	// mostPatience, which leaves a second of the lease on keys for the call.
+	leastPatience = 1500 * time.Millisecond
+	patienceStep  = 300 * time.Millisecond
+	mostPatience  = 2700 * time.Millisecond
 	// endpointCalls and instanceCalls bound the store calls a second that a series of changed
 	// records costs all instances together: a tenth and a fortieth of the least reading rate
 	// of the known sites, 2,000 a second.
@@ -176,13 +186,15 @@
 	e.fleet.Ended = e.forwarder.Ended
 	e.store = platform.NewStore(s.PlatformStore)
 	e.routing = &mcfollow.Follower[marigoldcroft.RoutingTable]{
-		Name: "routing", Feed: platform.Routing(e.store), Apply: e.applyRouting, Logger: e.logger,
+		Name: recordsRouting, Feed: platform.Routing(e.store), Apply: e.applyRouting, Logger: e.logger,
+		Wait: e.wait(recordsRouting), Patience: e.patience(recordsRouting), Hash: hashTable, Confirmed: e.confirmRouting,
 	}
 	e.endpoints = &mcfollow.Follower[marigoldcroft.EndpointRecord]{
-		Name: "endpoints", Feed: platform.Endpoints(e.store), Settle: e.settle(endpointCalls, endpointSettle), Apply: e.fleet.Apply, Logger: e.logger,
+		Name: recordsEndpoints, Feed: platform.Endpoints(e.store), Apply: e.fleet.Apply, Logger: e.logger,
+		Wait: e.wait(recordsEndpoints), Patience: e.patience(recordsEndpoints), Hash: hashEndpoint, Settle: e.settle(endpointCalls, endpointSettle),
 	}
 	e.instances = &mcfollow.Follower[marigoldcroft.ListedInstance]{
-		Name: "instances", Feed: platform.Instances(e.store), Wait: instanceWait, Settle: e.settle(instanceCalls, instanceSettle),
+		Name: "instances", Feed: platform.Instances(e.store), Wait: func() time.Duration { return instanceWait }, Settle: e.settle(instanceCalls, instanceSettle),
 		Apply: e.roster.apply, Logger: e.logger,
 	}
 	return nil
@@ -203,6 +215,7 @@
 		Self:      mcmember.Self{Identity: e.identity, PeerAddress: address, AdminAddress: e.Settings.AdminAddress},
 		Transport: e.pool, List: e.roster, Logger: e.logger, Meter: controlMeter{e.metrics}, Seed: seed,
 		Budget: exchangeBudget, LeastInterval: exchangeInterval, MostWork: exchangedEndpoints, InFlight: e.scheduler.InFlight,
+		Copies: e.copies, HeardCopies: e.heardCopies,
 	}
 	e.peers = &mcpeer.Server{
 		Address: address, Identity: e.identity, Logger: e.logger, Member: e.member,
@@ -243,8 +256,12 @@
 			e.router.Offer(r.Value, "store")
 		}
 	}
+	e.confirmRouting(change.Complete)
+}
+
+func (e *Forwarding) confirmRouting(complete time.Duration) {
 	if table := e.router.Table(); table != nil {
-		e.router.Confirm(table.Version(), change.Complete)
+		e.router.Confirm(table.Version(), complete)
 	}
 }
 
--- a/mcfollow/follower.go
+++ b/mcfollow/follower.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,15 +44,24 @@
 		// Name says in log lines what is followed.
 		Name string
 		Feed marigoldcroft.Feed[T]
-		// Wait is how long a watch waits; 0 means DefaultWait.
-		Wait time.Duration
+		// Wait returns how long the next watch waits; nil means DefaultWait.
+		Wait func() time.Duration
 		// Settle returns the pause after a watch that brought changes: those that follow within
 		// it come in one answer. Nil means none.
 		Settle func() time.Duration
 		// Apply is called from Run for each answer, also for one without changes.
 		Apply  func(change Change[T])
 		Logger zerolog.Logger
+		// Hash returns the hash of what a record says; nil means that the copy is not compared
+		// with those of peers.
+		Hash func(value *T) uint64
+		// Patience returns the age of the copy from which a waiting watch is given up for one
+		// that does not wait; nil means never.
+		Patience func() time.Duration
+		// Confirmed is told of the boot time at which a peer found the same content complete.
+		Confirmed func(complete time.Duration)
 
+		shared   shared
 		revision int64
 		listed   bool
 		failures int
@@ -65,6 +75,11 @@
 
 // Run follows until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
+	var guard sync.WaitGroup
+	defer guard.Wait()
+	if f.Patience != nil {
+		guard.Go(func() { f.guard(ctx) })
+	}
 	for ctx.Err() == nil {
 		changed, err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -76,7 +91,7 @@
 			}
 			continue
 		}
-		if marigoldcroft.IsHistoryGone(err) {
+		if f.listed && marigoldcroft.IsHistoryGone(err) {
 			f.listed = false
 			f.Logger.Info().Str("records", f.Name).Int64("revision", f.revision).Msg("historyGone")
 			continue
@@ -89,11 +104,11 @@
 // step makes one call: a list when nothing is known, otherwise a watch. It tells whether
 // a watch brought changes.
 func (f *Follower[T]) step(ctx context.Context) (bool, error) {
-	wait := f.Wait
-	if wait == 0 {
-		wait = DefaultWait
+	wait := DefaultWait
+	if f.Wait != nil {
+		wait = f.Wait()
 	}
-	if f.failures > 0 {
+	if f.shared.takeHurry() || f.failures > 0 {
 		wait = returnWait
 	}
 	f.calls.Add(1)
@@ -107,7 +122,11 @@
 		f.take(records, revision, true, asked)
 		return false, nil
 	}
-	records, revision, err := f.Feed.Changes(ctx, f.revision, wait)
+	watch, end := f.shared.begin(ctx, wait > returnWait)
+	records, revision, err := f.Feed.Changes(watch, f.revision, wait)
+	if end() && err != nil && ctx.Err() == nil {
+		return false, nil
+	}
 	if err != nil {
 		return false, err
 	}
@@ -128,6 +147,9 @@
 	}
 	f.failures, f.revision = 0, revision
 	f.Apply(change)
+	if f.Hash != nil {
+		f.shared.apply(whole, complete, hashes(records, f.Hash))
+	}
 }
 
 // lost counts a failed call; the first of a series is logged.
--- a/mcfollow/follower_test.go
+++ b/mcfollow/follower_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,9 @@
 	"marigoldcroft/mcfollow"
 )
 
+// patience is the age of a copy in the tests from which the store is asked.
+const patience = 600 * time.Millisecond
+
 // settle is the pause in which followers of the tests gather changes.
 const settle = 300 * time.Millisecond
 
@@ -237,3 +241,86 @@
 		require.GreaterOrEqual(t, later, lost, "the age grows while the store refuses")
 	})
 }
+
+// hashNumber is the hash of a record of the tests.
+func hashNumber(n *int) uint64 { return uint64(*n)*2654435761 + 1 }
+
+// shared returns a follower whose watch waits for a minute, unless nobody confirms its
+// copy for the patience.
+func shared(f *feed, kept *copyOf) *mcfollow.Follower[int] {
+	return &mcfollow.Follower[int]{
+		Name: "numbers", Feed: f, Apply: kept.apply, Logger: zerolog.Nop(), Hash: hashNumber,
+		Wait:     func() time.Duration { return time.Minute },
+		Patience: func() time.Duration { return patience },
+	}
+}
+
+// Guards against store calls of every instance for what one of them has confirmed, and
+// against a copy that nobody confirms any more and that is taken for current.
+func TestPeersConfirmTheCopy(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	f, kept := &feed{revision: 1, records: map[string]int{"a": 1}}, &copyOf{}
+	follower := shared(f, kept)
+	var confirmed atomic.Int64
+	follower.Confirmed = func(time.Duration) { confirmed.Add(1) }
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.Run(ctx)
+	}()
+	require.Never(t, func() bool {
+		if digest, _, known := follower.State(); known {
+			follower.Heard(digest, mcclock.Now())
+		}
+		return follower.Calls() > 2
+	}, 3*patience, patience/20, "more than a list and one watch that waits")
+	require.Positive(t, confirmed.Load())
+	require.Eventually(t, func() bool { return follower.Calls() >= 4 }, 5*patience, patience/20, "the store is not asked when peers are silent")
+	cancel()
+	<-done
+}
+
+// Guards against a watch whose answer was lost: a peer that has other content, which is
+// newer, shows it before the own watch ends.
+func TestNewerCopyOfAPeerShowsALostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f, kept := &feed{revision: 1, records: map[string]int{"a": 1}}, &copyOf{}
+		follower := shared(f, kept)
+		follower.Patience = func() time.Duration { return time.Hour }
+		go follower.Run(ctx)
+		synctest.Wait()
+		digest, complete, _ := follower.State()
+		follower.Heard(digest+1, complete+300*time.Millisecond)
+		synctest.Wait()
+		require.Equal(t, int64(2), follower.Calls(), "the change may still be on its way")
+		follower.Heard(digest+1, complete+2*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		require.GreaterOrEqual(t, follower.Calls(), int64(3))
+		cancel()
+	})
+}
+
+// Guards against copies of the same content that pass for different ones: the digest must
+// not depend on the way in which the records came.
+func TestDigestDependsOnContentAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f, kept := &feed{revision: 1, records: map[string]int{"a": 1}}, &copyOf{}
+		follower := shared(f, kept)
+		go follower.Run(ctx)
+		synctest.Wait()
+		two := 2
+		f.set(func() {
+			f.pending = []marigoldcroft.Record[int]{{Name: "b", Value: &two}, {Name: "a", Deleted: true}, {Name: "c", Deleted: true}}
+		})
+		time.Sleep(100 * time.Millisecond)
+		followed, _, _ := follower.State()
+		listed := shared(&feed{revision: 9, records: map[string]int{"b": 2}}, &copyOf{})
+		go listed.Run(ctx)
+		synctest.Wait()
+		fresh, _, _ := listed.State()
+		require.Equal(t, fresh, followed)
+		cancel()
+	})
+}
--- a/mcmember/exchange.go
+++ b/mcmember/exchange.go
@@ -115,11 +115,11 @@
 	}
 }
 
-// Serve merges a request and returns the answer.
-func (t *Table) Serve(now time.Time, request *mcmessage.ExchangeRequest) *mcmessage.ExchangeResponse {
+// Serve merges a request and returns the answer, which tells of the own copies.
+func (t *Table) Serve(now time.Time, request *mcmessage.ExchangeRequest, copies ...*mcmessage.CopyState) *mcmessage.ExchangeResponse {
 	t.lastContact = now
 	t.beat(now)
-	answer := &mcmessage.ExchangeResponse{Sender: t.sender()}
+	answer := &mcmessage.ExchangeResponse{Sender: t.sender(), Copies: copies}
 	sender := request.GetSender()
 	if m := t.members[sender.GetInstance()]; m != nil && m.givenUp() && m.record.GetIncarnation() == sender.GetIncarnation() {
 		answer.HeldGone, answer.HeldSequence = true, m.gone
--- a/mcmember/member.go
+++ b/mcmember/member.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"marigoldcroft"
+	"marigoldcroft/mcclock"
 	"marigoldcroft/mcmessage"
 	"marigoldcroft/mcring"
 )
@@ -31,6 +32,8 @@
 	workFanout = 12
 	// workSpacing is the least time between two pushes of work.
 	workSpacing = 80 * time.Millisecond
+	// MaxCopies bounds the kinds of records whose copies members compare.
+	MaxCopies = 8
 	// maxCalls bounds the calls of peers in flight from one member.
 	maxCalls = 64
 	// rateWindow is the time constant of the measured traffic rate.
@@ -96,6 +99,11 @@
 		// InFlight and Usage are asked once an interval; either may be nil.
 		InFlight func() map[string]marigoldcroft.InFlight
 		Usage    func() []TeamUsage
+		// Copies returns how current the own copies of records are, and HeardCopies takes what
+		// a peer said of its own; asked is the boot time from which its ages count, so that they
+		// are never too young. Either may be nil.
+		Copies      func() []*mcmessage.CopyState
+		HeardCopies func(asked time.Duration, copies []*mcmessage.CopyState)
 
 		once        sync.Once
 		mu          sync.Mutex
@@ -366,6 +374,7 @@
 		defer cancel()
 		var sent Sent
 		m.do(func(t *Table, now time.Time) { sent = t.Request(now, keys) })
+		asked := mcclock.Now()
 		answer, err := m.Transport.Exchange(ctx, peer, sent.Request)
 		if err != nil {
 			m.count("exchange", proto.Size(sent.Request), 0)
@@ -375,6 +384,9 @@
 		m.count("exchange", proto.Size(sent.Request), proto.Size(answer))
 		again := false
 		m.do(func(t *Table, now time.Time) { again = t.Finish(now, sent, answer) })
+		if m.HeardCopies != nil && len(answer.GetCopies()) > 0 {
+			m.HeardCopies(asked, answer.GetCopies())
+		}
 		if !again {
 			break
 		}
@@ -410,7 +422,11 @@
 // Exchange serves one push-pull round.
 func (m *Member) Exchange(_ context.Context, request *mcmessage.ExchangeRequest) (*mcmessage.ExchangeResponse, error) {
 	var answer *mcmessage.ExchangeResponse
-	m.do(func(t *Table, now time.Time) { answer = t.Serve(now, request) })
+	var copies []*mcmessage.CopyState
+	if m.Copies != nil {
+		copies = m.Copies()
+	}
+	m.do(func(t *Table, now time.Time) { answer = t.Serve(now, request, copies...) })
 	m.count("exchange", proto.Size(answer), proto.Size(request))
 	return answer, nil
 }
--- a/mcpeer/limit.go
+++ b/mcpeer/limit.go
@@ -160,6 +160,11 @@
 	"ExchangeResponse.unequal_buckets": numbers(maxBuckets, maxBuckets-1),
 	"ExchangeResponse.config_revision": number(maxRevision),
 	"ExchangeResponse.held_sequence":   number(maxVersion),
+	"ExchangeResponse.copies":          list(mcmember.MaxCopies),
+
+	"CopyState.records": text(1, maxName),
+	"CopyState.digest":  anyNumber,
+	"CopyState.age_ms":  number(maxUnixMs),
 
 	"ProbeRequest.target_instance": text(1, maxName),
 	"ProbeRequest.target_address":  text(0, maxAddress),
--- a/mcroute/peer.go
+++ b/mcroute/peer.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// askAfter is the age of the own confirmation from which peers are asked; a watch of
-	// the store confirms every two seconds or so.
-	askAfter = 2500 * time.Millisecond
+	// askAfter is the age of the own confirmation from which peers are asked: the exchange
+	// and, after that, the store have been given time to confirm it.
+	askAfter = 2800 * time.Millisecond
 	// askInterval is the time between two rounds of questions, askTimeout bounds each one.
 	askInterval = 500 * time.Millisecond
 	askTimeout  = 400 * time.Millisecond
