Add a fault soak of real processes

Cause: the promises were proved by single faults; no run overlapped kills, pauses, cut links, store outages, misbehaving servers and changes of the configuration from outside real processes.

Tests show that each check fails on what it is for.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 RAPID_SEED ?= 20261204
 RAPID_PACKAGES := $(addprefix marigoldcroft/,$(shell git grep -l pgregory.net/rapid -- '*_test.go' | xargs -n1 dirname | sort -u))
 
-.PHONY: build test check unit random fuzz smoke quickstart format protogen
+.PHONY: build test check unit random fuzz smoke quickstart soak format protogen
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -47,6 +47,10 @@
 quickstart: build
 	$(GO) run ./scripts/quickstart
 
+# soak runs real processes under faults of fresh seeds; docs/soak.md.
+soak:
+	$(GO) run ./scripts/soak --seeds 8 --parallel 2
+
 format:
 	$(GO) tool gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
 
--- /dev/null
+++ b/mcsoak/soak_test.go
@@ -0,0 +1,185 @@
+package mcsoak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft/mcstandin"
+)
+
+// seed is that of the run in CI.
+const seed = 20261204
+
+// regressionSeeds are those that ever failed, each with its cause.
+var regressionSeeds = []uint64{}
+
+func newSoak() *Soak {
+	return &Soak{outcomes: make(map[string]*outcome), revoked: make(map[string]time.Time), began: time.Now(), Log: io.Discard}
+}
+
+// Guards against promises that processes break under faults, and against a soak that
+// cannot run.
+func TestShortSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "marigoldcroft")
+	output, err := exec.Command("go", "build", "-o", binary, "../cmd/marigoldcroft").CombinedOutput()
+	require.NoError(t, err, string(output))
+	for _, seed := range append([]uint64{seed}, regressionSeeds...) {
+		s := &Soak{
+			Binary: binary, Folder: t.TempDir(), Seed: seed, Length: 6 * time.Second, Instances: 2, Callers: 8, Log: testLog{t},
+		}
+		report, err := s.Run(t.Context())
+		require.NoError(t, err)
+		require.Empty(t, report.Broken)
+		require.Positive(t, report.Answered)
+	}
+}
+
+type testLog struct{ t *testing.T }
+
+func (l testLog) Write(line []byte) (int, error) {
+	l.t.Log(strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
+// stream returns the events of a stream with the ids.
+func stream(ids ...int) string {
+	var text strings.Builder
+	for _, id := range ids {
+		fmt.Fprintf(&text, "id: %d\ndata: token %d\n\n", id, id)
+	}
+	return text.String()
+}
+
+// Guards against a check that cannot fail: what callers must not see is noticed.
+func TestBrokenAnswersAreNoticed(t *testing.T) {
+	all := make([]int, streamEvents)
+	for n := range all {
+		all[n] = n + 1
+	}
+	streaming := func(answer string, whole bool) func(o *outcome) {
+		return func(o *outcome) { o.kind, o.answer, o.whole = kinds[2], answer, whole }
+	}
+	for name, c := range map[string]struct {
+		change  func(o *outcome)
+		promise string
+	}{
+		"sound":             {func(*outcome) {}, ""},
+		"sound stream":      {streaming(stream(all...), true), ""},
+		"broken off stream": {streaming(stream(1, 2)+"id: 3\ndata: to", false), ""},
+		"no receipt":        {func(o *outcome) { o.sealed = false }, "whole answers"},
+		"foreign":           {func(o *outcome) { o.answer = "answer to b" }, "whole answers"},
+		"short stream":      {streaming(stream(1, 2, 3), true), "whole answers"},
+		"missing event":     {streaming(stream(1, 3), false), "whole answers"},
+		"doubled event":     {streaming(stream(1, 2, 2), false), "whole answers"},
+		"joined events":     {streaming("id: 1\ndata: toid: 1\ndata: token 1\n\n", false), "whole answers"},
+		"late":              {func(o *outcome) { o.endedAt = o.sentAt.Add(callerTime + time.Second) }, "time limit"},
+		"unknown route":     {func(o *outcome) { o.status = http.StatusNotFound }, "configuration"},
+		"unknown key":       {func(o *outcome) { o.status = http.StatusUnauthorized }, "configuration"},
+	} {
+		s := newSoak()
+		o := &outcome{
+			id: "a", kind: kinds[0], instance: &instance{name: "z-1"}, key: steadyKey, sentAt: time.Now(), endedAt: time.Now(),
+			status: http.StatusOK, sealed: true, whole: true, answer: "answer to a",
+		}
+		c.change(o)
+		s.judge(o)
+		requireBroken(t, s, name, c.promise)
+	}
+}
+
+func requireBroken(t *testing.T, s *Soak, name, promise string) {
+	t.Helper()
+	if promise == "" {
+		require.Empty(t, s.report.Broken, name)
+		return
+	}
+	require.Len(t, s.report.Broken, 1, name)
+	require.Contains(t, s.report.Broken[0], promise, name)
+}
+
+// Guards against a check that cannot fail: what servers must not run is noticed.
+func TestBrokenRunsAreNoticed(t *testing.T) {
+	for name, c := range map[string]struct {
+		change  func(o *outcome, r *http.Request, b *backend)
+		times   int
+		promise string
+	}{
+		"sound":         {func(*outcome, *http.Request, *backend) {}, 1, ""},
+		"twice":         {func(*outcome, *http.Request, *backend) {}, 2, "at most once"},
+		"refused":       {func(o *outcome, _ *http.Request, _ *backend) { o.status = http.StatusServiceUnavailable }, 1, "not run"},
+		"other body":    {func(o *outcome, _ *http.Request, _ *backend) { o.body = "y" }, 1, "unchanged requests"},
+		"other path":    {func(o *outcome, _ *http.Request, _ *backend) { o.path = "/order/2" }, 1, "unchanged requests"},
+		"key passed":    {func(_ *outcome, r *http.Request, _ *backend) { r.Header.Set("Authorization", "Bearer k") }, 1, "keys"},
+		"other team":    {func(_ *outcome, r *http.Request, _ *backend) { r.Header.Set("Tenant", "b") }, 1, "keys"},
+		"other route":   {func(_ *outcome, _ *http.Request, b *backend) { b.service = "pool" }, 1, "routes"},
+		"revoked key":   {func(o *outcome, _ *http.Request, _ *backend) { o.key = "gone" }, 1, "keys"},
+		"cut by a stop": {func(o *outcome, _ *http.Request, _ *backend) { o.whole = false }, 1, "planned stops"},
+		"leaving":       {func(_ *outcome, _ *http.Request, b *backend) { b.leavingAt = time.Now().Add(-2 * leavingLimit) }, 1, "leaving servers"},
+	} {
+		s := newSoak()
+		s.revoked["gone"] = time.Now().Add(-2 * revokeLimit)
+		b := &backend{id: "i-1", service: "plain", server: &mcstandin.PlatformServer{ID: "i-1"}}
+		s.servers = append(s.servers, b)
+		s.stops = span{from: time.Now().Add(-time.Minute), to: time.Now().Add(time.Minute)}
+		o := &outcome{
+			id: "a", path: "/order/1", kind: kinds[1], instance: &instance{name: "z-1"}, key: steadyKey,
+			sentAt: time.Now(), endedAt: time.Now(), status: http.StatusOK, whole: true,
+		}
+		s.outcomes["a"] = o
+		r := httptest.NewRequest(http.MethodPost, o.path, nil)
+		r.Header.Set("Request-Id", "a")
+		r.Header.Set("Tenant", team)
+		c.change(o, r, b)
+		for range c.times {
+			b.serve(httptest.NewRecorder(), r)
+		}
+		s.judgeRuns()
+		requireBroken(t, s, name, c.promise)
+	}
+}
+
+// Guards against links that stay whole where a fault should harm them.
+func TestLinks(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	p, err := newProxy(strings.TrimPrefix(server.URL, "http://"))
+	require.NoError(t, err)
+	defer p.close()
+	client := &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	ask := func() error {
+		answer, err := client.Get("http://" + p.address)
+		if err != nil {
+			return err
+		}
+		return answer.Body.Close()
+	}
+	require.NoError(t, ask())
+	for _, state := range []linkState{linkSilent, linkOneWay, linkRefusing} {
+		p.set(state, 0)
+		require.Error(t, ask(), state)
+		p.set(linkWhole, 0)
+		require.NoError(t, ask(), state)
+	}
+	p.set(linkWhole, 100*time.Millisecond)
+	began := time.Now()
+	require.NoError(t, ask())
+	require.GreaterOrEqual(t, time.Since(began), 200*time.Millisecond)
+	p.set(linkWhole, 0)
+	conn, err := net.Dial("tcp", p.address)
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, ask())
+	p.resetAll()
+	_, err = conn.Read(make([]byte, 1))
+	require.Error(t, err)
+}
