Decide about long prompts within ten microseconds; read-through of the soak

Cause: a decision about a long prompt at 67 engines took 36 us, three times the target: plans that stall streams were worked out beside those that do not, with the rate of each engine computed anew for each plan.

Change: harmful plans are looked for only when no other meets the objective, rates are kept, engines at their published pace need no power. Unused names of the soak are gone.

--- a/mcscheduler/passmodel_long.go
+++ b/mcscheduler/passmodel_long.go
@@ -54,7 +54,8 @@
 	// candidate is an engine that could read a part of a long prompt.
 	candidate struct {
 		endpoint *endpoint
-		wait     float64
+		// rate is in prompt tokens a second, wait in seconds.
+		rate, wait float64
 		// order is the time in seconds to the end of a usual part, and what speaks against a
 		// part there.
 		order float64
@@ -124,9 +125,9 @@
 			continue
 		}
 		reason := r.allowed(now, it, e)
-		c := candidate{endpoint: e, wait: r.wait(now, e), hosting: reason == placed}
+		c := candidate{endpoint: e, rate: e.rate(), wait: r.wait(now, e), hosting: reason == placed}
 		c.describeStreams()
-		c.order = c.wait + typical/e.rate()
+		c.order = c.wait + typical/c.rate
 		if c.streams > 0 {
 			c.order += streamBias
 		}
@@ -164,7 +165,7 @@
 // stream, then those that stall a few for work that would otherwise miss its objective.
 func (r *passModel) choose(now time.Duration, it *item) (plan, bool) {
 	left := (it.objective - now).Seconds()
-	var best, harmful plan
+	var best plan
 	most := min(len(r.candidates), maxHelpers+1)
 	if it.work.Alone {
 		most = 1
@@ -177,23 +178,32 @@
 		if ok && pl.first <= earlyShare*left && it.partSeconds(pl) <= partLimit {
 			break
 		}
-		if pl, ok = r.gather(now, it, k, true); ok && pl.first <= left && (harmful.engines == 0 || pl.harm < harmful.harm) {
-			harmful = pl
-		}
 	}
 	limit := longWaitLimit
 	if it.hosts > 0 {
 		limit = spreadWaitLimit
 	}
 	useful := best.engines > 0 && best.wait <= limit
-	switch {
-	case useful && (best.first <= left || r.late(now, it) && it.partSeconds(best) <= it.latePart()):
+	if useful && (best.first <= left || r.late(now, it) && it.partSeconds(best) <= it.latePart()) {
 		return r.gather(now, it, best.engines, false)
-	case harmful.engines > 0 && harmful.harm <= harmLimit:
-		return r.gather(now, it, harmful.engines, true)
 	}
 	// Work that can still meet its objective waits for engines to come free.
-	return plan{}, false
+	return r.chooseHarmful(now, it, left, most)
+}
+
+// chooseHarmful plans with the least harm to streams that meets the objective.
+func (r *passModel) chooseHarmful(now time.Duration, it *item, left float64, most int) (plan, bool) {
+	var least plan
+	for k := max(1, it.hosts); k <= most; k++ {
+		pl, ok := r.gather(now, it, k, true)
+		if ok && pl.first <= left && (least.engines == 0 || pl.harm < least.harm) {
+			least = pl
+		}
+	}
+	if least.engines == 0 || least.harm > harmLimit {
+		return plan{}, false
+	}
+	return r.gather(now, it, least.engines, true)
 }
 
 // partSeconds returns the time in which a usual engine reads a part of the plan.
@@ -206,38 +216,21 @@
 }
 
 // gather chooses so many engines for even parts of the prompt, the one that writes the
-// answer first, and predicts the first token.
+// answer first, and predicts the first token. Unless harming, it takes only engines whose
+// streams bear the read.
 func (r *passModel) gather(now time.Duration, it *item, engines int, harming bool) (plan, bool) {
 	part := float64(it.prefill) / float64(engines)
-	main, least := -1, math.Inf(1)
-	for i, c := range r.candidates {
-		if !c.hosting || !harming && !c.bearing(part) {
-			continue
-		}
-		score := c.wait + part/c.endpoint.rate()
-		if c.streams == 0 {
-			score += idleBias
-		}
-		if harming {
-			score += float64(c.harm(part))
-		}
-		if score < least {
-			main, least = i, score
-		}
-	}
-	if main < 0 {
+	writer := r.writer(part, harming)
+	if writer < 0 {
 		return plan{}, false
 	}
-	r.chosen = append(r.chosen[:0], r.candidates[main])
-	hosts := it.hosts
+	r.chosen = append(r.chosen[:0], r.candidates[writer])
 	for i, c := range r.candidates {
 		if len(r.chosen) == engines {
 			break
 		}
-		if i == main || !harming && !c.bearing(part) {
-			continue
-		}
-		if len(r.chosen) < hosts && c.endpoint.free(now) < it.held {
+		keeps := len(r.chosen) < it.hosts
+		if i == writer || !harming && !c.bearing(part) || keeps && c.endpoint.free(now) < it.held {
 			continue
 		}
 		r.chosen = append(r.chosen, c)
@@ -245,20 +238,43 @@
 	if len(r.chosen) < engines {
 		return plan{}, false
 	}
-	pl := plan{engines: engines}
-	read := 0.0
+	return r.predict(it, part), true
+}
+
+// writer returns the candidate that is best to write the answer, or -1 if none has room.
+func (r *passModel) writer(part float64, harming bool) int {
+	best, least := -1, math.Inf(1)
+	for i := range r.candidates {
+		c := &r.candidates[i]
+		if !c.hosting || !harming && !c.bearing(part) {
+			continue
+		}
+		score := c.wait + part/c.rate + float64(c.harm(part))
+		if c.streams == 0 {
+			score += idleBias
+		}
+		if score < least {
+			best, least = i, score
+		}
+	}
+	return best
+}
+
+// predict returns the plan of the chosen engines.
+func (r *passModel) predict(it *item, part float64) plan {
+	pl, read := plan{engines: len(r.chosen)}, 0.0
 	for _, c := range r.chosen {
 		pl.wait = max(pl.wait, c.wait)
-		read = max(read, c.wait+part/c.endpoint.rate())
+		read = max(read, c.wait+part/c.rate)
 		pl.harm += c.harm(part)
 	}
 	pl.first = read + passesAhead*it.pool.passSeconds()
-	return pl, true
+	return pl
 }
 
 // bearing tells whether the streams there bear the read of a part of so many tokens.
 func (c *candidate) bearing(tokens float64) bool {
-	return c.wait+tokens/c.endpoint.rate() <= c.bears
+	return c.wait+tokens/c.rate <= c.bears
 }
 
 // harm returns the weight of the streams that the read of a part would stall.
--- a/mcscheduler/passmodel_pace.go
+++ b/mcscheduler/passmodel_pace.go
@@ -26,8 +26,11 @@
 
 // paceAt returns how many times slower than published the endpoint is believed to be.
 func (e *endpoint) paceAt(now time.Duration) float64 {
+	if e.pace <= 1 {
+		return 1
+	}
 	age := float64(now-e.pacedAt) / float64(paceHalfLife)
-	return 1 + (max(1, e.pace)-1)*math.Exp2(-age)
+	return 1 + (e.pace-1)*math.Exp2(-age)
 }
 
 // observePace moves the pace towards a sample of the ratio.
--- a/mcscheduler/passmodel_test.go
+++ b/mcscheduler/passmodel_test.go
@@ -1,6 +1,7 @@
 package mcscheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -98,3 +99,25 @@
 	require.NotEqual(t, slow, d.Endpoint)
 	require.NotContains(t, d.Helpers, slow)
 }
+
+// BenchmarkLongDecision is one decision about a long prompt at 67 engines with streams.
+func BenchmarkLongDecision(b *testing.B) {
+	s, err := mcscheduler.New(mcscheduler.PolicyPassModel, mcscheduler.Default())
+	require.NoError(b, err)
+	var list []marigoldcroft.Endpoint
+	for i := range 67 {
+		list = append(list, marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
+			Name: fmt.Sprintf("e%d", i), Kind: marigoldcroft.EndpointEngine, Pool: "m", Figures: passFigures(),
+		}))
+	}
+	s.SetEndpoints(at(0), list)
+	for n := range 100 {
+		s.Submit(at(0), passWork(n, 100))
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		work := passWork(1000+n, 90_000)
+		s.Submit(at(1), work)
+		s.Finish(at(1), work.ID, marigoldcroft.Completion{})
+	}
+}
--- a/mcsoak/check.go
+++ b/mcsoak/check.go
@@ -77,7 +77,7 @@
 // harmed tells whether the instance or its links were harmed at any time since shortly
 // before a moment.
 func (s *Soak) harmed(i *instance, at time.Time) bool {
-	return i.harmedSince(at.Add(-stableTime)) || s.linkHarmedSince(at.Add(-stableTime))
+	return i.harmedSince(at.Add(-stableTime)) || s.anyHarm(at.Add(-stableTime), time.Now())
 }
 
 // judgeRuns checks at the end what the servers ran.
--- a/mcsoak/failure.go
+++ b/mcsoak/failure.go
@@ -2,11 +2,8 @@
 
 import "marigoldcroft"
 
-// The kinds of soak errors.
-const (
-	KindStart   Kind = "cannot start"
-	KindPromise Kind = "promise broken"
-)
+// KindStart is the kind of errors of runs that did not begin.
+const KindStart Kind = "cannot start"
 
 type (
 	// Kind is the kind of a soak error.
--- a/mcsoak/fault.go
+++ b/mcsoak/fault.go
@@ -180,9 +180,7 @@
 	return false
 }
 
-func (s *Soak) linkHarmedSince(at time.Time) bool { return s.anyHarm(at, time.Now()) }
-
-// trouble draws faults until ctx ends and returns when the last one is over.
+// trouble draws faults for the length of the run and returns when the last one is over.
 func (s *Soak) trouble() {
 	random := rand.New(rand.NewPCG(s.Seed, s.Seed))
 	for time.Since(s.began) < s.Length {
--- a/mcsoak/instance.go
+++ b/mcsoak/instance.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -140,4 +139,4 @@
 }
 
 // address is where callers connect.
-func (i *instance) address() string { return strings.TrimSpace(i.callers.address) }
+func (i *instance) address() string { return i.callers.address }
--- a/mcsoak/soak.go
+++ b/mcsoak/soak.go
@@ -142,8 +142,7 @@
 			return err
 		}
 	}
-	s.began = time.Now()
-	for time.Since(s.began) < startTime {
+	for deadline := time.Now().Add(startTime); time.Now().Before(deadline); {
 		if s.allServe() {
 			return nil
 		}
