Keep the platform's wire names out of the soak

Cause: mcsoak wrote the platform's header fields, kinds of objects and configuration itself, which only platform/ and the stand-ins are to know.

Change: mcstandin has the platform's caller, entries and configurations as types whose fields say what they hold; mcsoak uses them.

--- a/mcsoak/backend.go
+++ b/mcsoak/backend.go
@@ -17,6 +17,7 @@
 	eventTime    = 25 * time.Millisecond
 	callTime     = 15 * time.Millisecond
 	serverSlots  = 8
+	dataCentre   = "z"
 )
 
 // backend is one server of a service with its entry in the store and the link to it.
@@ -47,7 +48,7 @@
 	if b.link, err = newProxy(strings.TrimPrefix(b.listener.URL, "http://")); err != nil {
 		return nil, err
 	}
-	s.enter(b, "ready")
+	s.enter(b, mcstandin.PlatformReady)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.servers = append(s.servers, b)
@@ -66,13 +67,14 @@
 
 // enter writes the server's entry.
 func (s *Soak) enter(b *backend, state string) {
-	s.store.Put("servers", b.id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"z","batch-slots":%d,"state":%q,"born":%d}`,
-		b.service, b.link.address, serverSlots, state, time.Now().UnixMilli()))
+	s.store.Enter(b.id, mcstandin.PlatformEntry{
+		Service: b.service, Address: b.link.address, DataCentre: dataCentre, Slots: serverSlots, State: state, Started: time.Now().UnixMilli(),
+	})
 }
 
 // leave makes the server leave: it says so, serves on for a while and ends.
 func (s *Soak) leave(b *backend) {
-	s.enter(b, "draining")
+	s.enter(b, mcstandin.PlatformLeaving)
 	b.mu.Lock()
 	b.leavingAt = time.Now()
 	b.mu.Unlock()
@@ -90,7 +92,7 @@
 
 // remove takes the server out of the store and ends it.
 func (s *Soak) remove(b *backend) {
-	s.store.Remove("servers", b.id)
+	s.store.RemoveEntry(b.id)
 	b.link.close()
 	b.listener.CloseClientConnections()
 	s.mu.Lock()
--- a/mcsoak/caller.go
+++ b/mcsoak/caller.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"marigoldcroft/mcstandin"
 )
 
 const (
@@ -23,6 +25,8 @@
 	callerPause = 40 * time.Millisecond
 	// changingShare is the part of the requests with the key that configurations change.
 	changingShare = 0.2
+	// promptTokens and outputTokens are those of streams.
+	promptTokens, outputTokens = 400, 100
 )
 
 type (
@@ -87,19 +91,14 @@
 func (o *outcome) send(ctx context.Context, transport http.RoundTripper) {
 	ctx, cancel := context.WithTimeout(ctx, callerTime+lateLimit+time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.instance.address()+o.path, strings.NewReader(o.body))
+	c := mcstandin.PlatformCall{ID: o.id, Key: o.key, Host: host, Path: o.path, Body: o.body, TimeLimit: callerTime}
+	if o.kind.streaming {
+		c.PromptTokens, c.OutputTokens = promptTokens, outputTokens
+	}
+	r, err := c.Request(ctx, o.instance.address())
 	if err != nil {
 		return
 	}
-	r.Host = host
-	r.Header.Set("Request-Id", o.id)
-	r.Header.Set("Authorization", "Bearer "+o.key)
-	r.Header.Set("Deadline-Ms", strconv.FormatInt(callerTime.Milliseconds(), 10))
-	if o.kind.streaming {
-		r.Header.Set("Model", "m")
-		r.Header.Set("Token-Counts", "400,100")
-		r.Header.Set("Prefix-Hash", "5c1e07a2:400")
-	}
 	o.sentAt = time.Now()
 	defer func() { o.endedAt = time.Now() }()
 	answer, err := transport.RoundTrip(r)
@@ -107,7 +106,7 @@
 		return
 	}
 	defer answer.Body.Close()
-	o.status, o.sealed = answer.StatusCode, answer.Header.Get("Response-Seal") != ""
+	o.status, o.sealed = answer.StatusCode, mcstandin.PlatformSealed(answer.Header)
 	body, err := io.ReadAll(answer.Body)
 	o.answer, o.whole = string(body), err == nil
 }
--- a/mcsoak/check.go
+++ b/mcsoak/check.go
@@ -94,8 +94,8 @@
 			switch {
 			case run.Method != http.MethodPost || run.Target != o.path || run.Body != o.body:
 				s.broken("unchanged requests", "%s ran as %s %s with %d of %d bytes", where, run.Method, run.Target, len(run.Body), len(o.body))
-			case run.Header.Get("Tenant") != team || run.Header.Get("Authorization") != "":
-				s.broken("keys", "%s ran for team %q", where, run.Header.Get("Tenant"))
+			case run.Team() != team || run.KeyPassed():
+				s.broken("keys", "%s ran for team %q", where, run.Team())
 			case b.service != o.kind.service:
 				s.broken("routes", "%s ran at service %s", where, b.service)
 			case s.revokedBefore(o.key, o.sentAt.Add(-revokeLimit)):
--- a/mcsoak/fault.go
+++ b/mcsoak/fault.go
@@ -52,7 +52,7 @@
 	{"server misbehaves", func(s *Soak, r *rand.Rand) { s.anyServer(r).server.SetFaults(serverFaults(r)) }},
 	{"malformed entry", func(s *Soak, r *rand.Rand) {
 		texts := []string{`{"service":7}`, `not json`, `{"service":"plain","address":"x","zone":"z","state":"ready"}`, `{"state":"asleep"}`}
-		s.store.Put("servers", fmt.Sprintf("other-%d", r.IntN(3)), []byte(texts[r.IntN(len(texts))]))
+		s.store.EnterRaw(fmt.Sprintf("other-%d", r.IntN(3)), texts[r.IntN(len(texts))])
 	}},
 	{"instance is killed", func(s *Soak, r *rand.Rand) { s.restart(s.anyInstance(r), syscall.SIGKILL, r) }},
 	{"instance is stopped", func(s *Soak, r *rand.Rand) { s.restart(s.anyInstance(r), syscall.SIGTERM, r) }},
--- a/mcsoak/soak.go
+++ b/mcsoak/soak.go
@@ -22,6 +22,8 @@
 	poolServers  = 3
 	// startTime is how long instances may take until they serve.
 	startTime = 15 * time.Second
+	// objectiveTime is that of the users' short requests.
+	objectiveTime = 300 * time.Millisecond
 )
 
 type (
@@ -190,23 +192,16 @@
 	if replaceKey || old == "" {
 		s.key = fmt.Sprintf("key-%d", s.version)
 	}
-	var routes []string
+	c := mcstandin.PlatformConfig{
+		Version: s.version, Services: []mcstandin.PlatformService{{Name: "plain"}, {Name: "pool"}},
+		Teams: []mcstandin.PlatformTeam{{Name: team, Keys: []string{steadyKey, s.key}}},
+	}
 	for n, k := range kinds {
-		class := "idempotent"
-		switch {
-		case k.streaming:
-			class = "streaming"
-		case k.once:
-			class = "non_idempotent"
-		}
-		routes = append(routes, fmt.Sprintf(`{"name":"r%d","host":%q,"path-prefix":%q,"type":%q,"timeout-ms":%d,"goal-ms":300,`+
-			`"service":%q,"max-attempts":2,"resumable":%t}`, n, host, k.prefix, class, callerTime.Milliseconds(), k.service, k.streaming && !k.once))
+		c.Routes = append(c.Routes, k.route(n))
 	}
-	text := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"plain"},{"name":"pool"}],"tenants":[{"name":%q,"api-keys":[%q,%q]}]}`,
-		s.version, strings.Join(routes, ","), team, steadyKey, s.key)
 	changed := old != "" && s.key != old
 	s.mu.Unlock()
-	s.store.Put("config", "main", []byte(text))
+	s.store.Configure(c)
 	if changed {
 		s.mu.Lock()
 		s.revoked[old] = time.Now()
@@ -214,6 +209,21 @@
 	}
 }
 
+// route returns the route of a kind of request.
+func (k kind) route(n int) mcstandin.PlatformRoute {
+	r := mcstandin.PlatformRoute{
+		Name: fmt.Sprintf("r%d", n), Host: host, Prefix: k.prefix, Kind: mcstandin.PlatformRepeatable, Service: k.service,
+		TimeoutMs: callerTime.Milliseconds(), ObjectiveMs: objectiveTime.Milliseconds(), MaxAttempts: 2, Resumable: k.streaming && !k.once,
+	}
+	switch {
+	case k.streaming:
+		r.Kind = mcstandin.PlatformStream
+	case k.once:
+		r.Kind = mcstandin.PlatformOnce
+	}
+	return r
+}
+
 func (s *Soak) changingKey() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/mcstandin/platformcaller.go
@@ -0,0 +1,128 @@
+package mcstandin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+type (
+	// PlatformCall is a request as callers of the platform send it.
+	PlatformCall struct {
+		ID, Key    string
+		Host, Path string
+		Body       string
+		TimeLimit  time.Duration
+		// PromptTokens and OutputTokens are sent for engines; 0 leaves them out.
+		PromptTokens, OutputTokens int
+	}
+
+	// PlatformEntry is what a server of the platform writes of itself.
+	PlatformEntry struct {
+		Service string `json:"service"`
+		Address string `json:"address"`
+		// DataCentre is called a zone on the wire.
+		DataCentre string `json:"zone"`
+		Slots      int    `json:"batch-slots"`
+		State      string `json:"state"`
+		// Started is the Unix time in ms of the server's start.
+		Started int64 `json:"born"`
+	}
+
+	// PlatformConfig is a configuration of the platform.
+	PlatformConfig struct {
+		Version  int               `json:"version"`
+		Routes   []PlatformRoute   `json:"routes"`
+		Services []PlatformService `json:"services"`
+		// Teams are called tenants on the wire.
+		Teams []PlatformTeam `json:"tenants"`
+	}
+
+	// PlatformRoute is a route of a configuration.
+	PlatformRoute struct {
+		Name        string `json:"name"`
+		Host        string `json:"host"`
+		Prefix      string `json:"path-prefix"`
+		Kind        string `json:"type"`
+		Service     string `json:"service"`
+		TimeoutMs   int64  `json:"timeout-ms"`
+		ObjectiveMs int64  `json:"goal-ms"`
+		MaxAttempts int    `json:"max-attempts"`
+		Resumable   bool   `json:"resumable"`
+	}
+
+	// PlatformService is a service of a configuration.
+	PlatformService struct {
+		Name string `json:"name"`
+	}
+
+	// PlatformTeam is a team of a configuration with its keys.
+	PlatformTeam struct {
+		Name string   `json:"name"`
+		Keys []string `json:"api-keys"`
+	}
+)
+
+// The states of a PlatformEntry.
+const (
+	PlatformReady   = "ready"
+	PlatformLeaving = "draining"
+)
+
+// The kinds of a PlatformRoute.
+const (
+	PlatformRepeatable = "idempotent"
+	PlatformOnce       = "non_idempotent"
+	PlatformStream     = "streaming"
+)
+
+// Request returns the call to the instance at an address.
+func (c PlatformCall) Request(ctx context.Context, address string) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+c.Path, strings.NewReader(c.Body))
+	if err != nil {
+		return nil, err
+	}
+	r.Host = c.Host
+	r.Header.Set("Request-Id", c.ID)
+	r.Header.Set("Authorization", "Bearer "+c.Key)
+	r.Header.Set("Deadline-Ms", strconv.FormatInt(c.TimeLimit.Milliseconds(), 10))
+	if c.PromptTokens > 0 {
+		prompt := strconv.Itoa(c.PromptTokens)
+		r.Header.Set("Model", "m")
+		r.Header.Set("Token-Counts", prompt+","+strconv.Itoa(c.OutputTokens))
+		r.Header.Set("Prefix-Hash", "5c1e07a2:"+prompt)
+	}
+	return r, nil
+}
+
+// PlatformSealed tells whether an answer bears a server's receipt.
+func PlatformSealed(header http.Header) bool { return header.Get("Response-Seal") != "" }
+
+// Team returns the team that the request was run for.
+func (r PlatformRun) Team() string { return r.Header.Get("Tenant") }
+
+// KeyPassed tells whether the caller's key reached the server.
+func (r PlatformRun) KeyPassed() bool { return r.Header.Get("Authorization") != "" }
+
+// Configure writes the configuration to the store.
+func (s *PlatformStore) Configure(c PlatformConfig) { s.put("config", "main", c) }
+
+// Enter writes the entry of a server to the store.
+func (s *PlatformStore) Enter(id string, e PlatformEntry) { s.put("servers", id, e) }
+
+// EnterRaw writes an entry of another writer to the store.
+func (s *PlatformStore) EnterRaw(id, text string) { s.Put("servers", id, []byte(text)) }
+
+// RemoveEntry takes the entry of a server out of the store.
+func (s *PlatformStore) RemoveEntry(id string) { s.Remove("servers", id) }
+
+func (s *PlatformStore) put(kind, name string, value any) {
+	spec, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // The types above hold nothing that has no JSON form.
+	}
+	s.Put(kind, name, spec)
+}
