Make the soak find a planted second run, and end what it started on a signal

A signal to the script left its instances running.

Change: calls take 60 ms, a fault makes all servers misbehave at once, and a run ends early with its context.

An interrupted series leaves no process.

--- a/mcsoak/backend.go
+++ b/mcsoak/backend.go
@@ -15,7 +15,7 @@
 const (
 	streamEvents = 12
 	eventTime    = 25 * time.Millisecond
-	callTime     = 15 * time.Millisecond
+	callTime     = 60 * time.Millisecond
 	serverSlots  = 8
 	dataCentre   = "z"
 )
--- a/mcsoak/check.go
+++ b/mcsoak/check.go
@@ -138,6 +138,9 @@
 			if o.status == http.StatusOK && o.whole {
 				break
 			}
+			if s.ctx.Err() != nil {
+				return
+			}
 			if time.Now().After(deadline) {
 				s.broken("recovery", "%s answers with status %d %s after the last fault", i.name, o.status, recoverLimit)
 				break
--- a/mcsoak/fault.go
+++ b/mcsoak/fault.go
@@ -50,6 +50,11 @@
 	{"server crashes", func(s *Soak, r *rand.Rand) { s.replace(s.anyServer(r), (*Soak).crash) }},
 	{"server leaves", func(s *Soak, r *rand.Rand) { s.replace(s.anyServer(r), (*Soak).leave) }},
 	{"server misbehaves", func(s *Soak, r *rand.Rand) { s.anyServer(r).server.SetFaults(serverFaults(r)) }},
+	{"all servers misbehave", func(s *Soak, r *rand.Rand) {
+		for _, b := range s.allServers() {
+			b.server.SetFaults(serverFaults(r))
+		}
+	}},
 	{"malformed entry", func(s *Soak, r *rand.Rand) {
 		texts := []string{`{"service":7}`, `not json`, `{"service":"plain","address":"x","zone":"z","state":"ready"}`, `{"state":"asleep"}`}
 		s.store.EnterRaw(fmt.Sprintf("other-%d", r.IntN(3)), texts[r.IntN(len(texts))])
@@ -180,10 +185,10 @@
 	return false
 }
 
-// trouble draws faults for the length of the run and returns when the last one is over.
+// trouble draws faults for the length of the run, or until it is ended, and returns when the last one is over.
 func (s *Soak) trouble() {
 	random := rand.New(rand.NewPCG(s.Seed, s.Seed))
-	for time.Since(s.began) < s.Length {
+	for time.Since(s.began) < s.Length && s.ctx.Err() == nil {
 		f := faults[random.IntN(len(faults))]
 		own := rand.New(rand.NewPCG(s.Seed, random.Uint64()))
 		s.logf("fault %s", f.name)
--- a/mcsoak/soak.go
+++ b/mcsoak/soak.go
@@ -100,16 +100,18 @@
 	s.began = time.Now()
 	s.trouble()
 	s.judgeRecovery()
-	s.stopInTurn()
+	if ctx.Err() == nil {
+		s.stopInTurn()
+	}
 	stopCalling()
 	callers.Wait()
 	s.judgeRuns()
-	return s.report, nil
+	return s.report, ctx.Err()
 }
 
 // stopInTurn stops and starts every instance, while callers go on and nothing else is harmed.
 func (s *Soak) stopInTurn() {
-	for _, b := range s.servers {
+	for _, b := range s.allServers() {
 		b.server.SetFaults(mcstandin.PlatformServerFaults{})
 	}
 	s.pause(callerTime) // Requests that were harmed before have ended.
@@ -145,8 +147,8 @@
 		}
 	}
 	for deadline := time.Now().Add(startTime); time.Now().Before(deadline); {
-		if s.allServe() {
-			return nil
+		if s.ctx.Err() != nil || s.allServe() {
+			return s.ctx.Err()
 		}
 		s.pause(probePause)
 	}
@@ -245,6 +247,12 @@
 	return s.servers[r.IntN(len(s.servers))]
 }
 
+func (s *Soak) allServers() []*backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*backend(nil), s.servers...)
+}
+
 func (s *Soak) pause(d time.Duration) { mcclock.Sleep(s.ctx, d) }
 
 func (s *Soak) logf(format string, arguments ...any) {
--- a/scripts/soak/main.go
+++ b/scripts/soak/main.go
@@ -14,6 +14,7 @@
 	"github.com/integrii/flaggy"
 
 	"marigoldcroft/mcsoak"
+	"marigoldcroft/mcverb"
 )
 
 // options are what the command line says.
@@ -35,7 +36,9 @@
 	flaggy.Int(&o.calls, "c", "callers", "callers of a run")
 	flaggy.Duration(&o.length, "l", "length", "time in which faults are drawn")
 	flaggy.Parse()
-	broken, err := run(context.Background(), o)
+	ctx, cancel := mcverb.UntilSignal()
+	defer cancel()
+	broken, err := run(ctx, o)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(2)
@@ -63,6 +66,9 @@
 	broken, slots := 0, make(chan struct{}, max(1, o.parallel))
 	for n := range o.seeds {
 		slots <- struct{}{}
+		if ctx.Err() != nil {
+			break
+		}
 		all.Go(func() {
 			defer func() { <-slots }()
 			kept, text := play(ctx, o, o.first+uint64(n), binary)
@@ -75,7 +81,7 @@
 		})
 	}
 	all.Wait()
-	return broken, nil
+	return broken, ctx.Err()
 }
 
 // play plays one seed. The logs of a run that breaks a promise are kept.
