Read a stand-in's faults under its lock while it streams

Change: both fields are read under the lock. TestFaultsChangeBesideStreams fails before with the race detector.

--- a/mcstandin/platformserver.go
+++ b/mcstandin/platformserver.go
@@ -96,6 +96,17 @@
 	return true
 }
 
+// cuts tells whether a stream breaks off in the middle of the event.
+func (s *PlatformServer) cuts(event int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if event <= s.faults.CutEvent || s.faults.CutAfter <= 0 {
+		return false
+	}
+	s.faults.CutAfter--
+	return true
+}
+
 // ServeHTTP answers one request.
 func (s *PlatformServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	header := w.Header()
@@ -196,7 +207,7 @@
 			s.mu.Unlock()
 			return
 		}
-		if n > s.faults.CutEvent && s.strike(&s.faults.CutAfter) {
+		if s.cuts(n) {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", n)
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
--- /dev/null
+++ b/mcstandin/platformserver_test.go
@@ -0,0 +1,39 @@
+package mcstandin_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft/mcstandin"
+)
+
+// Guards against a data race between a change of the faults and the streams that they
+// strike; the race detector reports it.
+func TestFaultsChangeBesideStreams(t *testing.T) {
+	s := &mcstandin.PlatformServer{ID: "i-1", Events: 20, EventTime: time.Millisecond}
+	server := httptest.NewServer(s)
+	defer server.Close()
+	answered := make(chan error, 1)
+	go func() {
+		answer, err := http.Get(server.URL + "/stream/a")
+		if err == nil {
+			_, err = io.Copy(io.Discard, answer.Body)
+			answer.Body.Close()
+		}
+		answered <- err
+	}()
+	for {
+		s.SetFaults(mcstandin.PlatformServerFaults{CutEvent: 30, CutAfter: 1})
+		select {
+		case err := <-answered:
+			require.NoError(t, err)
+			return
+		default:
+		}
+	}
+}
