Let a long wait confirm only its beginning

Cause: found by reading: a watch that ends without changes counted as proof for its whole wait, also when the process was paused and the store had cut the watch off early. With waits of 25 s that could make a table look up to 25 s younger than it is, and honour a key that was taken away; with the waits of 2 s before it was 2 s.

Change: only waits of up to 2 s confirm their end. Peers' confirmations do the rest. TestLongWaitConfirmsOnlyItsBeginning fails before.

--- a/mcfollow/follower.go
+++ b/mcfollow/follower.go
@@ -131,8 +131,9 @@
 		return false, err
 	}
 	complete := asked
-	if len(records) == 0 && mcclock.Now()-asked >= wait {
-		// The store waited in full before it answered that nothing had changed.
+	if len(records) == 0 && wait <= DefaultWait && mcclock.Now()-asked >= wait {
+		// The store waited in full before it answered that nothing had changed. A pause of this
+		// process hides an answer that came early, by the length of the wait at most.
 		complete = asked + wait
 	}
 	f.take(records, revision, false, complete)
--- a/mcfollow/follower_test.go
+++ b/mcfollow/follower_test.go
@@ -324,3 +324,23 @@
 		cancel()
 	})
 }
+
+// Guards against a copy that passes for current after a long wait: while the process is
+// paused the store may cut a watch off early, and the answer shows only its beginning.
+func TestLongWaitConfirmsOnlyItsBeginning(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	f, kept := &feed{revision: 1, records: map[string]int{"a": 1}}, &copyOf{}
+	follower := &mcfollow.Follower[int]{
+		Name: "numbers", Feed: f, Apply: kept.apply, Logger: zerolog.Nop(),
+		Wait: func() time.Duration { return mcfollow.DefaultWait + 100*time.Millisecond },
+	}
+	began, done := mcclock.Now(), make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.Run(ctx)
+	}()
+	require.Eventually(t, func() bool { return follower.Calls() == 3 }, 3*mcfollow.DefaultWait, 10*time.Millisecond)
+	require.Less(t, kept.last().Complete-began, mcfollow.DefaultWait/2)
+	cancel()
+	<-done
+}
