Write the soak's configurations in the order of their versions

Cause: found by reading: two changes that overlap drew their versions under the lock and wrote the store after it, so that an older configuration could replace a newer one and bring a key back that the soak takes for removed. It was not seen. The list of all servers, gone ones among them, stood in two places.

Change: the lock is held over the write; everyServer serves both places.

--- a/mcsoak/check.go
+++ b/mcsoak/check.go
@@ -83,7 +83,7 @@
 // judgeRuns checks at the end what the servers ran.
 func (s *Soak) judgeRuns() {
 	runs := make(map[string]int)
-	for _, b := range append(append([]*backend(nil), s.servers...), s.gone...) {
+	for _, b := range s.everyServer() {
 		for _, run := range b.server.Runs() {
 			runs[run.ID]++
 			o := s.outcomes[run.ID]
--- a/mcsoak/soak.go
+++ b/mcsoak/soak.go
@@ -177,7 +177,7 @@
 		_ = i.log.Close()
 	}
 	s.waits.Wait()
-	for _, b := range append(append([]*backend(nil), s.servers...), s.gone...) {
+	for _, b := range s.everyServer() {
 		b.link.close()
 		b.listener.CloseClientConnections()
 	}
@@ -186,9 +186,11 @@
 	}
 }
 
-// configure writes the next configuration. It may replace the key that changes.
+// configure writes the next configuration. It may replace the key that changes. Changes
+// that overlap are written in the order of their versions.
 func (s *Soak) configure(replaceKey bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.version++
 	old := s.key
 	if replaceKey || old == "" {
@@ -201,13 +203,9 @@
 	for n, k := range kinds {
 		c.Routes = append(c.Routes, k.route(n))
 	}
-	changed := old != "" && s.key != old
-	s.mu.Unlock()
 	s.store.Configure(c)
-	if changed {
-		s.mu.Lock()
+	if old != "" && s.key != old {
 		s.revoked[old] = time.Now()
-		s.mu.Unlock()
 	}
 }
 
@@ -253,6 +251,13 @@
 	return append([]*backend(nil), s.servers...)
 }
 
+// everyServer returns the servers with those that are gone.
+func (s *Soak) everyServer() []*backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append(append([]*backend(nil), s.servers...), s.gone...)
+}
+
 func (s *Soak) pause(d time.Duration) { mcclock.Sleep(s.ctx, d) }
 
 func (s *Soak) logf(format string, arguments ...any) {
