--- a/cmd/marigoldcroft/forwarding_process_test.go
+++ b/cmd/marigoldcroft/forwarding_process_test.go
@@ -44,8 +44,10 @@
 		platform: mcstandin.NewPlatformStore(1), server: &mcstandin.PlatformServer{ID: "i-1"},
 	}
 	f.configureRoute(1, "key")
-	f.platform.Put("servers", "i-1", fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","batch-slots":8,"state":"ready","born":5}`,
-		strings.TrimPrefix(f.serve(f.server), "http://")))
+	f.platform.Enter("i-1", mcstandin.PlatformEntry{
+		Service: "s", Address: strings.TrimPrefix(f.serve(f.server), "http://"), DataCentre: "z", Slots: 8,
+		State: mcstandin.PlatformReady, Started: 5,
+	})
 	store := strings.TrimPrefix(f.serve(f.platform), "http://")
 	for i := range entries {
 		p := &process{caller: freeAddress(t), admin: freeAddress(t)}
@@ -65,9 +67,14 @@
 }
 
 func (f *forwardingFleet) configureRoute(version int, key string) {
-	f.platform.Put("config", "main", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"svc.example","path-prefix":"/x/",`+
-		`"type":"idempotent","timeout-ms":3000,"goal-ms":300,"service":"s","max-attempts":2}],"services":[{"name":"s"}],`+
-		`"tenants":[{"name":"team","api-keys":[%q]}]}`, version, key))
+	f.platform.Configure(mcstandin.PlatformConfig{
+		Version: version, Services: []mcstandin.PlatformService{{Name: "s"}},
+		Routes: []mcstandin.PlatformRoute{{
+			Name: "r", Host: "svc.example", Prefix: "/x/", Kind: mcstandin.PlatformRepeatable, TimeoutMs: 3000, ObjectiveMs: 300,
+			Service: "s", MaxAttempts: 2,
+		}},
+		Teams: []mcstandin.PlatformTeam{{Name: "team", Keys: []string{key}}},
+	})
 }
 
 // ask returns the status of a request with the key, or 0 when there is none.
