Count calls that fail together once in the store's circuit breaker

Cause: TestRetriesOverHTTP failed beside load because five answers of calls that ran at the same time were lost one after the other, which opened the breaker; Begins were then refused with storeUnavailable, and an action whose six tries all were refused did not run. The refusals were true. With a log line at each opening, all 6 failed runs of 240 had opened it, and no other. Ruled out: a lost or doubled run of an action, and the ledger's protocol: no run had 2 runs of an action, and none failed without an opening. The same happens when a reset ends all open connections to the store at once.

Change: failures of overlapping calls count once; a timeout always counts. The result of a call that began before the breaker opened no longer counts as the probe's result.

Result: TestBreakerAndCallsThatEndTogether and TestOldCallIsNoProbe fail on the old breaker.

--- a/mcstore/client.go
+++ b/mcstore/client.go
@@ -149,7 +149,8 @@
 		c.updateCounts(func(n *CallCounts) { n.RateLimited++ })
 		return marigoldcroft.NewFailure(operation, KindRateLimited, err)
 	}
-	if !c.breaker.allow() {
+	permit, allowed := c.breaker.allow()
+	if !allowed {
 		c.updateCounts(func(n *CallCounts) { n.BreakerOpen++ })
 		return marigoldcroft.NewFailure(operation, KindUnavailable, errors.New("the circuit breaker is open"))
 	}
@@ -157,15 +158,27 @@
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := request(callCtx)
-	failed := isFailure(err)
-	cancelled := failed && ctx.Err() != nil
-	c.breaker.done(!failed, failed && !cancelled)
-	if failed {
+	if isFailure(err) {
 		c.updateCounts(func(n *CallCounts) { n.Failed++ })
 	}
+	c.breaker.done(permit, resultOf(ctx, callCtx, err))
 	return err
 }
 
+// resultOf returns what the end of a call shows about the store's health. ctx is the
+// caller's context and callCtx that of the call.
+func resultOf(ctx, callCtx context.Context, err error) callResult {
+	switch {
+	case !isFailure(err):
+		return callSucceeded
+	case ctx.Err() != nil:
+		return callInconclusive
+	case callCtx.Err() != nil:
+		return callTimedOut
+	}
+	return callFailed
+}
+
 func (c *Client) waitForLimiter(ctx context.Context, limiter *rate.Limiter) error {
 	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
 	defer cancel()
--- a/mcstore/client_test.go
+++ b/mcstore/client_test.go
@@ -157,6 +157,101 @@
 	})
 }
 
+// heldStore is a store whose reads wait for their result.
+type heldStore struct {
+	*mcstore.Memory
+	results chan error
+}
+
+func (s *heldStore) Get(ctx context.Context, key string) (marigoldcroft.Object, error) {
+	select {
+	case err := <-s.results:
+		return marigoldcroft.Object{}, err
+	case <-ctx.Done():
+		return marigoldcroft.Object{}, marigoldcroft.NewFailure("get", mcstore.KindUnavailable, ctx.Err())
+	}
+}
+
+// A reset of all connections ends every call that is open at that moment. It must not open
+// the breaker, because the store serves the next call. Calls that time out together show
+// that the store is silent and must open it.
+func TestBreakerAndCallsThatEndTogether(t *testing.T) {
+	const calls = 20
+	reset := marigoldcroft.NewFailure("get", mcstore.KindOutcomeUnknown, nil)
+	newClient := func(t *testing.T) (*mcstore.Client, *heldStore, func()) {
+		store := &heldStore{Memory: &mcstore.Memory{}, results: make(chan error)}
+		client := mcstore.NewClient(mcstore.ClientConfig{Store: store, CallTimeout: time.Second})
+		return client, store, func() {
+			for range calls {
+				go func() { _, _ = client.Get(t.Context(), "k") }()
+			}
+			synctest.Wait()
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		rounds int
+		want   mcstore.BreakerState
+	}{
+		{"one reset", 1, mcstore.BreakerClosed},
+		{"four resets", 4, mcstore.BreakerClosed},
+		{"five resets without a success between them", 5, mcstore.BreakerOpen},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client, store, start := newClient(t)
+				for range c.rounds {
+					start()
+					time.Sleep(10 * time.Millisecond)
+					for range calls {
+						store.results <- reset
+					}
+					synctest.Wait()
+				}
+				require.Equal(t, c.want, client.Breaker())
+			})
+		})
+	}
+	t.Run("timeouts", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			client, _, start := newClient(t)
+			start()
+			time.Sleep(1001 * time.Millisecond)
+			require.Equal(t, mcstore.BreakerOpen, client.Breaker())
+		})
+	})
+}
+
+// A call that began before an outage may end while the breaker probes. Its result must
+// neither close the breaker nor end the probe.
+func TestOldCallIsNoProbe(t *testing.T) {
+	for _, result := range []error{nil, marigoldcroft.NewFailure("get", mcstore.KindOutcomeUnknown, nil)} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &heldStore{Memory: &mcstore.Memory{}, results: make(chan error)}
+			client := mcstore.NewClient(mcstore.ClientConfig{Store: store, CallTimeout: time.Minute})
+			get := func() { _, _ = client.Get(t.Context(), "k") }
+			go get()
+			synctest.Wait()
+			for range 5 {
+				go get()
+				synctest.Wait()
+				// Waiting calls get their results in order, so one call that began before
+				// the breaker opened stays open.
+				store.results <- marigoldcroft.NewFailure("get", mcstore.KindOutcomeUnknown, nil)
+				synctest.Wait()
+			}
+			require.Equal(t, mcstore.BreakerOpen, client.Breaker())
+			time.Sleep(time.Second)
+			go get()
+			synctest.Wait()
+			require.Equal(t, mcstore.BreakerHalfOpen, client.Breaker())
+			store.results <- result
+			synctest.Wait()
+			require.Equal(t, mcstore.BreakerHalfOpen, client.Breaker())
+		})
+	}
+}
+
 // Guards against an instance that exceeds its share of the store's call rates, and against
 // a share that is not updated when the number of instances changes.
 func TestBudgetIsShared(t *testing.T) {
