Let a shard continue after a lost head write that followed a sealed segment

Cause: a write that seals a segment stores the segment and then the head. If the head's write was lost before it took effect, the core sends the same write again, the segment's conditional create met its own earlier copy and was taken for a rejection, and the write was retried without end. The shard refused all Begins until another instance replaced the head.

Change: a segment that is already stored under the write's own id counts as written.

Result: TestLostHeadWriteAfterSealedSegment times out on the old code (one minute of simulated time) and passes.

--- a/mcledger/ledger_test.go
+++ b/mcledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -34,8 +35,10 @@
 		calls    []string
 		messages map[string]string
 		puts     []string
-		down     atomic.Bool
-		bothOwn  bool
+		// putsAfterSegment are the faults of the writes that follow a stored segment.
+		putsAfterSegment []string
+		down             atomic.Bool
+		bothOwn          bool
 	}
 
 	node struct {
@@ -95,6 +98,15 @@
 	if c.down.Load() {
 		return "", refused
 	}
+	if strings.Contains(key, "segment-") {
+		version, err := c.Memory.Put(ctx, key, value, expected, writeID)
+		if err == nil {
+			c.mu.Lock()
+			c.puts, c.putsAfterSegment = append(c.puts, c.putsAfterSegment...), nil
+			c.mu.Unlock()
+		}
+		return version, err
+	}
 	switch c.popFault(&c.puts) {
 	case "lost before":
 		return "", unknown
@@ -352,3 +364,47 @@
 		set(c)
 	}
 }
+
+// A write that seals a segment stores the segment first. If the write of the head that follows
+// is lost, the same write is sent again and finds its own segment. It must go on with the head:
+// the shard would refuse all Begins until another instance replaced the head.
+func TestLostHeadWriteAfterSealedSegment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := newCluster(ctx)
+		c.bothOwn = true
+		ledger := c.nodes[0].ledger
+		body := make([]byte, 8<<10)
+		runAction := func(key marigoldcroft.ActionKey) error {
+			ctx, cancel := context.WithTimeout(ctx, time.Minute)
+			defer cancel()
+			grant, err := ledger.Begin(ctx, key, [32]byte{})
+			if err != nil {
+				return err
+			}
+			require.True(t, grant.Granted)
+			return ledger.Finish(ctx, key, grant.AttemptID, marigoldcroft.ActionDone, marigoldcroft.ActionOutcome{Status: 201, Body: body})
+		}
+		for n, sealed := 0, 0; sealed == 0; n++ {
+			require.Less(t, n, 100)
+			key := keyOfShard(1, n)
+			// The loss is only met by the write after the segment of this action, if any.
+			c.putsAfterSegment = []string{"lost before"}
+			require.NoError(t, runAction(key))
+			sealed = int(ledger.Counts().Seals)
+		}
+		require.Empty(t, c.putsAfterSegment, "the head write was not lost")
+		require.NoError(t, runAction(keyOfShard(1, 1000)))
+	})
+}
+
+// keyOfShard returns the nth key of the shard.
+func keyOfShard(shard, n int) marigoldcroft.ActionKey {
+	for i := 0; ; i++ {
+		key := marigoldcroft.NewActionKey("team", "orders", testKey(time.Now().Truncate(time.Hour), n<<16+i))
+		if Shard(key) == shard {
+			return key
+		}
+	}
+}
--- a/mcledger/shard.go
+++ b/mcledger/shard.go
@@ -248,6 +248,8 @@
 	s.failing = true
 }
 
+// writeSegment stores a segment. It succeeds if an earlier copy of the same write has stored
+// it, which happens when the write of the head that followed was lost.
 func (s *shard) writeSegment(ctx context.Context, id string, sealed *segment) error {
 	value, err := sealed.encode()
 	if err != nil {
@@ -256,8 +258,19 @@
 	s.counts.writes.Add(1)
 	s.counts.seals.Add(1)
 	s.counts.writeBytes.Add(uint64(len(value)))
-	_, err = s.store.Put(ctx, segmentKey(s.number, sealed.name), value, "", id)
-	return err
+	key := segmentKey(s.number, sealed.name)
+	_, err = s.store.Put(ctx, key, value, "", id)
+	if !mcstore.IsConflict(err) {
+		return err
+	}
+	stored, readErr := s.store.Get(ctx, key)
+	if readErr != nil {
+		return readErr
+	}
+	if stored.WriteID() != id {
+		return err
+	}
+	return nil
 }
 
 // hadNoEffect reports whether a failed write certainly had no effect. After an error of
