Treat unknown error statuses of engines as work that may have started

Cause: found by reading. The engine client took every error status except a few for a rejection before the start, 500 and 502 too. The gateway then repeated at-most-once work at another engine and told the caller that nothing had run. A redirect was followed, which sends the prompt to a host that is no endpoint.

Change: only 429 and 503 say that the work did not start; other statuses have the kind KindFailed, after which only repeatable work is tried again and notRun is false.

Result: TestStream and TestAttempts have cases that fail on the old code (500, 502, 307; at-most-once work after a failure).

--- a/mcengine/client.go
+++ b/mcengine/client.go
@@ -27,8 +27,12 @@
 const (
 	// KindUnreachable means that no connection could be established, so nothing was sent.
 	KindUnreachable Kind = "unreachable"
-	// KindRefused means that the engine responded with an error status and did not start the work.
+	// KindRefused means that the engine rejected the request because of load and did not start
+	// the work.
 	KindRefused Kind = "refused"
+	// KindFailed means that the engine responded with an error status that does not tell whether
+	// the work started.
+	KindFailed Kind = "failed"
 	// KindInvalid means that the request itself is invalid; other engines will reject it too.
 	KindInvalid Kind = "invalid request"
 	// KindStreamBroken means that the stream ended before its end marker, or that a response was
@@ -62,6 +66,10 @@
 	HTTP *http.Client
 }
 
+// KeepRedirect makes an http.Client return a redirect as the response. Following it would send
+// the request to a host that is no endpoint.
+func KeepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // NewTransport returns a transport for many concurrent streams to few hosts.
 func NewTransport() *http.Transport {
 	dialer := net.Dialer{Timeout: dialTimeout}
@@ -146,8 +154,10 @@
 	if err != nil {
 		text = []byte(err.Error())
 	}
-	kind := KindRefused
+	kind := KindFailed
 	switch response.StatusCode {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		kind = KindRefused
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		kind = KindInvalid
 	case http.StatusNotFound:
--- a/mcengine/stream_test.go
+++ b/mcengine/stream_test.go
@@ -54,7 +54,8 @@
 }
 
 // Guards against a stream that is accepted as complete although it was cut off, skipped or
-// repeated an event, or had events of another request or attempt.
+// repeated an event, or had events of another request or attempt, and against an error status
+// that is taken for a rejection although the work may have started.
 func TestStream(t *testing.T) {
 	cases := []struct {
 		name   string
@@ -74,6 +75,10 @@
 		{"a repeated event", 200, firstEvent + firstEvent + lastEvent + endMarker, "a", mcengine.KindWrongEvent},
 		{"malformed", 200, "data: {\n\n", "", mcengine.KindStreamBroken},
 		{"refused", 503, "busy", "", mcengine.KindRefused},
+		{"refused by a rate limit", 429, "busy", "", mcengine.KindRefused},
+		{"internal error", 500, "oops", "", mcengine.KindFailed},
+		{"error of a proxy in front of the engine", 502, "no answer", "", mcengine.KindFailed},
+		{"redirect", 307, "", "", mcengine.KindFailed},
 		{"invalid", 400, "too long", "", mcengine.KindInvalid},
 	}
 	for _, c := range cases {
--- a/mcgateway/attempt_test.go
+++ b/mcgateway/attempt_test.go
@@ -64,6 +64,8 @@
 		"at most once runs once":           {script{"a": {"!stream_broken", "!!stream_not_found"}, "b": {"x"}}, body("print", ""), "", mcgateway.CodeUpstreamFailed, false, "generate a resume0 a"},
 		"at most once, not sent":           {script{"a": {"!!unreachable"}, "b": {"x"}}, body("print", ""), "x", "", false, "generate a generate b"},
 		"at most once, refused":            {script{"a": {"!!refused"}, "b": {"x"}}, body("print", ""), "x", "", false, "generate a generate b"},
+		"at most once, failed":             {script{"a": {"!!failed"}, "b": {"x"}}, body("print", ""), "", mcgateway.CodeUpstreamFailed, false, "generate a"},
+		"failed, repeatable":               {script{"a": {"!!failed"}, "b": {"x"}}, body("caption", ""), "x", "", false, "generate a generate b"},
 		"no endpoint reachable":            {script{"a": {"!!unreachable"}, "b": {"!!unreachable"}}, body("caption", ""), "", mcgateway.CodeOverloaded, true, "generate a generate b"},
 		"refused after it may have run": {
 			script{"a": {"!stream_broken", "!!stream_not_found"}, "b": {"!!unreachable"}},
