Wait in the test of links until the proxy has registered the connection

Cause: a dial returns before the proxy accepts the connection. If the test reset all connections in between, the reset missed it, and the read that follows had no deadline.

Change: the test waits for the connection to be registered; the read has a deadline, and a timeout there fails the test.

--- a/mcsoak/soak_test.go
+++ b/mcsoak/soak_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -182,7 +183,23 @@
 	require.NoError(t, err)
 	defer conn.Close()
 	require.NoError(t, ask())
+	// The proxy may accept the connection later than Dial returns.
+	require.Eventually(t, func() bool { return p.isTracked(conn.LocalAddr()) }, 10*time.Second, time.Millisecond)
 	p.resetAll()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
 	_, err = conn.Read(make([]byte, 1))
 	require.Error(t, err)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
+// isTracked reports whether the proxy has registered the client's connection.
+func (p *proxy) isTracked(client net.Addr) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		if conn.RemoteAddr().String() == client.String() {
+			return true
+		}
+	}
+	return false
 }
