Bound responses that have no end

A body without a stated length was relayed until the deadline. In a stream, blank lines took time quadratic in their number (a processor busy for the whole 2 s of the test), and comments without end counted as progress until the deadline; a stream of comments alone counted as a complete success.

An endpoint that exceeds a limit is taken out of rotation for a moment. The engine client limits the lines without an event in the same way.

--- a/mcengine/client.go
+++ b/mcengine/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"marigoldcroft"
+	"marigoldcroft/mcsocket"
 )
 
 // Kind is the kind of an engine error.
@@ -78,6 +79,8 @@
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: mcsocket.MaxResponseHeaderBytes,
 	}
 }
 
--- a/mcengine/stream.go
+++ b/mcengine/stream.go
@@ -15,7 +15,8 @@
 const (
 	// initialLineBytes is the initial size of the line buffer.
 	initialLineBytes = 4 << 10
-	// maxLineBytes bounds one event of a stream.
+	// maxLineBytes bounds one event of a stream, and the lines without an event between two
+	// events.
 	maxLineBytes = 1 << 20
 )
 
@@ -72,9 +73,13 @@
 // end marker; a stream that ends otherwise gives an error of the kind
 // KindStreamBroken.
 func (s *stream) Next() (marigoldcroft.TokenEvent, error) {
+	skipped := 0
 	for s.lines.Scan() {
 		data, ok := bytes.CutPrefix(s.lines.Bytes(), dataPrefix)
 		if !ok {
+			if skipped += len(s.lines.Bytes()) + 1; skipped > maxLineBytes {
+				return marigoldcroft.TokenEvent{}, marigoldcroft.NewFailure(s.operation, KindStreamBroken, errors.Newf("no event in %d bytes", skipped))
+			}
 			continue
 		}
 		data = bytes.TrimSpace(data)
--- a/mcengine/stream_test.go
+++ b/mcengine/stream_test.go
@@ -90,6 +90,36 @@
 	}
 }
 
+// endlessLines is a body that repeats a line without end.
+type endlessLines struct{ line string }
+
+func (b endlessLines) Read(p []byte) (int, error) {
+	n := 0
+	for n+len(b.line) <= len(p) {
+		n += copy(p[n:], b.line)
+	}
+	return n, nil
+}
+
+// A stream that sends comments or blank lines without end makes no progress. It must end with an
+// error instead of keeping the request and a processor busy until the deadline.
+func TestEndlessLinesBreakTheStream(t *testing.T) {
+	for _, line := range []string{"\n", ": x\n", "event: x\n"} {
+		client := &mcengine.Client{HTTP: &http.Client{Transport: roundTrip(func(*http.Request) (*http.Response, error) {
+			return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(endlessLines{line})}, nil
+		})}}
+		stream, err := client.Generate(t.Context(), marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{Name: "e", Address: "http://127.0.0.1:1"}),
+			marigoldcroft.GenerateRequest{Stream: marigoldcroft.NewStreamID("r", 1)})
+		require.NoError(t, err)
+		_, err = stream.Next()
+		require.Equal(t, mcengine.KindStreamBroken, marigoldcroft.FailureKind[mcengine.Kind](err))
+	}
+}
+
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
 // Guards against a decoder that panics on malformed input or accepts a stream without its end
 // marker as complete.
 func FuzzStream(f *testing.F) {
--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"marigoldcroft"
+	"marigoldcroft/mcsocket"
 )
 
 const (
@@ -23,6 +24,9 @@
 	// maxBufferedBytes limits the bytes of a response that are buffered before it is
 	// relayed; the rest of a larger one is relayed as it arrives.
 	maxBufferedBytes = 1 << 20
+	// maxUnsizedBytes limits a response body whose length is not stated, other than a stream.
+	// It is as large as the largest request body.
+	maxUnsizedBytes = defaultBodyBytes
 )
 
 // attempt is one try of a call at one endpoint.
@@ -148,6 +152,8 @@
 	case KindUnreachable:
 		f.health.markDown(now, endpoint.Name())
 		f.health.recordSilent(now, endpoint)
+	case KindOversized:
+		f.health.markDown(now, endpoint.Name())
 	case KindConnectionBroken:
 		if errors.Is(err, syscall.ETIMEDOUT) {
 			f.health.recordSilent(now, endpoint)
@@ -168,7 +174,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	before := conn.socket.written.Load()
+	before, readBefore := conn.socket.written.Load(), conn.socket.read.Load()
 	a.sentAt = time.Now()
 	response, err := conn.conn.RoundTrip(a.request(ctx, endpoint))
 	if conn.socket.written.Load() > before {
@@ -176,6 +182,9 @@
 	}
 	if err != nil {
 		conn.close()
+		if a.sent && conn.socket.read.Load()-readBefore >= mcsocket.MaxResponseHeaderBytes {
+			return nil, failure("call of "+a.endpoint, KindOversized, err)
+		}
 		return nil, a.exchangeError(ctx, err)
 	}
 	defer response.Body.Close()
@@ -336,7 +345,10 @@
 	}
 	c.w.WriteHeader(response.StatusCode)
 	if _, err = c.w.Write(body); err == nil {
-		_, err = io.Copy(c.w, response.Body)
+		err = copyBody(c.w, response)
+	}
+	if marigoldcroft.FailureKind[Kind](err) == KindOversized {
+		return nil, err
 	}
 	if err != nil {
 		return nil, a.exchangeError(ctx, err)
@@ -344,12 +356,29 @@
 	return &callResult{status: response.StatusCode, outcome: outcomeAnswered}, nil
 }
 
+// copyBody relays the rest of a body. A body without a stated length must end within
+// maxUnsizedBytes.
+func copyBody(w io.Writer, response *http.Response) error {
+	if response.ContentLength >= 0 {
+		_, err := io.Copy(w, response.Body)
+		return err
+	}
+	n, err := io.Copy(w, io.LimitReader(response.Body, maxUnsizedBytes))
+	if err == nil && n == maxUnsizedBytes {
+		return failure("relay of a body", KindOversized, errors.Newf("no end after %d bytes", n))
+	}
+	return err
+}
+
 // receiveErrorResponse reads the endpoint's error response; the request may still be tried
 // elsewhere.
 func (a *attempt) receiveErrorResponse(ctx context.Context, response *http.Response) error {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	if err != nil || len(body) > maxBufferedBytes {
-		return a.exchangeError(ctx, errors.CombineErrors(err, errors.New("the failure's body is not whole")))
+	if err != nil {
+		return a.exchangeError(ctx, err)
+	}
+	if len(body) > maxBufferedBytes {
+		return failure("answer of "+a.endpoint, KindOversized, errors.Newf("an error response is larger than %d bytes", maxBufferedBytes))
 	}
 	a.errorResponse = &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	return failure("answer of "+a.endpoint, KindFailed, errors.Newf("status %d", response.StatusCode))
--- a/mcforward/connpool.go
+++ b/mcforward/connpool.go
@@ -61,10 +61,10 @@
 	}
 
 	// countingConn counts the bytes written, which shows whether any part of a request can
-	// have reached the endpoint.
+	// have reached the endpoint, and the bytes read.
 	countingConn struct {
 		net.Conn
-		written atomic.Int64
+		written, read atomic.Int64
 	}
 
 	socketContextKey struct{}
@@ -79,12 +79,20 @@
 	return n, err
 }
 
+// Read counts the bytes that were received.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
 func newConnPool(onOpen func()) *connPool {
 	dialer := mcsocket.NewDialer(dialTimeout, unackedTimeout)
 	return &connPool{
 		onOpen: onOpen, idle: make(map[string][]*pooledConn),
 		transport: &http.Transport{
 			DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
+			MaxResponseHeaderBytes: mcsocket.MaxResponseHeaderBytes,
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := dialer.DialContext(ctx, network, address)
 				if err != nil {
--- a/mcforward/doc.go
+++ b/mcforward/doc.go
@@ -35,6 +35,9 @@
 	// endpoint puts in the header of a complete one, or that its body has a content
 	// encoding, which endpoints do not apply.
 	KindInvalidResponse Kind = "unsound answer"
+	// KindOversized means that the head of a response, its body or what a stream sent between
+	// two events exceeded its limit, as when an endpoint sends bytes without end.
+	KindOversized Kind = "response too large"
 	// KindFailed means that the endpoint ran the request and responded with an error
 	// status.
 	KindFailed Kind = "endpoint failed"
--- /dev/null
+++ b/mcforward/endless_test.go
@@ -0,0 +1,162 @@
+package mcforward_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft/mcstandin"
+)
+
+// endlessHead returns the head of a sound response to the request.
+func endlessHead(r *http.Request, fields string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n%s\r\n", r.Header.Get("Request-Id"), fields)
+}
+
+// A server in trouble may send bytes that are no answer, without end, until the caller closes.
+// Wherever in a response they come, the caller must get a failure in time, never a complete
+// success, the connection must be closed, and memory must not grow with what was sent.
+func TestEndlessResponses(t *testing.T) {
+	nothing := func(*http.Request) string { return "" }
+	head := func(fields string) func(*http.Request) string {
+		return func(r *http.Request) string { return endlessHead(r, fields) }
+	}
+	const chunked, stream = "Transfer-Encoding: chunked\r\n", "/solo/stream/x"
+	for _, c := range []struct {
+		name  string
+		path  string
+		start func(r *http.Request) string
+		rest  string
+	}{
+		{"no response", "/once/x", nothing, "these bytes are no answer "},
+		{"status line", "/once/x", func(*http.Request) string { return "HTTP/1.1 200 " }, "x"},
+		{"one header", "/once/x", func(*http.Request) string { return "HTTP/1.1 200 OK\r\nX-A: " }, "x"},
+		{"many headers", "/once/x", func(*http.Request) string { return "HTTP/1.1 200 OK\r\n" }, "X-A: b\r\n"},
+		{"interim responses", "/once/x", nothing, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+		{"chunk size", "/once/x", head(chunked), "0"},
+		{"chunk extension", "/once/x", head(chunked), "1;a"},
+		{"trailer", "/once/x", func(r *http.Request) string { return endlessHead(r, chunked) + "0\r\n" }, "X-A: b\r\n"},
+		{"body of chunks", "/once/x", head(chunked), "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
+		{"body without a length", "/once/x", head(""), "x"},
+		{"body of an error", "/once/x", func(r *http.Request) string {
+			return strings.Replace(endlessHead(r, chunked), "200 OK", "500 Error", 1)
+		}, "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
+		{"stream: one event", stream, head("Content-Type: text/event-stream\r\n"), "data: x "},
+		{"stream: lines of one event", stream, head("Content-Type: text/event-stream\r\n"), "data: x\n"},
+		{"stream: comments", stream, head("Content-Type: text/event-stream\r\n"), ": x\n\n"},
+		{"stream: blank lines", stream, head("Content-Type: text/event-stream\r\n"), "\n"},
+		{"stream: comments after an event", stream, func(r *http.Request) string {
+			return endlessHead(r, "Content-Type: text/event-stream\r\n") + "id: 1\ndata: token 1\n\n"
+		}, ": x\n\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBed(t, 1)
+			server := &mcstandin.EndlessServer{Start: c.start, Rest: c.rest}
+			b.httpServers[0].Config.Handler = server
+			begun := time.Now()
+			got := b.get(c.path)
+			require.True(t, got.broken || got.status == http.StatusBadGateway, "status %d", got.status)
+			require.Less(t, time.Since(begun), 2*time.Second, "the time limit of the request")
+			require.Less(t, server.Sent(), int64(64<<20))
+			require.Eventually(t, func() bool { return server.Serving() == 0 }, 5*time.Second, time.Millisecond, "the connection is still open")
+		})
+	}
+}
+
+// Many heads at once that do not end must not use memory in proportion to what endpoints send.
+// net/http accepts heads of 10 MiB by default; 30 of them would exceed the memory of a small
+// instance.
+func TestEndlessHeadsUseLittleMemory(t *testing.T) {
+	const headBytes, callers = 8 << 20, 30
+	b := newTestBed(t, 8)
+	head := []byte("HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("x", headBytes))
+	for i := range b.servers {
+		b.httpServers[i].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = conn.Write(head)
+			// The sender stalls, so that its head stays in memory as long as it is accepted.
+			_, _ = conn.Read(make([]byte, 1))
+		})
+	}
+	var before, now runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() { b.get("/once/x") })
+	}
+	ended := make(chan struct{})
+	go func() {
+		running.Wait()
+		close(ended)
+	}()
+	most := uint64(0)
+	for ticker := time.NewTicker(5 * time.Millisecond); ; {
+		select {
+		case <-ticker.C:
+			runtime.ReadMemStats(&now)
+			most = max(most, now.HeapAlloc)
+			continue
+		case <-ended:
+		}
+		break
+	}
+	require.Less(t, most, before.HeapAlloc+32<<20)
+}
+
+// The bytes after a complete response belong to no request. The next request must get its own
+// response, however many such bytes come and even if they look like one.
+func TestBytesAfterAResponseAreDiscarded(t *testing.T) {
+	b := newTestBed(t, 2)
+	foreign := "HTTP/1.1 200 OK\r\nRequest-Id: foreign\r\nResponse-Seal: s\r\nContent-Length: 7\r\n\r\nforeign"
+	server := &mcstandin.EndlessServer{
+		Start: func(r *http.Request) string { return endlessHead(r, "Content-Length: 3\r\n") + "own" }, Rest: foreign,
+	}
+	b.httpServers[0].Config.Handler = server
+	for range 20 {
+		got := b.get("/again/x")
+		require.False(t, got.broken)
+		require.NotContains(t, got.body, "foreign")
+	}
+	require.Eventually(t, func() bool { return server.Serving() == 0 }, 5*time.Second, time.Millisecond, "the connection is still open")
+}
+
+// A stream that sends only comments makes no progress. It must not count as begun, so that the
+// request can be repeated where its route allows it, and must not look complete when it ends.
+func TestCommentsAreNoProgress(t *testing.T) {
+	for _, c := range []struct {
+		name, body string
+		whole      bool
+	}{
+		{"comments only", ": a\n\n: b\n\n", false},
+		{"comments between events", ": a\n\nid: 1\ndata: token 1\n\n: b\n\nid: 2\ndata: token 2\n\n: c\n\n", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBed(t, 1)
+			b.httpServers[0].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+				w.Header().Set("Response-Seal", "s")
+				w.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(w, c.body)
+			})
+			got := b.get("/solo/stream/x")
+			if c.whole {
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, c.body, got.body)
+				return
+			}
+			require.Equal(t, http.StatusBadGateway, got.status)
+		})
+	}
+}
--- a/mcforward/stream.go
+++ b/mcforward/stream.go
@@ -16,34 +16,47 @@
 )
 
 const (
-	// maxEventBytes limits the size of one event.
+	// maxEventBytes limits the size of one event, and of the comments between two events.
 	maxEventBytes = 1 << 20
 	// eventsPerProgressReport is the number of events after which the scheduler is told the
 	// shortest time between two events, a measure of the decode speed.
 	eventsPerProgressReport = 5
 )
 
-// relayStream relays each event once it is complete. An event that was received only in
-// part when the stream broke is dropped.
+// relayStream relays each event once it is complete, with the comments before it. An event that
+// was received only in part when the stream broke is dropped.
 func (a *attempt) relayStream(ctx context.Context, response *http.Response, id marigoldcroft.StreamID) (*callResult, error) {
 	c := a.call
 	reader := bufio.NewReaderSize(response.Body, bufferBytes)
 	flusher := http.NewResponseController(c.w)
 	delivered, shortestGap := 0, time.Duration(math.MaxInt64)
+	var comments []byte
 	for {
 		event, err := readEvent(reader)
 		switch {
 		case errors.Is(err, io.EOF) && len(event) == 0 && delivered+int(c.lastEventNumber) > 0 && hasEndMark(response):
+			if _, err := c.w.Write(comments); err != nil {
+				return nil, failure("write to the caller", KindCallerLeft, err)
+			}
 			a.recordCompletion()
 			return &callResult{status: http.StatusOK, outcome: outcomeAnswered}, nil
+		case marigoldcroft.FailureKind[Kind](err) == KindOversized:
+			return nil, err
 		case err != nil:
 			return nil, a.exchangeError(ctx, errors.Wrapf(err, "after %d events", delivered))
 		}
+		if isComment(event) {
+			if comments = append(comments, event...); len(comments) > maxEventBytes {
+				return nil, failure("stream of "+a.endpoint, KindOversized, errors.Newf("no event in %d bytes", len(comments)))
+			}
+			continue
+		}
 		relay, err := c.shouldRelay(event)
 		if err != nil {
 			return nil, failure("stream of "+a.endpoint, KindStreamGap, err)
 		}
 		if !relay {
+			comments = nil
 			continue
 		}
 		if delivered == 0 {
@@ -54,9 +67,10 @@
 			c.copyHeader(response.Header, true)
 			c.w.WriteHeader(response.StatusCode)
 		}
-		if _, err := c.w.Write(event); err != nil {
+		if _, err := c.w.Write(append(comments, event...)); err != nil {
 			return nil, failure("write to the caller", KindCallerLeft, err)
 		}
+		comments = nil
 		if err := flusher.Flush(); err != nil {
 			return nil, failure("write to the caller", KindCallerLeft, err)
 		}
@@ -128,6 +142,7 @@
 // returns the part that was read.
 func readEvent(reader *bufio.Reader) ([]byte, error) {
 	var event []byte
+	hasContent := false
 	for {
 		line, err := reader.ReadSlice('\n')
 		event = append(event, line...)
@@ -135,12 +150,26 @@
 			return event, err
 		}
 		if len(event) > maxEventBytes {
-			return event, errors.Newf("an event is larger than %d bytes", maxEventBytes)
+			return event, failure("read of a stream", KindOversized, errors.Newf("an event is larger than %d bytes", maxEventBytes))
 		}
-		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 && len(bytes.TrimSpace(event)) > 0 {
+		blank := len(bytes.TrimRight(line, "\r\n")) == 0
+		if err == nil && blank && hasContent {
 			return event, nil
 		}
+		hasContent = hasContent || !blank
+	}
+}
+
+// isComment reports whether the event consists of comments only. Comments are no progress of a
+// stream: they wait for the next event, so that a stream of comments alone neither counts as
+// begun nor looks complete.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
 	}
+	return true
 }
 
 // eventID returns the value of the event's id field.
--- a/mcservice/service.go
+++ b/mcservice/service.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"marigoldcroft"
+	"marigoldcroft/mcsocket"
 )
 
 // Kind is the kind of a service error.
@@ -118,6 +119,8 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: mcsocket.MaxResponseHeaderBytes,
 	}
 	if cfg.Wrap != nil {
 		transport = cfg.Wrap(transport)
--- a/mcservice/service_test.go
+++ b/mcservice/service_test.go
@@ -228,3 +228,26 @@
 	require.ElementsMatch(t, strings.Fields("Content-Length User-Agent X-Request-Id X-Shop"), names)
 	require.Equal(t, "r1", got.Get(mcservice.RequestIDHeader))
 }
+
+// A service in trouble may send bytes without end. A call must end with an error after a
+// bounded number of bytes, must count as one that may have run, and its connection must be
+// closed.
+func TestEndlessServiceAnswers(t *testing.T) {
+	head := func(*http.Request) string { return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" }
+	for _, server := range []*mcstandin.EndlessServer{
+		{Rest: "these bytes are no answer "},
+		{Start: func(*http.Request) string { return "HTTP/1.1 200 OK\r\n" }, Rest: "X-A: b\r\n"},
+		{Start: head, Rest: "1;a"},
+		{Start: head, Rest: "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
+	} {
+		endpoint := serve(t, server)
+		client := newClient(t, mcservice.Config{})
+		begun := time.Now()
+		_, err := client.Call(t.Context(), endpoint, marigoldcroft.ServiceCall{Key: "k", Method: "POST", Path: "/book", Body: []byte("x")})
+		require.Error(t, err)
+		require.False(t, marigoldcroft.NotSent(err))
+		require.Less(t, time.Since(begun), 10*time.Second)
+		require.Less(t, server.Sent(), int64(64<<20))
+		require.Eventually(t, func() bool { return server.Serving() == 0 }, 5*time.Second, time.Millisecond, "the connection is still open")
+	}
+}
--- a/mcsocket/dialer.go
+++ b/mcsocket/dialer.go
@@ -9,9 +9,15 @@
 	"golang.org/x/sys/unix"
 )
 
-// keepAliveInterval is the idle time before the first TCP keep-alive probe and the interval
-// between probes. One second is the smallest value that the kernel accepts.
-const keepAliveInterval = time.Second
+const (
+	// MaxResponseHeaderBytes limits the head of a response, interim responses included. The
+	// known servers send less than 1 KB; net/http accepts 10 MiB by default, which many
+	// faulty servers together could use to exhaust the memory of a small instance.
+	MaxResponseHeaderBytes = 64 << 10
+	// keepAliveInterval is the idle time before the first TCP keep-alive probe and the
+	// interval between probes. One second is the smallest value that the kernel accepts.
+	keepAliveInterval = time.Second
+)
 
 // NewDialer returns a dialer that gives up after connectTimeout. The kernel closes its
 // connections when sent data or keep-alive probes stay unacknowledged for ackTimeout
--- a/mcstore/client_test.go
+++ b/mcstore/client_test.go
@@ -163,7 +163,7 @@
 	results chan error
 }
 
-func (s *heldStore) Get(ctx context.Context, key string) (marigoldcroft.Object, error) {
+func (s *heldStore) Get(ctx context.Context, _ string) (marigoldcroft.Object, error) {
 	select {
 	case err := <-s.results:
 		return marigoldcroft.Object{}, err
--- a/mcstore/http.go
+++ b/mcstore/http.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"marigoldcroft"
+	"marigoldcroft/mcsocket"
 )
 
 const (
@@ -46,7 +47,9 @@
 // defaultClient ignores the proxy settings of the environment, since the store is reached
 // directly by its IP address.
 var defaultClient = &http.Client{
-	Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute},
+	Transport: &http.Transport{
+		MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: mcsocket.MaxResponseHeaderBytes,
+	},
 	CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	},
