Keep a panic of one call or request from ending the process

The HTTP handlers are covered by net/http.

Change: mcrecover.Call turns such a panic into an error and a bounded log line. A peer gets Internal; an attempt counts as one that may have run.

--- a/mcgateway/attempt.go
+++ b/mcgateway/attempt.go
@@ -10,6 +10,7 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcengine"
+	"marigoldcroft/mcrecover"
 )
 
 // attempt is one attempt of a run, from its submission to the scheduler to its last
@@ -73,6 +74,20 @@
 	}
 }
 
+// serveSafely is serve, but returns a panic as an error. An engine may then have begun the work.
+func (a *attempt) serveSafely() error {
+	panicked := true
+	err := mcrecover.Call(a.run.gateway.Logger, "attempt", func() error {
+		err := a.serve()
+		panicked = false
+		return err
+	})
+	if panicked {
+		return marigoldcroft.NewFailure("attempt", mcengine.KindFailed, err)
+	}
+	return err
+}
+
 // serve waits for an endpoint and streams the answer. After a recall it waits for an
 // endpoint again.
 func (a *attempt) serve() error {
--- a/mcgateway/execute.go
+++ b/mcgateway/execute.go
@@ -7,6 +7,7 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcquarantine"
+	"marigoldcroft/mcrecover"
 )
 
 // defaultLongTokens is the prompt length from which a request counts against its team's
@@ -105,7 +106,13 @@
 		defer g.active.Done()
 		defer cancel()
 		r := &run{gateway: g, request: request, out: f, discard: f.discard}
-		problem := r.route(ctx)
+		var problem *Problem
+		if err := mcrecover.Call(g.Logger, "request", func() error {
+			problem = r.route(ctx)
+			return nil
+		}); err != nil {
+			problem = failed(CodeInternal, "the request failed unexpectedly")
+		}
 		g.flights.remove(key, f)
 		f.finish(r.end, problem, r.class)
 	}()
--- a/mcgateway/race.go
+++ b/mcgateway/race.go
@@ -40,7 +40,7 @@
 		r.gateway.active.Add(1)
 		go func() {
 			defer r.gateway.active.Done()
-			ends <- attemptEnd{a, a.serve()}
+			ends <- attemptEnd{a, a.serveSafely()}
 		}()
 	}
 	start(first)
--- a/mcmember/member.go
+++ b/mcmember/member.go
@@ -14,6 +14,7 @@
 	"marigoldcroft"
 	"marigoldcroft/mcclock"
 	"marigoldcroft/mcmessage"
+	"marigoldcroft/mcrecover"
 	"marigoldcroft/mcring"
 )
 
@@ -346,7 +347,11 @@
 	}
 	m.running.Go(func() {
 		defer func() { <-m.callSlots }()
-		f()
+		// The error is logged by Call; the next exchange makes up for this one.
+		_ = mcrecover.Call(m.Logger, "call of a peer", func() error {
+			f()
+			return nil
+		})
 	})
 }
 
--- a/mcpeer/peer_test.go
+++ b/mcpeer/peer_test.go
@@ -276,3 +276,36 @@
 	require.NoError(t, err)
 	require.ErrorContains(t, credentials.ReloadError(), "own.key")
 }
+
+// panickingMember is a member whose exchange fails unexpectedly.
+type panickingMember struct{ *mcmember.Member }
+
+func (panickingMember) Exchange(context.Context, *mcmessage.ExchangeRequest) (*mcmessage.ExchangeResponse, error) {
+	var none map[string]int
+	none["x"] = 1
+	return nil, nil
+}
+
+// A message that makes a handler panic must fail its own call only. It must not end the process,
+// which would end all other requests of the instance.
+func TestPanicInAHandlerFailsOneCall(t *testing.T) {
+	id := identity("d", "dc", "a")
+	server := &mcpeer.Server{Address: "127.0.0.1:0", Identity: id, Member: panickingMember{&mcmember.Member{Self: mcmember.Self{Identity: id}}}}
+	address, err := server.Listen()
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	caller := identity("d", "dc", "b")
+	pool := &mcpeer.Pool{Identity: caller}
+	for range 2 {
+		_, err = pool.Exchange(t.Context(), mcmember.Contact{Instance: "a", Address: address}, &mcmessage.ExchangeRequest{
+			Sender: &mcmessage.Sender{Deployment: "d", DataCentre: "dc", Instance: "b", Incarnation: caller.Incarnation()},
+			Vector: &mcmessage.Vector{},
+		})
+		require.Equal(t, codes.Internal, status.Code(err), "%v", err)
+	}
+	pool.Close()
+	cancel()
+	require.NoError(t, <-done)
+}
--- a/mcpeer/server.go
+++ b/mcpeer/server.go
@@ -19,6 +19,7 @@
 	"marigoldcroft"
 	"marigoldcroft/mcmember"
 	"marigoldcroft/mcmessage"
+	"marigoldcroft/mcrecover"
 )
 
 const (
@@ -138,7 +139,28 @@
 		s.Logger.Warn().Str("method", info.FullMethod).Err(err).Msg("peerCallRefused")
 		return nil, err
 	}
-	return handler(ctx, request)
+	var response any
+	err := s.guard(info.FullMethod, func() error {
+		var err error
+		response, err = handler(ctx, request)
+		return err
+	})
+	return response, err
+}
+
+// guard runs a handler. grpc does not recover panics, so one in a handler would end the
+// process.
+func (s *Server) guard(method string, handle func() error) error {
+	panicked := true
+	err := mcrecover.Call(s.Logger, method, func() error {
+		err := handle()
+		panicked = false
+		return err
+	})
+	if panicked {
+		return status.Errorf(codes.Internal, "%s failed unexpectedly", method)
+	}
+	return err
 }
 
 // interceptStream is a server interceptor that checks each message received on a stream.
@@ -148,7 +170,8 @@
 	if err := s.Faults.blockInbound(ctx); err != nil {
 		return err
 	}
-	return handler(service, &validatingServerStream{ServerStream: stream, ctx: ctx, server: s, method: info.FullMethod})
+	checked := &validatingServerStream{ServerStream: stream, ctx: ctx, server: s, method: info.FullMethod}
+	return s.guard(info.FullMethod, func() error { return handler(service, checked) })
 }
 
 // validatingServerStream is a server stream that checks each received message.
