Bound the memory of connections between instances

Cause: an instance exchanges with random members and kept each connection for five minutes, so that at 295 instances each one ended with a connection to and from every other.

Change: in a group of more than 97 members each exchanges with 48 partners, the highest scores of the pair by rendezvous hashing; smaller groups are complete as before. Connections have buffers of 4 KB and are closed after 30 s without use. One with a call or a stream in progress stays open; before, a relayed stream of more than five minutes could be broken off.

Weighed: smaller buffers alone (connections would still grow with the fleet); a ring with skips (each change of the group would move most pairs).

--- a/mcmember/rank.go
+++ b/mcmember/rank.go
@@ -44,6 +44,33 @@
 	return best
 }
 
+const (
+	// maxPartnerless is the number of other members up to which a member exchanges with all
+	// of them.
+	maxPartnerless = 96
+	// partnerCount is the number of partners of a member in a larger group. Exchanges with
+	// all members would take a connection, some 100 KB on both sides together, for each pair.
+	partnerCount = 48
+)
+
+// partners returns the members with which own exchanges. In a large group, these are the ones
+// with the highest score of the pair. Both members of a pair compute the same score, so that
+// partners mostly choose each other, and a change of the group changes few pairs.
+func partners(own string, others []string) []string {
+	if len(others) <= maxPartnerless {
+		return others
+	}
+	scores := make(map[string]uint64, len(others))
+	for _, other := range others {
+		scores[other] = score(xxhash.Sum64String(min(own, other)), max(own, other))
+	}
+	chosen := slices.Clone(others)
+	slices.SortFunc(chosen, func(a, b string) int {
+		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b))
+	})
+	return chosen[:partnerCount]
+}
+
 // score combines both hashes with the finalizer of SplitMix64 (Steele, Lea, Flood,
 // "Fast splittable pseudorandom number generators", 2014).
 func score(keyHash uint64, member string) uint64 {
--- a/mcmember/table.go
+++ b/mcmember/table.go
@@ -692,13 +692,19 @@
 	return contactOf(m.record), true
 }
 
+// shuffledLive returns, in random order, the live members with which this one exchanges: all
+// of them in a small group, and its partners in a large one.
 func (t *Table) shuffledLive() []Contact {
-	var contacts []Contact
+	var names []string
 	for _, name := range t.memberNames() {
 		if m := t.members[name]; m != t.own && !m.isGone() {
-			contacts = append(contacts, contactOf(m.record))
+			names = append(names, name)
 		}
 	}
+	contacts := make([]Contact, 0, min(len(names), maxPartnerless))
+	for _, name := range partners(t.self.Identity.Instance(), names) {
+		contacts = append(contacts, contactOf(t.members[name].record))
+	}
 	t.random.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
 	return contacts
 }
--- a/mcpeer/export_test.go
+++ b/mcpeer/export_test.go
@@ -14,3 +14,18 @@
 	_, listed := fieldLimits[path]
 	return listed
 }
+
+// CloseIdleAt closes the connections that are idle at the time.
+func (p *Pool) CloseIdleAt(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweptAt = time.Time{}
+	p.closeIdle(now)
+}
+
+// OpenConns returns the number of open connections.
+func (p *Pool) OpenConns() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
--- a/mcpeer/peer_test.go
+++ b/mcpeer/peer_test.go
@@ -309,3 +309,26 @@
 	cancel()
 	require.NoError(t, <-done)
 }
+
+// Connections of probes and to replaced instances must be closed when idle, as each takes
+// memory on both sides. One with a stream in progress must stay open however long the stream
+// lasts: closing it would break off a relayed answer.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	later := time.Now().Add(time.Hour)
+	server := startNode(t, identity("d", "dc", "a"), nil, nil)
+	caller := startNode(t, identity("d", "dc", "b"), nil, nil)
+	conn, err := caller.pool.Conn(server.address)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	stream, err := mcmessage.NewStreamServiceClient(conn).Join(ctx, &mcmessage.JoinRequest{Deployment: "d"})
+	if err == nil {
+		_, _ = stream.Header()
+	}
+	caller.pool.CloseIdleAt(later)
+	require.Equal(t, 1, caller.pool.OpenConns(), "a stream is in progress")
+	cancel()
+	require.Eventually(t, func() bool {
+		caller.pool.CloseIdleAt(later.Add(time.Hour))
+		return caller.pool.OpenConns() == 0
+	}, 5*time.Second, time.Millisecond)
+}
--- a/mcpeer/pool.go
+++ b/mcpeer/pool.go
@@ -23,9 +23,13 @@
 )
 
 const (
-	// idleTimeout is the time after its last use at which a connection may be closed. It
-	// removes the connections to addresses of replaced instances.
-	idleTimeout = 5 * time.Minute
+	// idleTimeout is the time after its last use at which a connection is closed. It is many
+	// times the interval in which a member exchanges with each of its partners, and removes
+	// the connections of probes and those to addresses of replaced instances.
+	idleTimeout = 30 * time.Second
+	// bufferBytes is the size of the read and write buffers of a connection, about the size
+	// of one exchange. The default of gRPC, 32 KB each, is most of the memory of a connection.
+	bufferBytes = 4 << 10
 	// maxReconnectDelay is the maximum delay between connection attempts, so that calls
 	// succeed again within seconds after a partition heals.
 	maxReconnectDelay = 2 * time.Second
@@ -56,15 +60,19 @@
 		// Zero means DefaultMaxMessageBytes.
 		MaxMessageBytes int
 
-		mu     sync.Mutex
-		conns  map[string]*peerConn
-		closed bool
-		bytes  ByteCounter
+		mu    sync.Mutex
+		conns map[string]*peerConn
+		// sweptAt is when idle connections were last closed.
+		sweptAt time.Time
+		closed  bool
+		bytes   ByteCounter
 	}
 
 	peerConn struct {
 		*grpc.ClientConn
-		lastUsed            time.Time
+		lastUsed time.Time
+		// inUse is the number of calls and streams in progress.
+		inUse               int
 		consecutiveTimeouts int
 	}
 )
@@ -84,6 +92,7 @@
 	now := time.Now()
 	if conn := p.conns[address]; conn != nil {
 		conn.lastUsed = now
+		p.closeIdle(now)
 		return conn.ClientConn, nil
 	}
 	p.closeIdle(now)
@@ -101,17 +110,39 @@
 	return conn, nil
 }
 
-// closeIdle closes the connections that Conn has not returned for idleTimeout. It requires mu
-// to be held.
+// closeIdle closes the connections that Conn has not returned for idleTimeout and that have no
+// call in progress. It requires mu to be held.
 func (p *Pool) closeIdle(now time.Time) {
+	if now.Sub(p.sweptAt) < idleTimeout/2 && len(p.conns) < maxConns {
+		return
+	}
+	p.sweptAt = now
 	for address, conn := range p.conns {
-		if now.Sub(conn.lastUsed) > idleTimeout {
+		if conn.inUse == 0 && now.Sub(conn.lastUsed) > idleTimeout {
 			delete(p.conns, address)
 			_ = conn.Close()
 		}
 	}
 }
 
+// begin records that a call or stream on the connection to the address has begun. The function
+// that it returns records its end, once.
+func (p *Pool) begin(address string) (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conn := p.conns[address]
+	if conn == nil {
+		return func() {}
+	}
+	conn.inUse++
+	return sync.OnceFunc(func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		conn.inUse--
+		conn.lastUsed = time.Now()
+	})
+}
+
 // Close closes all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -140,6 +171,9 @@
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: mcmember.CallTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxBytes), grpc.MaxCallSendMsgSize(maxBytes)),
 		grpc.WithMaxHeaderListSize(maxHeaderBytes),
+		grpc.WithReadBufferSize(bufferBytes),
+		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
 		grpc.WithChainUnaryInterceptor(func(ctx context.Context, method string, request, response any, conn *grpc.ClientConn, invoke grpc.UnaryInvoker, options ...grpc.CallOption) error {
@@ -175,6 +209,7 @@
 	if err := p.Faults.blockOutbound(ctx, address); err != nil {
 		return err
 	}
+	defer p.begin(address)()
 	err := invoke(ctx)
 	p.recordResult(address, err)
 	if err != nil {
@@ -201,6 +236,9 @@
 		cancel()
 		return nil, err
 	}
+	end := p.begin(address)
+	// The context of a stream ends with the stream, and at the latest with its caller.
+	context.AfterFunc(ctx, end)
 	stream, err := open(ctx)
 	if err != nil {
 		cancel()
--- a/mcpeer/server.go
+++ b/mcpeer/server.go
@@ -114,6 +114,9 @@
 		grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.MaxConcurrentStreams(maxStreamsPerConn),
 		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
+		grpc.SharedWriteBuffer(true),
 		grpc.ChainUnaryInterceptor(s.interceptUnary),
 		grpc.ChainStreamInterceptor(s.interceptStream),
 	}
