Let large jobs wait until an engine has reported its memory

Change: while the memory of the model's engines is not known, that refusal is one for lack of capacity with a Retry-After of a second. Jobs wait, callers come back.

Result: TestLargeJobWaitsForTheEnginesReports fails on the old code (tooLarge) and passes; a refusal with known memory stays final.

--- a/mcgateway/harness_test.go
+++ b/mcgateway/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -91,6 +92,8 @@
 	hang chan struct{}
 	// refusals is the number of submissions that are still to be refused.
 	refusals int
+	// refusalReason is their reason; empty means that there is no endpoint.
+	refusalReason marigoldcroft.Reason
 }
 
 func (s *scheduler) Submit(_ time.Time, work marigoldcroft.Work) marigoldcroft.Decision {
@@ -102,6 +105,7 @@
 	decision := marigoldcroft.Decision{ID: work.ID, Action: marigoldcroft.ActionRefuse, Reason: marigoldcroft.ReasonNoEndpoint, RetryAfter: time.Second}
 	if s.refusals > 0 {
 		s.refusals--
+		decision.Reason = cmp.Or(s.refusalReason, decision.Reason)
 		return decision
 	}
 	if work.IsolateSuspect {
--- a/mcgateway/input_test.go
+++ b/mcgateway/input_test.go
@@ -233,3 +233,36 @@
 	require.NotContains(t, g.log.String(), callerKey)
 	require.NotContains(t, g.log.String(), mcgateway.KeyHash(callerKey))
 }
+
+// In the first second after a start, an instance does not know how much memory the engines
+// have, and assumes a size. A job that is larger than that must wait for their reports instead
+// of failing for good as too large; it may have been accepted and taken over from another
+// instance. Once the memory is known, a refusal as too large is final.
+func TestLargeJobWaitsForTheEnginesReports(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		known int64
+		code  mcgateway.Code
+	}{
+		{"not reported", 0, ""},
+		{"reported", 1 << 20, mcgateway.CodeTooLarge},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, run func(*testGateway) *testGateway) {
+				g := run(newTestGateway(map[string][]string{"a": {"x y"}}))
+				g.LargestEngineTokens = func(string) int64 { return c.known }
+				g.scheduler.refusals, g.scheduler.refusalReason = 2, marigoldcroft.ReasonTooLarge
+				status := marigoldcroft.JobStatus{ID: "j1", Team: "studio", Template: "caption", Deadline: time.Now().Add(time.Minute)}
+				answer, err := g.RunJob(t.Context(), status, []byte(body("caption", "")))
+				if c.code == "" {
+					require.NoError(t, err)
+					require.Equal(t, "xy", answer)
+					return
+				}
+				var problem *mcgateway.Problem
+				require.ErrorAs(t, err, &problem)
+				require.Equal(t, c.code, problem.Code)
+			})
+		})
+	}
+}
--- a/mcgateway/run.go
+++ b/mcgateway/run.go
@@ -21,6 +21,9 @@
 	// suspectPollInterval is the time between checks whether an identical request that
 	// runs as a crash suspect has ended.
 	suspectPollInterval = 50 * time.Millisecond
+	// unreportedRetryAfter is the Retry-After while no engine has reported its memory. Reports
+	// are requested each second.
+	unreportedRetryAfter = time.Second
 )
 
 type (
@@ -232,6 +235,9 @@
 	r.class = decision.Class
 	r.gateway.Metrics.Refusals.WithLabelValues(string(decision.Reason)).Inc()
 	code, message := describeRefusal(decision.Reason)
+	if decision.Reason == marigoldcroft.ReasonTooLarge && r.gateway.awaitsEngineMemory(r.request) {
+		return r.correctNotRun(notRun(CodeOverloaded, "no engine has reported its memory yet").withRetryAfter(unreportedRetryAfter))
+	}
 	return r.correctNotRun(notRun(code, message).withRetryAfter(decision.RetryAfter))
 }
 
--- a/mcgateway/segments.go
+++ b/mcgateway/segments.go
@@ -31,6 +31,13 @@
 	return capacity > 0 && r.promptTokens+r.outputTokens > capacity
 }
 
+// awaitsEngineMemory reports whether the memory of the model's engines is not known yet, as in
+// the first second after a start. The scheduler then assumes a size, and a request that is
+// larger than that may still fit.
+func (g *Gateway) awaitsEngineMemory(r *modelRequest) bool {
+	return g.LargestEngineTokens != nil && g.largestEngineTokens(r) == 0
+}
+
 func (g *Gateway) largestEngineTokens(r *modelRequest) int64 {
 	if g.LargestEngineTokens == nil {
 		return 0
