Probe the store with one follower for all during an outage

Change: the followers of one store share a gate: the first that fails probes with its backoff, the others wait for its success, at most 2 s.

TestOneFollowerProbesDuringAnOutage.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -195,17 +195,18 @@
 	}
 	e.fleet.OnProcessEnded = e.forwarder.EndpointEnded
 	e.store = platform.NewStore(s.PlatformStore)
+	gate := &mcfollow.Gate{}
 	e.routing = &mcfollow.Follower[marigoldcroft.RoutingTable]{
-		Name: recordsRouting, Feed: platform.Routing(e.store), Apply: e.applyRouting, Logger: e.logger,
+		Name: recordsRouting, Feed: platform.Routing(e.store), Apply: e.applyRouting, Logger: e.logger, Gate: gate,
 		WatchTimeout: e.watchTimeout(recordsRouting), StoreFallbackAge: e.storeFallbackAge(recordsRouting), Hash: hashTable, OnConfirmed: e.confirmRouting,
 	}
 	e.endpoints = &mcfollow.Follower[marigoldcroft.EndpointRecord]{
-		Name: recordsEndpoints, Feed: platform.Endpoints(e.store), Apply: e.fleet.Apply, Logger: e.logger,
+		Name: recordsEndpoints, Feed: platform.Endpoints(e.store), Apply: e.fleet.Apply, Logger: e.logger, Gate: gate,
 		WatchTimeout: e.watchTimeout(recordsEndpoints), StoreFallbackAge: e.storeFallbackAge(recordsEndpoints), Hash: hashEndpoint, BatchDelay: e.batchDelay(endpointCallRate, maxEndpointBatchDelay),
 	}
 	e.instances = &mcfollow.Follower[marigoldcroft.ListedInstance]{
 		Name: "instances", Feed: platform.Instances(e.store), WatchTimeout: func() time.Duration { return instanceWatchWait }, BatchDelay: e.batchDelay(instanceCallRate, maxInstanceBatchDelay),
-		Apply: e.roster.apply, Logger: e.logger,
+		Apply: e.roster.apply, Logger: e.logger, Gate: gate,
 	}
 	return nil
 }
--- a/mcfollow/follower.go
+++ b/mcfollow/follower.go
@@ -66,6 +66,9 @@
 		// which a waiting watch is cancelled and replaced by one that does not wait; nil means
 		// never.
 		StoreFallbackAge func() time.Duration
+		// Gate is shared by the followers of one store; nil means that this one retries by
+		// itself.
+		Gate *Gate
 		// OnConfirmed is called when a peer has confirmed the copy's content, with the time of
 		// mcclock.Now at which that content was complete. It may be nil.
 		OnConfirmed func(complete time.Duration)
@@ -153,6 +156,9 @@
 // applyAnswer applies a successful answer and ends an outage, if there was one.
 func (f *Follower[T]) applyAnswer(records []marigoldcroft.Record[T], revision int64, snapshot bool, complete time.Duration) {
 	change := Change[T]{Records: records, Snapshot: snapshot, CompleteAt: complete}
+	if f.Gate != nil {
+		f.Gate.succeeded()
+	}
 	if f.failures > 0 {
 		change.OutageDuration = time.Since(f.failedSince)
 		f.Logger.Info().Str("records", f.Name).Dur("gapMs", change.OutageDuration).Int("failures", f.failures).Msg("storeRegained")
@@ -173,8 +179,12 @@
 	f.failures++
 }
 
-// backOff waits before the next call after a failed one.
+// backOff waits before the next call after a failed one, for the probe of another follower if
+// that one probes the store.
 func (f *Follower[T]) backOff(ctx context.Context) {
+	if f.Gate != nil {
+		f.Gate.await(ctx, f.Name)
+	}
 	bound := mcclock.Backoff(backoffBase, backoffMax, f.failures-1)
 	mcclock.Sleep(ctx, bound/2+rand.N(bound/2))
 }
--- a/mcfollow/follower_test.go
+++ b/mcfollow/follower_test.go
@@ -346,3 +346,73 @@
 	cancel()
 	<-done
 }
+
+// Several kinds of records are followed in one store. During an outage, retries of each of them
+// would multiply the calls that the store has to refuse. One must probe for all, and all must
+// notice within a second that the store is back, even one whose own records cannot be read.
+func TestOneFollowerProbesDuringAnOutage(t *testing.T) {
+	const outage = 10 * time.Second
+	for _, c := range []struct {
+		name   string
+		shared bool
+		atMost int
+	}{
+		// A follower alone backs off to one call in 0.4 to 0.8 s.
+		{"separate", false, 3 * 30},
+		{"shared", true, 30 + 2*6},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				gate := &mcfollow.Gate{}
+				var feeds []*feed
+				var copies []*recordedCopy
+				for _, name := range []string{"a", "b", "c"} {
+					f, held := &feed{revision: 1, records: map[string]int{"x": 1}}, &recordedCopy{}
+					follower := &mcfollow.Follower[int]{Name: name, Feed: f, Apply: held.apply, Logger: zerolog.Nop()}
+					if c.shared {
+						follower.Gate = gate
+					}
+					feeds, copies = append(feeds, f), append(copies, held)
+					go follower.Run(ctx)
+				}
+				synctest.Wait()
+				calls := func() int {
+					n := 0
+					for _, f := range feeds {
+						f.update(func() { n += f.lists + f.watches })
+					}
+					return n
+				}
+				setError := func(err error) {
+					for _, f := range feeds {
+						f.update(func() { f.err = err })
+					}
+				}
+				before := calls()
+				setError(errors.New("unavailable"))
+				time.Sleep(outage)
+				require.LessOrEqual(t, calls()-before, c.atMost)
+				setError(nil)
+				for _, f := range feeds {
+					f.update(func() { f.pending = append(f.pending, marigoldcroft.Record[int]{Name: "y", Value: new(int)}) })
+				}
+				time.Sleep(time.Second)
+				for i, held := range copies {
+					require.Equal(t, 2, held.size(), "follower %d", i)
+				}
+
+				// Only the records of the first follower cannot be read: the others go on.
+				feeds[0].update(func() { feeds[0].err = errors.New("too large") })
+				time.Sleep(3 * time.Second)
+				for _, f := range feeds[1:] {
+					f.update(func() { f.pending = append(f.pending, marigoldcroft.Record[int]{Name: "z", Value: new(int)}) })
+				}
+				time.Sleep(time.Second)
+				require.Equal(t, 3, copies[1].size())
+				require.Equal(t, 3, copies[2].size())
+			})
+		})
+	}
+}
