Bound the time for answers to aborted requests; describe what was measured

Cause: reading the diff: after a second signal the chat interface left 15 s of its default stop limit for the answers to aborted requests, which take milliseconds; a name and a figure in comments were wrong.

Result: tests of mcentry and mcmember pass.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -339,7 +339,7 @@
 	e.logger.Info().Int64("inFlight", e.forwarder.InFlight()).Msg("stopBegun")
 	mcclock.Sleep(limit, share(lameDuckShare))
 	e.forwarder.RefuseNew()
-	err := endRequests(limit, e.forwarder, share(graceMargin/2))
+	err := endRequests(limit, e.forwarder, min(maxAnswerTime, share(graceMargin/2)))
 	if err == nil {
 		err = server.Shutdown(limit)
 	}
--- a/mcentry/stop.go
+++ b/mcentry/stop.go
@@ -16,6 +16,9 @@
 	// answerShare is the fraction of the time for a planned stop between the time by which
 	// requests should end and their abort. In it, what still waits is refused.
 	answerShare = 0.05
+	// maxAnswerTime limits the time for the answers to aborted requests. Answering takes
+	// milliseconds; it must not delay an operator's second signal.
+	maxAnswerTime = time.Second
 	// idlePollInterval is how often a stop checks whether requests are left.
 	idlePollInterval = 5 * time.Millisecond
 )
@@ -32,7 +35,7 @@
 	e.logger.Info().Int64("inFlight", e.gateway.InFlight()).Msg("stopBegun")
 	mcclock.Sleep(limit, e.Settings.Stop.LameDuck)
 	e.gateway.RefuseNew()
-	err := endRequests(limit, e.gateway, time.Duration(answerShare*float64(total)))
+	err := endRequests(limit, e.gateway, maxAnswerTime)
 	if err == nil {
 		err = e.releaseAndWait(limit, server)
 	}
@@ -77,32 +80,33 @@
 	return ctx, cancel
 }
 
-// stoppable is a front door during a planned stop.
+// stoppable is an interface to callers during a planned stop.
 type stoppable interface {
+	// InFlight returns the number of requests in progress.
 	InFlight() int64
-	// Abort ends the requests that are in progress.
+	// Abort ends them.
 	Abort()
 }
 
-// endRequests waits until the front door has no request. When ctx ends first, it aborts the
+// endRequests waits until no request is in progress. When ctx ends first, it aborts the
 // remaining requests, leaves answerTime for their answers, and returns the error of ctx.
-func endRequests(ctx context.Context, door stoppable, answerTime time.Duration) error {
-	if waitIdle(ctx, door) == nil {
+func endRequests(ctx context.Context, requests stoppable, answerTime time.Duration) error {
+	if waitIdle(ctx, requests) == nil {
 		return nil
 	}
-	door.Abort()
+	requests.Abort()
 	answers, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
 	// Requests that remain are cut off by the caller, which returns the error below.
-	_ = waitIdle(answers, door)
+	_ = waitIdle(answers, requests)
 	return ctx.Err()
 }
 
-// waitIdle waits until the front door has no request or ctx ends.
-func waitIdle(ctx context.Context, door stoppable) error {
+// waitIdle waits until no request is in progress or ctx ends.
+func waitIdle(ctx context.Context, requests stoppable) error {
 	ticker := time.NewTicker(idlePollInterval)
 	defer ticker.Stop()
-	for door.InFlight() > 0 {
+	for requests.InFlight() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/mcmember/partner_test.go
+++ b/mcmember/partner_test.go
@@ -60,7 +60,7 @@
 		}
 		require.LessOrEqual(t, changed, 2*partnerCount)
 	}
-	small := groupNames(maxPartnerless)
+	small := groupNames(maxFullMesh)
 	require.Equal(t, small, partners("own", small), "a small group is complete")
 }
 
--- a/mcmember/rank.go
+++ b/mcmember/rank.go
@@ -45,11 +45,11 @@
 }
 
 const (
-	// maxPartnerless is the number of other members up to which a member exchanges with all
+	// maxFullMesh is the number of other members up to which a member exchanges with all
 	// of them.
-	maxPartnerless = 96
+	maxFullMesh = 96
 	// partnerCount is the number of partners of a member in a larger group. Exchanges with
-	// all members would take a connection, some 100 KB on both sides together, for each pair.
+	// all members would take a connection, some 70 KB on both sides together, for each pair.
 	partnerCount = 48
 )
 
@@ -57,7 +57,7 @@
 // with the highest score of the pair. Both members of a pair compute the same score, so that
 // partners mostly choose each other, and a change of the group changes few pairs.
 func partners(own string, others []string) []string {
-	if len(others) <= maxPartnerless {
+	if len(others) <= maxFullMesh {
 		return others
 	}
 	scores := make(map[string]uint64, len(others))
--- a/mcmember/table.go
+++ b/mcmember/table.go
@@ -701,7 +701,7 @@
 			names = append(names, name)
 		}
 	}
-	contacts := make([]Contact, 0, min(len(names), maxPartnerless))
+	contacts := make([]Contact, 0, min(len(names), maxFullMesh))
 	for _, name := range partners(t.self.Identity.Instance(), names) {
 		contacts = append(contacts, contactOf(t.members[name].record))
 	}
