Call the store at once when another follower's probe succeeds

After the probe of another follower had succeeded, a follower still waited for its own backoff of 0.4 to 0.8 s, so that it noticed the store's return up to 1.6 s late.

Change: only the follower that probes backs off.

--- a/mcfollow/follower.go
+++ b/mcfollow/follower.go
@@ -179,11 +179,11 @@
 	f.failures++
 }
 
-// backOff waits before the next call after a failed one, for the probe of another follower if
-// that one probes the store.
+// backOff waits before the next call after a failed one. If another follower probes the store,
+// it waits for that one's success and not for its own backoff.
 func (f *Follower[T]) backOff(ctx context.Context) {
-	if f.Gate != nil {
-		f.Gate.await(ctx, f.Name)
+	if f.Gate != nil && f.Gate.await(ctx, f.Name) {
+		return
 	}
 	bound := mcclock.Backoff(backoffBase, backoffMax, f.failures-1)
 	mcclock.Sleep(ctx, bound/2+rand.N(bound/2))
--- a/mcfollow/gate.go
+++ b/mcfollow/gate.go
@@ -20,12 +20,12 @@
 	regained chan struct{}
 }
 
-// await returns once the follower may call the store again: at once if it is the one that
-// probes, otherwise when the probe has succeeded or after maxGateWait.
-func (g *Gate) await(ctx context.Context, follower string) {
+// await waits until the probe of another follower has succeeded, or for maxGateWait. It returns
+// false at once if the follower is the one that probes.
+func (g *Gate) await(ctx context.Context, follower string) bool {
 	regained := g.join(follower)
 	if regained == nil {
-		return
+		return false
 	}
 	timer := time.NewTimer(maxGateWait)
 	defer timer.Stop()
@@ -34,6 +34,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return true
 }
 
 // join makes the follower the prober if there is none. Otherwise it returns the channel that is
