--- a/mcforward/stream.go
+++ b/mcforward/stream.go
@@ -67,10 +67,12 @@
 			c.copyHeader(response.Header, true)
 			c.w.WriteHeader(response.StatusCode)
 		}
-		if _, err := c.w.Write(append(comments, event...)); err != nil {
+		if len(comments) > 0 {
+			event, comments = append(comments, event...), nil
+		}
+		if _, err := c.w.Write(event); err != nil {
 			return nil, failure("write to the caller", KindCallerLeft, err)
 		}
-		comments = nil
 		if err := flusher.Flush(); err != nil {
 			return nil, failure("write to the caller", KindCallerLeft, err)
 		}
