Release the body limit after a failed read; tell panics and redirects in one place

The chat interface did not end LimitRead when a body could not be read: its registration with the planned stop kept the connection in memory until a stop. Two callers of mcrecover.Call each kept a flag to tell a panic from an error. The redirect rule stood in three packages, the refusal of a stopping instance in two places.

Change: LimitRead's end is always called and may leave the deadline in force; mcrecover has an error type and IsPanic; mcsocket.KeepRedirect serves all three; one stoppingProblem.

No assertion or bound changed.

--- a/mcengine/client.go
+++ b/mcengine/client.go
@@ -67,10 +67,6 @@
 	HTTP *http.Client
 }
 
-// KeepRedirect makes an http.Client return a redirect as the response. Following it would send
-// the request to a host that is no endpoint.
-func KeepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // NewTransport returns a transport for many concurrent streams to few hosts.
 func NewTransport() *http.Transport {
 	dialer := net.Dialer{Timeout: dialTimeout}
--- a/mcforward/body.go
+++ b/mcforward/body.go
@@ -52,9 +52,9 @@
 	if c.r.ContentLength == 0 {
 		return nil
 	}
-	unlimit := f.stop.LimitRead(c.w, c.deadline)
+	endLimit := f.stop.LimitRead(c.w, c.deadline)
 	body, err := io.ReadAll(io.LimitReader(bodyReader{f: f, c: c}, limit+1))
-	unlimit()
+	endLimit(false)
 	c.body = body
 	switch {
 	case errors.Is(err, errBodyMemory):
--- a/mcgateway/attempt.go
+++ b/mcgateway/attempt.go
@@ -76,13 +76,8 @@
 
 // serveSafely is serve, but returns a panic as an error. An engine may then have begun the work.
 func (a *attempt) serveSafely() error {
-	panicked := true
-	err := mcrecover.Call(a.run.gateway.Logger, "attempt", func() error {
-		err := a.serve()
-		panicked = false
-		return err
-	})
-	if panicked {
+	err := mcrecover.Call(a.run.gateway.Logger, "attempt", a.serve)
+	if mcrecover.IsPanic(err) {
 		return marigoldcroft.NewFailure("attempt", mcengine.KindFailed, err)
 	}
 	return err
--- a/mcgateway/chat.go
+++ b/mcgateway/chat.go
@@ -148,19 +148,19 @@
 }
 
 func (g *Gateway) readBody(x *exchange) ([]byte, *Problem) {
-	unlimit := g.stop.LimitRead(x.w, time.Now().Add(g.Limits.BodyReadTimeout))
+	endLimit := g.stop.LimitRead(x.w, time.Now().Add(g.Limits.BodyReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, g.Limits.MaxBodyBytes))
+	endLimit(err != nil)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, notRun(CodeTooLarge, fmt.Sprintf("body: more than %d bytes", g.Limits.MaxBodyBytes))
 	}
 	if err != nil && g.stop.IsOver(time.Now()) {
-		return nil, notRun(CodeStopping, errStopping.Error()).withRetryAfter(stoppingRetryAfter)
+		return nil, stoppingProblem()
 	}
 	if err != nil {
 		return nil, notRun(CodeBadRequest, "body: not received within "+g.Limits.BodyReadTimeout.String())
 	}
-	unlimit()
 	return body, nil
 }
 
--- a/mcgateway/gateway.go
+++ b/mcgateway/gateway.go
@@ -180,7 +180,7 @@
 		var problem *Problem
 		switch {
 		case g.stop.RefusesNew():
-			problem = notRun(CodeStopping, "this instance is stopping").withRetryAfter(stoppingRetryAfter)
+			problem = stoppingProblem()
 		case n > int64(g.Limits.MaxInFlight):
 			problem = notRun(CodeOverloaded, "this instance has its largest number of requests").withRetryAfter(time.Second)
 		default:
--- a/mcgateway/problem.go
+++ b/mcgateway/problem.go
@@ -79,6 +79,11 @@
 	return &Problem{Code: code, Message: message, NotRun: true, Outcome: OutcomeNotRun}
 }
 
+// stoppingProblem refuses a request because of the planned stop.
+func stoppingProblem() *Problem {
+	return notRun(CodeStopping, errStopping.Error()).withRetryAfter(stoppingRetryAfter)
+}
+
 // failed returns a problem for work that may have run in part.
 func failed(code Code, message string) *Problem {
 	return &Problem{Code: code, Message: message, Outcome: OutcomeFailed}
--- a/mcgateway/stop_test.go
+++ b/mcgateway/stop_test.go
@@ -1,9 +1,12 @@
 package mcgateway_test
 
 import (
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -74,3 +77,29 @@
 		require.Len(t, g.engine.calls, 1)
 	})
 }
+
+// deadlineWriter is a response writer that counts the changes of its read deadline.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+
+	changes int
+}
+
+func (w *deadlineWriter) SetReadDeadline(time.Time) error { w.changes++; return nil }
+
+// A request whose body cannot be read must leave nothing behind for the planned stop: what it
+// left would keep its connection in memory until then.
+func TestFailedBodyLeavesNothingBehind(t *testing.T) {
+	bubble(t, func(t *testing.T, run func(*testGateway) *testGateway) {
+		g := run(newTestGateway(map[string][]string{"a": {"x"}}))
+		r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", iotest.ErrReader(io.ErrUnexpectedEOF))
+		r.Header.Set("Authorization", "Bearer "+callerKey)
+		w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+		g.Handler().ServeHTTP(w, r)
+		require.Equal(t, http.StatusBadRequest, w.Code)
+		before := w.changes
+		g.Drain(time.Now())
+		synctest.Wait()
+		require.Equal(t, before, w.changes)
+	})
+}
--- a/mcmember/partner_test.go
+++ b/mcmember/partner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -53,7 +54,7 @@
 			before := partners(name, without(names, name))
 			after := partners(name, without(without(names, name), lost))
 			for _, partner := range after {
-				if !contains(before, partner) {
+				if !slices.Contains(before, partner) {
 					changed++
 				}
 			}
@@ -64,8 +65,6 @@
 	require.Equal(t, small, partners("own", small), "a small group is complete")
 }
 
-func contains(names []string, name string) bool { return len(without(names, name)) < len(names) }
-
 // largestDistance returns the number of steps from a member to the one that is farthest away,
 // or a large number if one cannot be reached.
 func largestDistance(from string, connected map[string]map[string]bool) int {
--- a/mcpeer/server.go
+++ b/mcpeer/server.go
@@ -154,13 +154,8 @@
 // guard runs a handler. grpc does not recover panics, so one in a handler would end the
 // process.
 func (s *Server) guard(method string, handle func() error) error {
-	panicked := true
-	err := mcrecover.Call(s.Logger, method, func() error {
-		err := handle()
-		panicked = false
-		return err
-	})
-	if panicked {
+	err := mcrecover.Call(s.Logger, method, handle)
+	if mcrecover.IsPanic(err) {
 		return status.Errorf(codes.Internal, "%s failed unexpectedly", method)
 	}
 	return err
--- a/mcrecover/recover.go
+++ b/mcrecover/recover.go
@@ -7,18 +7,35 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+
+	"marigoldcroft"
+)
+
+const (
+	// KindPanic means that the called function panicked.
+	KindPanic Kind = "panic"
+	// maxStackBytes limits the part of the stack in the log line.
+	maxStackBytes = 4 << 10
+)
+
+type (
+	// Kind classifies the errors of the package.
+	Kind string
+	// Error is the error type of the package.
+	Error = marigoldcroft.Failure[Kind]
 )
 
-// maxStackBytes limits the part of the stack in the log line.
-const maxStackBytes = 4 << 10
+// IsPanic reports whether the error stands for a panic that Call has recovered.
+func IsPanic(err error) bool { return marigoldcroft.FailureKind[Kind](err) == KindPanic }
 
-// Call runs f. If f panics, it logs the panic and its place, and returns it as an error.
+// Call runs f and returns its error. If f panics, Call logs the panic and its place, and returns
+// an error of KindPanic.
 func Call(logger zerolog.Logger, place string, f func() error) (err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			stack := debug.Stack()
 			logger.Error().Str("place", place).Interface("cause", cause).Bytes("stack", stack[:min(len(stack), maxStackBytes)]).Msg("panicRecovered")
-			err = errors.Newf("panic in %s: %v", place, cause)
+			err = marigoldcroft.NewFailure(place, KindPanic, errors.Newf("%v", cause))
 		}
 	}()
 	return f()
--- a/mcservice/service.go
+++ b/mcservice/service.go
@@ -128,7 +128,7 @@
 	return &Client{cfg: cfg, http: &http.Client{
 		Transport: transport,
 		// Following a redirect would send a call a second time.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		CheckRedirect: mcsocket.KeepRedirect,
 	}}
 }
 
--- a/mcstop/stop.go
+++ b/mcstop/stop.go
@@ -76,8 +76,9 @@
 }
 
 // LimitRead makes the body of a request arrive before the deadline, and before the end of a
-// stop that begins meanwhile. The function that it returns removes the limit.
-func (s *Stop) LimitRead(w http.ResponseWriter, deadline time.Time) (unlimit func()) {
+// stop that begins meanwhile. The function that it returns must be called after the read. It
+// removes the limit, or leaves it in force on the rest of the body if keep is true.
+func (s *Stop) LimitRead(w http.ResponseWriter, deadline time.Time) (end func(keep bool)) {
 	s.init()
 	control := http.NewResponseController(w)
 	// Errors of SetReadDeadline are ignored: only response writers of tests do not support
@@ -90,10 +91,12 @@
 			_ = control.SetReadDeadline(s.endBy)
 		}
 	})
-	return func() {
+	return func(keep bool) {
 		if !cancel() {
 			<-shortened
 		}
-		_ = control.SetReadDeadline(time.Time{})
+		if !keep {
+			_ = control.SetReadDeadline(time.Time{})
+		}
 	}
 }
--- a/mcstore/http.go
+++ b/mcstore/http.go
@@ -50,9 +50,7 @@
 	Transport: &http.Transport{
 		MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: mcsocket.MaxResponseHeaderBytes,
 	},
-	CheckRedirect: func(*http.Request, []*http.Request) error {
-		return http.ErrUseLastResponse
-	},
+	CheckRedirect: mcsocket.KeepRedirect,
 }
 
 // send sends a request and reads the whole response. The second result is false if no
