Count a listing of endpoints only once the scheduler knows them

Fleet.Apply set the listing as known before it called OnChange, so that the instance reported ready while its scheduler had no endpoint, and the first request was refused.

Change: HasListing is true once OnChange has returned.

Result: TestListingIsAnnouncedBeforeItCounts, which fails on the code before.

--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -37,7 +37,9 @@
 		entries map[string]*fleetEntry
 		// performance holds the engine performance figures by service name.
 		performance map[string]marigoldcroft.EnginePerformance
-		known       bool
+		// known is true once a full listing has been applied, and announced once OnChange has
+		// returned for it.
+		known, announced bool
 		// keepMissingUntil is the time until which endpoints with missing records are kept
 		// after an outage.
 		keepMissingUntil time.Time
@@ -61,11 +63,12 @@
 	}
 )
 
-// HasListing reports whether a full listing has been applied.
+// HasListing reports whether a full listing has been applied and OnChange has returned for it, so
+// that requests find its endpoints.
 func (f *Fleet) HasListing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.known
+	return f.announced
 }
 
 // Endpoint returns the endpoint and true, or false if it is unknown or may not get new work.
@@ -166,9 +169,16 @@
 	if changed {
 		f.OnChange(all)
 	}
+	f.markAnnounced()
 	f.notifyEnded(ended)
 }
 
+func (f *Fleet) markAnnounced() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.announced = f.known
+}
+
 // notifyEnded calls OnProcessEnded for each process in ended; mu must not be held.
 func (f *Fleet) notifyEnded(ended []endedProcess) {
 	for _, e := range ended {
--- a/mcfleet/fleet_test.go
+++ b/mcfleet/fleet_test.go
@@ -179,3 +179,17 @@
 	_, usable = f.Endpoint("a")
 	require.True(t, usable)
 }
+
+// An instance is ready once the fleet has a listing. If that were so before the scheduler knows the
+// endpoints, the first requests would be refused for want of an endpoint.
+func TestListingIsAnnouncedBeforeItCounts(t *testing.T) {
+	f := &mcfleet.Fleet{Logger: zerolog.Nop()}
+	calls := 0
+	f.OnChange = func([]marigoldcroft.Endpoint) {
+		calls++
+		require.False(t, f.HasListing())
+	}
+	f.Apply(mcfollow.Change[marigoldcroft.EndpointRecord]{Snapshot: true})
+	require.Equal(t, 1, calls)
+	require.True(t, f.HasListing())
+}
