Name the shared prompt parts of a failed attempt and the endpoint of a suspect in the log

Hypotheses: (1) the quarantine knows whole requests only, and no two of these are alike; (2) the crashes are recognised, but the peers learn of them too late; (3) the crashes are not recognised as such. The log could not tell them apart: attemptFailed did not say what a request shares with others, and suspectChanged did not name the endpoint that crashed.

--- a/forward.go
+++ b/forward.go
@@ -20,6 +20,9 @@
 		OutputTokens int64
 		// ExpectedOutputTokens is the caller's estimate of the output tokens, or 0 for none.
 		ExpectedOutputTokens int64
+		// SharedParts identifies, in order, the parts of the prompt that other requests may
+		// have in common with this one.
+		SharedParts []string
 		// ResumeAfter is the id of the last event that the caller received, or "".
 		ResumeAfter string
 		// Header holds the header fields that are forwarded unchanged.
--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -138,10 +138,10 @@
 	case KindConnectionBroken:
 		f.Quarantine.StreamBroken(now, a.endpoint, id)
 	case KindConnectionRefused:
-		f.announce(f.Quarantine.ConnectionRefused(now, a.endpoint))
-		f.announce(f.Quarantine.End(now, a.endpoint, id, false))
+		f.announce(a.endpoint, f.Quarantine.ConnectionRefused(now, a.endpoint))
+		f.announce(a.endpoint, f.Quarantine.End(now, a.endpoint, id, false))
 	default:
-		f.announce(f.Quarantine.End(now, a.endpoint, id, err == nil))
+		f.announce(a.endpoint, f.Quarantine.End(now, a.endpoint, id, err == nil))
 	}
 	switch kind {
 	case KindAddressReused:
--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -107,6 +107,7 @@
 	kind := kindOf(err)
 	retry, rule := c.mayRetry(ctx, a, kind)
 	c.forwarder.Logger.Info().Str("requestId", c.request.ID).Str("endpoint", a.endpoint).Int("attempt", c.attempts).
+		Strs("parts", c.request.SharedParts).
 		Str("kind", string(kind)).Err(err).Bool("mayHaveRun", c.mayHaveRun).Bool("retried", retry).Str("decidedBy", rule).
 		Dur("leftMs", time.Until(c.deadline)).Msg("attemptFailed")
 	if retry {
--- a/mcforward/health.go
+++ b/mcforward/health.go
@@ -220,7 +220,7 @@
 		now := time.Now()
 		f.health.markDown(now, endpoint.Name())
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			f.announce(f.Quarantine.ConnectionRefused(now, endpoint.Name()))
+			f.announce(endpoint.Name(), f.Quarantine.ConnectionRefused(now, endpoint.Name()))
 		}
 	})
 }
@@ -230,19 +230,20 @@
 func (f *Forwarder) EndpointEnded(name string, incarnation uint64) {
 	now := time.Now()
 	if incarnation != 0 {
-		f.announce(f.Quarantine.IncarnationReported(now, now, name, incarnation))
+		f.announce(name, f.Quarantine.IncarnationReported(now, now, name, incarnation))
 		return
 	}
-	f.announce(f.Quarantine.ConnectionRefused(now, name))
+	f.announce(name, f.Quarantine.ConnectionRefused(now, name))
 }
 
-// announce logs changed quarantine entries and sends them to peers.
-func (f *Forwarder) announce(entries []*mcmessage.QuarantineEntry) {
+// announce logs the quarantine entries that changed because the endpoint crashed or completed
+// a response, and sends them to peers.
+func (f *Forwarder) announce(endpoint string, entries []*mcmessage.QuarantineEntry) {
 	if len(entries) == 0 {
 		return
 	}
 	for _, e := range entries {
-		f.Logger.Warn().Uint64("fingerprint", e.GetFingerprint()).Uint32("crashes", e.GetCrashes()).
+		f.Logger.Warn().Str("endpoint", endpoint).Uint64("fingerprint", e.GetFingerprint()).Uint32("crashes", e.GetCrashes()).
 			Bool("quarantined", e.GetQuarantined()).Bool("cleared", e.GetCleared()).Msg("suspectChanged")
 	}
 	f.Announce(entries)
