Quarantine prompt parts that crash endpoints

Cause: the quarantine knew requests only by the fingerprint of the whole request. No two of these requests are alike, so each counted as new. The class of fault: blame is kept for an identity that the cause does not have.

Change: a crash is also attributed to the shared parts of the requests in flight whose answer had not begun more than 1 s before. Three crashes in a row without an answered request between them quarantine a part for 10 minutes (five if a request with it was answered in the last minute); an answered request clears it. The count grows by one at a time, and only by attempts that began after the previous count was known, so that endpoints that fail together count once. Of the parts of one prompt the unproven ones with most crashes are blamed. Entries are merged by (clears, crashes), so that crashes counted at several instances at once neither add up nor replace each other. Requests with a quarantined part are refused at once as not run, also after they waited; requests with a suspected part are not repeated after a broken connection, as an immediate repeat costs another endpoint before the crash is known.

Weighed: crash counts per part without the sequence rule (a wave of failing endpoints quarantines a popular part), one trial endpoint for suspects (slower, and other instances do not know of it), holding every repeat until the probe's result (60 ms more for each broken connection).

--- a/mcentry/forwarding_peer.go
+++ b/mcentry/forwarding_peer.go
@@ -159,7 +159,7 @@
 		}
 		e.scheduler.SetMembers(time.Now(), e.Settings.Instance, e.member.Candidates())
 	case mcmember.EventQuarantine, mcmember.EventDropped, mcmember.EventResumed:
-		e.forwarder.Quarantine.Merge(time.Now(), e.member.QuarantineEntries())
+		e.forwarder.MergeSuspects(e.member.QuarantineEntries())
 	case mcmember.EventSelfRemoved:
 		// Peers take over no work from a forwarding instance, so it may continue to run.
 		e.logger.Warn().Uint64("incarnation", event.Revision).Msg("runGivenUpByPeers")
--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -79,6 +79,10 @@
 			return nil, a.refusedError()
 		}
 	}
+	if err := c.quarantinedPart(); err != nil {
+		// The part was quarantined while the request waited.
+		return nil, err
+	}
 	a.endpoint = a.decision.Endpoint
 	endpoint, ok := f.Fleet.Endpoint(a.endpoint)
 	if !ok {
@@ -90,7 +94,7 @@
 		Dur("predictedFirstMs", a.decision.PredictedFirstToken).Msg("dispatched")
 	a.loadChanged()
 	defer a.loadChanged()
-	f.Quarantine.Begin(time.Now(), a.endpoint, work.ID, c.fingerprint)
+	f.Quarantine.Begin(time.Now(), a.endpoint, work.ID, c.fingerprint, c.parts)
 	result, err := a.sendWithReservations(ctx, endpoint, work.ID)
 	a.reportEnd(endpoint, work.ID, err)
 	return result, err
@@ -432,5 +436,6 @@
 	c.lastOutputAt = now
 	a.completion.FirstToken = now.Sub(a.sentAt)
 	c.forwarder.Dispatcher.FirstToken(id)
+	c.forwarder.Quarantine.FirstOutput(now, a.endpoint, id)
 	a.loadChanged()
 }
--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"marigoldcroft"
 	"marigoldcroft/mcclock"
 	"marigoldcroft/mcquarantine"
@@ -39,7 +42,9 @@
 	// countedBytes is the number of body bytes that count against Forwarder.MaxBodyBytes.
 	countedBytes int64
 	fingerprint  mcquarantine.Fingerprint
-	class        marigoldcroft.Class
+	// parts are the fingerprints of the parts that the prompt shares with others.
+	parts []mcquarantine.Fingerprint
+	class marigoldcroft.Class
 
 	// attempts counts the attempts that sent data to an endpoint, placements counts the
 	// attempts submitted to the scheduler.
@@ -82,11 +87,14 @@
 	}
 }
 
-// checkQuarantine asks the quarantine how the request may run. It waits while an identical
-// request, suspected of crashing endpoints, is running. isolate is true if the request may
+// checkQuarantine asks the quarantine whether and how the request may run. It waits while an
+// identical request, suspected of crashing endpoints, is running. isolate is true if the request may
 // run only on an endpoint where no other suspect runs.
 func (c *call) checkQuarantine(ctx context.Context) (isolate bool, refusal *problem) {
 	quarantine := c.forwarder.Quarantine
+	if err := c.quarantinedPart(); err != nil {
+		return false, &problem{status: http.StatusServiceUnavailable, reason: err.Error()}
+	}
 	for ctx.Err() == nil {
 		switch quarantine.Acquire(time.Now(), c.fingerprint, c.request.ID) {
 		case mcquarantine.VerdictQuarantined:
@@ -101,6 +109,16 @@
 	return false, &problem{status: http.StatusServiceUnavailable, reason: "the request's time ended while its twin ran under suspicion of a crash"}
 }
 
+// quarantinedPart returns an error if the prompt contains a quarantined part.
+func (c *call) quarantinedPart() error {
+	part, quarantined := c.forwarder.Quarantine.QuarantinedPart(time.Now(), c.parts)
+	if !quarantined {
+		return nil
+	}
+	i := slices.Index(c.parts, part)
+	return failure("quarantine", KindQuarantined, errors.Newf("part %s of the prompt crashed endpoints", c.request.SharedParts[i]))
+}
+
 // handleFailure decides what follows a failed attempt. It returns the result of the call
 // and true, or false if another attempt is to be made.
 func (c *call) handleFailure(ctx context.Context, a *attempt, err error) (callResult, bool) {
@@ -129,6 +147,8 @@
 		return false, "ended"
 	case kind == KindRefused:
 		return false, "scheduler"
+	case kind == KindQuarantined:
+		return false, "quarantine"
 	case c.forwarder.stop.IsOver(now):
 		return false, "stop"
 	case c.deadline.Sub(now) < minAttemptTime:
@@ -141,6 +161,9 @@
 		return false, "answerBegan"
 	case !a.sent:
 		return true, "notSent"
+	case kind == KindConnectionBroken && c.forwarder.Quarantine.NearQuarantine(now, c.parts):
+		// Whether the endpoint crashed is known only after a probe.
+		return false, "suspectPart"
 	case c.attempts >= c.route.MaxAttempts():
 		return false, "maxAttempts"
 	case !c.forwarder.Retries.TryConsume(now, c.service):
--- a/mcforward/doc.go
+++ b/mcforward/doc.go
@@ -49,6 +49,8 @@
 	KindAborted Kind = "aborted"
 	// KindRefused means that the scheduler refused the request.
 	KindRefused Kind = "refused"
+	// KindQuarantined means that the prompt contains a part that crashed endpoints.
+	KindQuarantined Kind = "quarantined"
 	// KindStreamGap means that a stream skipped an event after the last one that was relayed.
 	KindStreamGap Kind = "gap in the stream"
 )
--- a/mcforward/forward_test.go
+++ b/mcforward/forward_test.go
@@ -296,3 +296,48 @@
 	require.LessOrEqual(t, crashed.Load(), int64(3))
 	require.Equal(t, http.StatusOK, b.get("/again/x").status, "other requests are still served")
 }
+
+// Requests that share only one part of their prompt take down one endpoint after another if
+// just whole requests are quarantined. Once the part is known to crash endpoints, requests with
+// it must be refused as not run and reach no further endpoint, and are not repeated once
+// it is suspected; others with the same first part are served.
+func TestDeadlyPartReachesFewEndpoints(t *testing.T) {
+	for path, limit := range map[string]int64{"/solo/stream/": 3, "/stream/": 5} {
+		t.Run(path, func(t *testing.T) { testDeadlyPart(t, path, limit) })
+	}
+}
+
+func testDeadlyPart(t *testing.T, path string, limit int64) {
+	b := newTestBed(t, 10)
+	var crashed atomic.Int64
+	for i := range b.servers {
+		b.httpServers[i].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.Contains(r.Header.Get("Prefix-Hash"), "dead:") {
+				crashed.Add(1)
+				w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+				w.Header().Set("Response-Seal", "seal")
+				_ = http.NewResponseController(w).Flush()
+				go b.httpServers[i].CloseClientConnections()
+				_ = b.httpServers[i].Listener.Close()
+				panic(http.ErrAbortHandler)
+			}
+			b.servers[i].ServeHTTP(w, r)
+		})
+	}
+	prompt := func(path, parts string) callerResponse {
+		r := b.request(http.MethodPost, path, "prompt")
+		r.URL.Path += r.Header.Get("Request-Id")
+		r.Header.Set("Prefix-Hash", parts+r.Header.Get("Request-Id")+":250")
+		return b.send(r)
+	}
+	require.Equal(t, http.StatusOK, prompt("/stream/", "aa:800,").status)
+	var last callerResponse
+	require.Eventually(t, func() bool {
+		last = prompt(path, "aa:800,dead:410,")
+		return last.status == http.StatusServiceUnavailable
+	}, 10*time.Second, 200*time.Millisecond)
+	require.Contains(t, last.body, `"notRun":true`)
+	require.Contains(t, last.body, "part dead of the prompt")
+	require.LessOrEqual(t, crashed.Load(), limit)
+	require.Equal(t, http.StatusOK, prompt("/stream/", "aa:800,").status)
+}
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -150,6 +150,9 @@
 		return c.refuse(*problem)
 	}
 	c.fingerprint = mcquarantine.FingerprintOf(c.team.Name, append([]byte(c.r.Method+" "+c.r.RequestURI+"\n"), c.body...))
+	for _, part := range c.request.SharedParts {
+		c.parts = append(c.parts, mcquarantine.PartFingerprint(c.service, part))
+	}
 	f.Retries.CountRequest(c.start, c.service)
 	return c.forward()
 }
--- a/mcforward/health.go
+++ b/mcforward/health.go
@@ -236,6 +236,14 @@
 	f.announce(name, f.Quarantine.ConnectionRefused(now, name))
 }
 
+// MergeSuspects merges the quarantine entries of peers. It clears those of shared prompt parts
+// with which this instance answered requests.
+func (f *Forwarder) MergeSuspects(entries []*mcmessage.QuarantineEntry) {
+	now := time.Now()
+	f.Quarantine.Merge(now, entries)
+	f.announce("", f.Quarantine.ClearProvenParts(now))
+}
+
 // announce logs the quarantine entries that changed because the endpoint crashed or completed
 // a response, and sends them to peers.
 func (f *Forwarder) announce(endpoint string, entries []*mcmessage.QuarantineEntry) {
@@ -243,7 +251,7 @@
 		return
 	}
 	for _, e := range entries {
-		f.Logger.Warn().Str("endpoint", endpoint).Uint64("fingerprint", e.GetFingerprint()).Uint32("crashes", e.GetCrashes()).
+		f.Logger.Warn().Str("endpoint", endpoint).Uint64("fingerprint", e.GetFingerprint()).Uint32("crashes", e.GetCrashes()).Bool("part", e.GetPart()).
 			Bool("quarantined", e.GetQuarantined()).Bool("cleared", e.GetCleared()).Msg("suspectChanged")
 	}
 	f.Announce(entries)
--- a/mcgateway/crash.go
+++ b/mcgateway/crash.go
@@ -28,7 +28,7 @@
 	if quarantine == nil {
 		return
 	}
-	quarantine.Begin(time.Now(), endpoint.Name(), a.id, a.run.request.fingerprint)
+	quarantine.Begin(time.Now(), endpoint.Name(), a.id, a.run.request.fingerprint, nil)
 	a.run.mu.Lock()
 	defer a.run.mu.Unlock()
 	a.sentTo = endpoint.Name()
--- a/mcgateway/harness_test.go
+++ b/mcgateway/harness_test.go
@@ -336,7 +336,7 @@
 	canonical := fmt.Sprintf(`{"model":"caption","messages":[{"role":"user","content":%q}],"max_tokens":100,"max_completion_tokens":0,"stream":false,"temperature":null,"seed":null}`,
 		sent.Messages[0].Content)
 	id := marigoldcroft.NewStreamID("earlier", 1)
-	g.Quarantine.Begin(time.Now(), "dead", id, mcquarantine.FingerprintOf("studio", []byte(canonical)))
+	g.Quarantine.Begin(time.Now(), "dead", id, mcquarantine.FingerprintOf("studio", []byte(canonical)), nil)
 	g.Quarantine.StreamBroken(time.Now(), "dead", id)
 	g.Quarantine.ConnectionRefused(time.Now(), "dead")
 }
--- a/mcmember/apply.go
+++ b/mcmember/apply.go
@@ -268,6 +268,7 @@
 			Quarantined:   cur.GetQuarantined() || r.GetQuarantined(),
 			Cleared:       cur.GetCleared() || r.GetCleared(),
 			ExpiresUnixMs: max(cur.GetExpiresUnixMs(), r.GetExpiresUnixMs()),
+			Part:          cur.GetPart() || r.GetPart(),
 		}
 	}
 	stamp := hashOf("", fingerprint, r.GetVersion(), uint64(r.GetCrashes()),
--- a/mcmember/table_command.go
+++ b/mcmember/table_command.go
@@ -177,13 +177,19 @@
 		slices.EqualFunc(chunk, t.own.usage.chunk, func(a, b *mcmessage.TeamUse) bool { return proto.Equal(a, b) })
 }
 
-// SetQuarantine stores and shares a quarantine entry with a version above the known one.
+// SetQuarantine stores and shares a quarantine entry with a version above the known one. The
+// entry of a shared part keeps its version, by which crashes that several instances count at
+// the same time are merged.
 func (t *Table) SetQuarantine(now time.Time, q *mcmessage.QuarantineEntry) {
 	cur := t.quarantine[q.GetFingerprint()]
+	version := max(cur.GetVersion()+1, versionAt(now))
+	if q.GetPart() {
+		version = q.GetVersion()
+	}
 	t.applyQuarantine(now, &mcmessage.QuarantineEntry{
 		Fingerprint: q.GetFingerprint(), Crashes: min(q.GetCrashes(), maxCount), Quarantined: q.GetQuarantined(),
 		Cleared: q.GetCleared(), ExpiresUnixMs: clampUnixMs(q.GetExpiresUnixMs()),
-		Version: max(cur.GetVersion()+1, versionAt(now)),
+		Version: version, Part: q.GetPart(),
 	}, true)
 }
 
--- a/mcquarantine/crash.go
+++ b/mcquarantine/crash.go
@@ -1,7 +1,6 @@
 package mcquarantine
 
 import (
-	"sort"
 	"time"
 
 	"marigoldcroft"
@@ -21,7 +20,10 @@
 
 	inFlightAttempt struct {
 		fingerprint Fingerprint
+		parts       []Fingerprint
 		startedAt   time.Time
+		// firstOutputAt is when the answer began, or zero.
+		firstOutputAt time.Time
 		// brokenAt is when the stream broke, or zero.
 		brokenAt time.Time
 		// crashCounted is true after the crash was counted against the fingerprint. The
@@ -95,14 +97,16 @@
 }
 
 // countCrash counts one crash against each fingerprint that was in flight when the first
-// stream broke.
+// stream broke, and against the shared parts of these requests.
 func (g *Guard) countCrash(now time.Time, state *endpointState) []*mcmessage.QuarantineEntry {
 	fingerprints := make(map[Fingerprint]bool)
+	var messages []*mcmessage.QuarantineEntry
 	for id, attempt := range state.inFlight {
 		if attempt.crashCounted || attempt.startedAt.After(state.firstBroken) {
 			continue
 		}
 		fingerprints[attempt.fingerprint] = true
+		messages = append(messages, g.blameParts(now, state.firstBroken, attempt)...)
 		if attempt.crashCounted = true; attempt.brokenAt.IsZero() {
 			state.inFlight[id] = attempt
 		} else {
@@ -110,13 +114,12 @@
 		}
 	}
 	state.firstBroken = time.Time{}
-	messages := make([]*mcmessage.QuarantineEntry, 0, len(fingerprints))
 	for f := range fingerprints {
 		e := g.ensureEntry(now, f)
 		e.addCrash(now)
 		messages = append(messages, e.toMessage(f))
 	}
-	sort.Slice(messages, func(i, j int) bool { return messages[i].Fingerprint < messages[j].Fingerprint })
+	sortEntries(messages)
 	return messages
 }
 
--- a/mcquarantine/guard.go
+++ b/mcquarantine/guard.go
@@ -1,7 +1,8 @@
 // Package mcquarantine detects requests that crash endpoints and limits the damage. A
 // request that was in flight at a crash becomes a suspect, which runs only in isolation;
-// after repeated crashes it is quarantined and refused. The package reads no clock: each
-// call is given the time.
+// after repeated crashes it is quarantined and refused. So is each request that contains a
+// shared prompt part after repeated crashes of requests with that part. The package reads no
+// clock: each call is given the time.
 package mcquarantine
 
 import (
@@ -28,11 +29,17 @@
 		mu        sync.Mutex
 		entries   map[Fingerprint]*entry
 		endpoints map[string]*endpointState
+		// provenParts holds, for the shared parts of requests that were answered at this
+		// instance, the time of the last such answer.
+		provenParts map[Fingerprint]time.Time
 	}
 
 	// entry is the record of one fingerprint. Entries of several instances are merged by
 	// version; see merge.
 	entry struct {
+		// part is true if the fingerprint is that of a shared part of prompts. crashes then
+		// counts crashes in a row without an answered request between them.
+		part        bool
 		crashes     uint32
 		quarantined bool
 		cleared     bool
@@ -41,6 +48,8 @@
 		// runningRequest is the ID of the request that runs this suspect on this instance,
 		// or "".
 		runningRequest string
+		// changedAt is when this instance learned of the crashes of a part.
+		changedAt time.Time
 	}
 )
 
@@ -108,16 +117,17 @@
 	}
 }
 
-// Begin records that an attempt is sent to the endpoint.
-func (g *Guard) Begin(now time.Time, endpointName string, id marigoldcroft.StreamID, f Fingerprint) {
+// Begin records that an attempt is sent to the endpoint. parts are the shared parts of its
+// prompt, in order.
+func (g *Guard) Begin(now time.Time, endpointName string, id marigoldcroft.StreamID, f Fingerprint, parts []Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.endpoint(endpointName).inFlight[id] = inFlightAttempt{fingerprint: f, startedAt: now}
+	g.endpoint(endpointName).inFlight[id] = inFlightAttempt{fingerprint: f, parts: parts, startedAt: now}
 }
 
 // End records that an attempt ended. One that finished with a complete response clears a
-// suspect, as the request can run without a crash; End then returns the cleared entry for
-// the peers. An unfinished attempt for which StreamBroken was called is kept until it is
+// suspect, as the request can run without a crash, and the shared parts of its prompt; End
+// then returns the cleared entries for the peers. An unfinished attempt for which StreamBroken was called is kept until it is
 // known whether the endpoint crashed.
 func (g *Guard) End(now time.Time, endpointName string, id marigoldcroft.StreamID, finished bool) []*mcmessage.QuarantineEntry {
 	g.mu.Lock()
@@ -128,12 +138,15 @@
 		return nil
 	}
 	delete(state.inFlight, id)
-	e := g.entries[attempt.fingerprint]
-	if !finished || e == nil || e.quarantined || e.crashes == 0 {
+	if !finished {
 		return nil
 	}
-	e.clear(now)
-	return []*mcmessage.QuarantineEntry{e.toMessage(attempt.fingerprint)}
+	cleared := g.proveParts(now, attempt.parts)
+	if e := g.entries[attempt.fingerprint]; e != nil && !e.quarantined && e.crashes > 0 {
+		e.clear(now)
+		cleared = append(cleared, e.toMessage(attempt.fingerprint))
+	}
+	return cleared
 }
 
 // Clear lifts the quarantine of a fingerprint on an operator's command and returns the
@@ -227,6 +240,6 @@
 func (e *entry) toMessage(f Fingerprint) *mcmessage.QuarantineEntry {
 	return &mcmessage.QuarantineEntry{
 		Fingerprint: uint64(f), Crashes: e.crashes, Quarantined: e.quarantined, Cleared: e.cleared,
-		Version: e.version, ExpiresUnixMs: e.expires.UnixMilli(),
+		Version: e.version, ExpiresUnixMs: e.expires.UnixMilli(), Part: e.part,
 	}
 }
--- a/mcquarantine/guard_query.go
+++ b/mcquarantine/guard_query.go
@@ -1,7 +1,6 @@
 package mcquarantine
 
 import (
-	"sort"
 	"time"
 
 	"marigoldcroft/mcmessage"
@@ -26,6 +25,6 @@
 			messages = append(messages, e.toMessage(f))
 		}
 	}
-	sort.Slice(messages, func(i, j int) bool { return messages[i].Fingerprint < messages[j].Fingerprint })
+	sortEntries(messages)
 	return messages
 }
--- a/mcquarantine/guard_test.go
+++ b/mcquarantine/guard_test.go
@@ -43,8 +43,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := &mcquarantine.Guard{}
-			g.Begin(start, "a", stream(1), bad)
-			g.Begin(start, "a", stream(2), good)
+			g.Begin(start, "a", stream(1), bad, nil)
+			g.Begin(start, "a", stream(2), good, nil)
 			for _, step := range strings.Fields(c.steps) {
 				applyStep(t, g, step)
 			}
@@ -69,7 +69,7 @@
 	now := start.Add(time.Duration(seconds) * time.Second)
 	switch action {
 	case "begin":
-		g.Begin(now, "a", stream(n), mcquarantine.FingerprintOf("studio", []byte("later")))
+		g.Begin(now, "a", stream(n), mcquarantine.FingerprintOf("studio", []byte("later")), nil)
 	case "cut":
 		g.StreamBroken(now, "a", stream(n))
 	case "fail", "whole":
@@ -83,7 +83,7 @@
 
 // crashEndpoint starts the fingerprint on the endpoint and crashes the endpoint.
 func crashEndpoint(g *mcquarantine.Guard, now time.Time, endpoint string, id marigoldcroft.StreamID, f mcquarantine.Fingerprint) []*mcmessage.QuarantineEntry {
-	g.Begin(now, endpoint, id, f)
+	g.Begin(now, endpoint, id, f, nil)
 	g.StreamBroken(now, endpoint, id)
 	return g.ConnectionRefused(now, endpoint)
 }
@@ -99,7 +99,7 @@
 	require.Equal(t, mcquarantine.VerdictExclusive, g.Acquire(start, bad, "r2"))
 	g.Release(bad, "r2")
 
-	g.Begin(start, "b", stream(2), bad)
+	g.Begin(start, "b", stream(2), bad, nil)
 	require.Len(t, g.End(start, "b", stream(2), true), 1)
 	require.Equal(t, mcquarantine.VerdictRun, g.Check(start, bad))
 
@@ -117,7 +117,7 @@
 func TestOnlyCompleteResponseClears(t *testing.T) {
 	for finished, verdict := range map[bool]mcquarantine.Verdict{true: mcquarantine.VerdictRun, false: mcquarantine.VerdictExclusive} {
 		g := &mcquarantine.Guard{}
-		g.Begin(start, "b", stream(2), bad)
+		g.Begin(start, "b", stream(2), bad, nil)
 		crashEndpoint(g, start.Add(time.Second), "a", stream(1), bad)
 		g.End(start.Add(2*time.Second), "b", stream(2), finished)
 		require.Equal(t, verdict, g.Check(start.Add(2*time.Second), bad))
--- a/mcquarantine/merge.go
+++ b/mcquarantine/merge.go
@@ -18,14 +18,17 @@
 		if !now.Before(expires) || expires.After(now.Add(2*quarantineTTL)) {
 			continue
 		}
-		if g.ensureEntry(now, Fingerprint(m.GetFingerprint())).merge(m, expires) {
+		if g.ensureEntry(now, Fingerprint(m.GetFingerprint())).merge(now, m, expires) {
 			changed++
 		}
 	}
 	return changed
 }
 
-func (e *entry) merge(m *mcmessage.QuarantineEntry, expires time.Time) bool {
+func (e *entry) merge(now time.Time, m *mcmessage.QuarantineEntry, expires time.Time) bool {
+	if m.GetPart() && !now.Before(e.expires) {
+		*e = entry{part: true}
+	}
 	if m.GetVersion() < e.version {
 		return false
 	}
@@ -44,6 +47,9 @@
 	if next == *e {
 		return false
 	}
+	if next.crashes != e.crashes {
+		next.changedAt = now
+	}
 	*e = next
 	return true
 }
