Accept streams that end with their connection

Seen by callers: a stream whose server sends neither a length nor chunks, and closes the connection at the end, was broken off after its last event, or was sent to another endpoint where the route allows it, although it was complete.

Cause: relayStream took every body that ends with its connection for a broken one.

Change: such a stream is complete if its connection is closed outside an event and after at least one event of this attempt. It is broken off if it is closed inside an event or before the first one, or is reset; a stream of HTTP/1.0 is treated alike. Bodies other than streams were already read to the end of their connection; the tests now cover them. An empty one is complete. net/http marks these responses as the last of their connection, so that it is not pooled. attempt.endedWithConnection tells such a response apart, as its end does not show that the endpoint survived the request. mcstandin.RawServer answers with given bytes and closes or resets the connection.

mcengine needs no change: its streams end with a finish reason and an end mark inside the body, whatever the framing.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -45,6 +45,10 @@
 	// sent is true once a part of the request may have reached the endpoint.
 	sent   bool
 	sentAt time.Time
+	// endedWithConnection is true if the end of the connection is the end of the response. Such
+	// a response does not prove that the endpoint survived the request: a crash that closes the
+	// connection between two events ends it in the same way.
+	endedWithConnection bool
 	// errorResponse is the endpoint's error response, passed on to the caller if no other
 	// attempt follows.
 	errorResponse *bufferedResponse
@@ -188,6 +192,7 @@
 		return nil, a.exchangeError(ctx, err)
 	}
 	defer response.Body.Close()
+	a.endedWithConnection = endsWithConnection(response)
 	responseInfo := f.Codec.DecodeResponse(response.Header)
 	result, err := a.receive(ctx, response, responseInfo, id)
 	if err != nil || response.Close || !bodyConsumed(response.Body) {
--- a/mcforward/stream.go
+++ b/mcforward/stream.go
@@ -34,7 +34,7 @@
 	for {
 		event, err := readEvent(reader)
 		switch {
-		case errors.Is(err, io.EOF) && len(event) == 0 && delivered+int(c.lastEventNumber) > 0 && hasEndMark(response):
+		case errors.Is(err, io.EOF) && len(event) == 0 && a.isWholeStream(delivered):
 			if _, err := c.w.Write(comments); err != nil {
 				return nil, failure("write to the caller", KindCallerLeft, err)
 			}
@@ -87,10 +87,18 @@
 	}
 }
 
-// hasEndMark reports whether the response marks the end of its body. A body that ends with
-// its connection may have been cut off after any event.
-func hasEndMark(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+// isWholeStream reports whether a stream that ended outside an event, after this attempt
+// delivered the given number of events, is complete. A stream whose body ended with its
+// connection must have delivered an event: without one, nothing shows that the endpoint did
+// not end before it began. Any other stream may be the empty rest of a resumed one.
+func (a *attempt) isWholeStream(delivered int) bool {
+	return delivered > 0 || !a.endedWithConnection && a.call.lastEventNumber > 0
+}
+
+// endsWithConnection reports whether the response states neither a length nor chunks, so that
+// the end of its connection is the end of its body.
+func endsWithConnection(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
 // recordCompletion records the success of the attempt, with its token counts and duration,
--- /dev/null
+++ b/mcforward/unframed_test.go
@@ -0,0 +1,129 @@
+package mcforward_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft/mcstandin"
+)
+
+// unframed returns a response with neither a length nor chunks. status is the status line.
+func unframed(status, fields, body string) func(r *http.Request) string {
+	return func(r *http.Request) string {
+		return fmt.Sprintf("%s\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n%s\r\n%s", status, r.Header.Get("Request-Id"), fields, body)
+	}
+}
+
+// A response may have neither a length nor chunks and end with its connection. A complete one
+// must not be repeated or broken off for the caller, one that was reset or that ends inside an
+// event must not look complete, and the connection must not be used again.
+func TestUnframedResponses(t *testing.T) {
+	const (
+		ok, ok10      = "HTTP/1.1 200 OK", "HTTP/1.0 200 OK"
+		stream, plain = "/solo/stream/x", "/once/x"
+		twoEvents     = "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n"
+		keepAlive     = "Connection: keep-alive\r\n"
+	)
+	large := strings.Repeat("0123456789abcdef", 3<<16)
+	for _, c := range []struct {
+		name           string
+		path           string
+		status, fields string
+		body           string
+		reset          bool
+		// wantStatus 0 means that the response begins with status 200 and breaks off.
+		wantStatus int
+		wantBody   string
+	}{
+		{"stream", stream, ok, "", wholeStream, false, 200, wholeStream},
+		{"stream with Connection: close", stream, ok, "Connection: close\r\n", wholeStream, false, 200, wholeStream},
+		{"stream of HTTP/1.0", stream, ok10, "", wholeStream, false, 200, wholeStream},
+		{"stream of HTTP/1.0 with keep-alive", stream, ok10, keepAlive, wholeStream, false, 200, wholeStream},
+		{"stream with CRLF", stream, ok, "", "id: 1\r\ndata: a\r\n\r\n", false, 200, "id: 1\r\ndata: a\r\n\r\n"},
+		{"stream that ends after a comment", stream, ok, "", twoEvents + ": c\n\n", false, 200, twoEvents + ": c\n\n"},
+		{"stream that ends inside a line", stream, ok, "", twoEvents + "id: 3\ndata: to", false, 0, twoEvents},
+		{"stream that ends after an id", stream, ok, "", twoEvents + "id: 3\n", false, 0, twoEvents},
+		{"stream that ends inside a field name", stream, ok, "", twoEvents + "i", false, 0, twoEvents},
+		{"stream that ends before the blank line", stream, ok, "", twoEvents + "id: 3\ndata: token 3\n", false, 0, twoEvents},
+		{"stream that ends inside an event after a comment", stream, ok, "", twoEvents + ": c\nid: 3\n", false, 0, twoEvents},
+		{"stream that ends inside its first event", stream, ok, "", "id: 1\ndata: to", false, 502, ""},
+		{"stream without an event", stream, ok, "", "", false, 502, ""},
+		{"stream of comments only", stream, ok, "", ": a\n\n: b\n\n", false, 502, ""},
+		{"stream that is reset after an event", stream, ok, "", twoEvents, true, 0, twoEvents},
+		{"stream that is reset inside an event", stream, ok, "", twoEvents + "id: 3\n", true, 0, twoEvents},
+		{"stream that is reset before an event", stream, ok, "", "", true, 502, ""},
+		{"body", plain, ok, "", "the body", false, 200, "the body"},
+		{"body of HTTP/1.0", plain, ok10, "", "the body", false, 200, "the body"},
+		{"body of HTTP/1.0 with keep-alive", plain, ok10, keepAlive, "the body", false, 200, "the body"},
+		{"empty body", plain, ok, "", "", false, 200, ""},
+		{"body larger than the buffer", plain, ok, "", large, false, 200, large},
+		{"body that is reset", plain, ok, "", "the body", true, 502, ""},
+		{"empty body that is reset", plain, ok, "", "", true, 502, ""},
+		{"error", plain, "HTTP/1.1 500 Error", "", "the error", false, 500, "the error"},
+		{"error of a stream", stream, "HTTP/1.0 500 Error", "", "the error", false, 500, "the error"},
+		{"error that is reset", plain, "HTTP/1.1 500 Error", "", "the error", true, 502, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBed(t, 1)
+			server := &mcstandin.RawServer{Response: unframed(c.status, c.fields, c.body), Reset: c.reset}
+			b.httpServers[0].Config.Handler = server
+			got := b.get(c.path)
+			if c.wantStatus == 0 {
+				require.True(t, got.broken, "it looks complete")
+				c.wantStatus = http.StatusOK
+			} else {
+				require.False(t, got.broken)
+			}
+			require.Equal(t, c.wantStatus, got.status)
+			if c.wantStatus != http.StatusBadGateway {
+				require.Equal(t, c.wantBody, got.body)
+			}
+			require.Eventually(t, func() bool { return server.Serving() == 0 }, 5*time.Second, time.Millisecond, "the connection is still open")
+			require.Zero(t, server.Extra(), "the connection was used again")
+		})
+	}
+}
+
+// A response over the size of the buffer is relayed as it arrives. If it has neither a length
+// nor chunks and is reset, the caller must not take what arrived for the whole.
+func TestLargeUnframedResponseIsReset(t *testing.T) {
+	b := newTestBed(t, 1)
+	b.httpServers[0].Config.Handler = &mcstandin.RawServer{
+		Response: unframed("HTTP/1.1 200 OK", "", strings.Repeat("x", 8<<20)), Reset: true,
+	}
+	got := b.get("/once/x")
+	require.True(t, got.broken || got.status == http.StatusBadGateway, "status %d", got.status)
+}
+
+// A stream without a length or chunks that ends inside an event, or is reset, must be resumed
+// at another endpoint after its last complete event.
+func TestBrokenUnframedStreamIsResumed(t *testing.T) {
+	for _, c := range []struct {
+		name, body string
+		reset      bool
+	}{
+		{"inside an event", "id: 1\ndata: token 1\n\nid: 2\nda", false},
+		{"inside the first event", "id: 1", false},
+		{"before an event", "", false},
+		{"reset after an event", "id: 1\ndata: token 1\n\n", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBed(t, 3)
+			broken := &mcstandin.RawServer{Response: unframed("HTTP/1.1 200 OK", "", c.body), Reset: c.reset}
+			b.httpServers[0].Config.Handler, b.httpServers[1].Config.Handler = broken, broken
+			for n := range 10 {
+				got := b.get(fmt.Sprintf("/stream/%d", n))
+				require.False(t, got.broken)
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, wholeStream, got.body)
+			}
+			require.Len(t, b.servers[2].Runs(), 10)
+			require.NotZero(t, broken.Served())
+		})
+	}
+}
