Take a response that ends with its connection for proof only if the endpoint survives

What callers would see: since streams without a length or chunks are complete when their connection is closed, the stream of a process that dies and closes it between two events counts as complete. It would clear the part that made the process die, so that requests with it crash one endpoint after another.

Cause: the quarantine was told that the request finished, without knowing whether the endpoint lives.

Change: such a response is pending like a broken stream until a probe of the endpoint; a refused connection counts the crash, an accepted one the completed response. Not counting these responses at all was weighed: where endpoints answer only so, nothing would clear a sound part. Refusals for a quarantined part are counted in refusals_total.

Result: mcforward TestUnframedResponseIsProofOnlyIfTheEndpointSurvives; its case "dies" fails without the change.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -142,10 +142,12 @@
 	}
 	f.Metrics.Attempts.WithLabelValues(label).Inc()
 	now := time.Now()
-	switch kind {
-	case KindConnectionBroken:
+	switch {
+	case kind == KindConnectionBroken:
 		f.Quarantine.StreamBroken(now, a.endpoint, id)
-	case KindConnectionRefused:
+	case err == nil && a.endedWithConnection:
+		f.confirmSurvival(endpoint, id)
+	case kind == KindConnectionRefused:
 		f.announce(a.endpoint, f.Quarantine.ConnectionRefused(now, a.endpoint))
 		f.announce(a.endpoint, f.Quarantine.End(now, a.endpoint, id, false))
 	default:
@@ -166,7 +168,7 @@
 		if errors.Is(err, syscall.ETIMEDOUT) {
 			f.health.recordSilent(now, endpoint)
 		}
-		f.probe(endpoint)
+		f.probe(endpoint, nil)
 	}
 }
 
--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -115,6 +115,7 @@
 	if !quarantined {
 		return nil
 	}
+	c.forwarder.Metrics.Refusals.WithLabelValues(string(KindQuarantined)).Inc()
 	i := slices.Index(c.parts, part)
 	return failure("quarantine", KindQuarantined, errors.Newf("part %s of the prompt crashed endpoints", c.request.SharedParts[i]))
 }
--- a/mcforward/health.go
+++ b/mcforward/health.go
@@ -205,8 +205,8 @@
 }
 
 // probe checks whether an endpoint whose connection broke has died, in which case its host
-// refuses the connection.
-func (f *Forwarder) probe(endpoint marigoldcroft.Endpoint) {
+// refuses the connection. It calls survived, if that is not nil, when the endpoint accepts one.
+func (f *Forwarder) probe(endpoint marigoldcroft.Endpoint, survived func()) {
 	time.AfterFunc(probeDelay, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
@@ -215,6 +215,9 @@
 		if err == nil {
 			// The connection served only to show that the endpoint listens.
 			_ = conn.Close()
+			if survived != nil {
+				survived()
+			}
 			return
 		}
 		now := time.Now()
@@ -225,6 +228,16 @@
 	})
 }
 
+// confirmSurvival tells the quarantine about a response whose end is the end of its connection.
+// It counts as complete once the endpoint is found to listen, as the response of a process that
+// died looks the same.
+func (f *Forwarder) confirmSurvival(endpoint marigoldcroft.Endpoint, id marigoldcroft.StreamID) {
+	f.Quarantine.StreamBroken(time.Now(), endpoint.Name(), id)
+	f.probe(endpoint, func() {
+		f.announce(endpoint.Name(), f.Quarantine.End(time.Now(), endpoint.Name(), id, true))
+	})
+}
+
 // EndpointEnded reports to the quarantine that an endpoint's process ended without announcing that
 // it leaves. incarnation is that of the process that took its place, or 0.
 func (f *Forwarder) EndpointEnded(name string, incarnation uint64) {
--- a/mcforward/unframed_test.go
+++ b/mcforward/unframed_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"marigoldcroft/mcquarantine"
 	"marigoldcroft/mcstandin"
 )
 
@@ -130,3 +131,34 @@
 		})
 	}
 }
+
+// The response of an endpoint that dies may end cleanly with its connection. Taking that for
+// proof that the request is sound would let it crash one endpoint after another; where the
+// endpoint survives, not taking it for proof would put sound prompts under quarantine.
+func TestUnframedResponseIsProofOnlyIfTheEndpointSurvives(t *testing.T) {
+	for name, dies := range map[string]bool{"dies": true, "survives": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestBed(t, 1)
+			server := &mcstandin.RawServer{Response: unframed("HTTP/1.1 200 OK", "", wholeStream)}
+			b.httpServers[0].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if dies {
+					_ = b.httpServers[0].Listener.Close()
+				}
+				server.ServeHTTP(w, r)
+			})
+			r := b.request(http.MethodPost, "/solo/stream/x", "prompt")
+			r.Header.Set("Prefix-Hash", "aa:800,1:250")
+			require.Equal(t, http.StatusOK, b.send(r).status)
+			part := mcquarantine.PartFingerprint("s", "aa")
+			require.Eventually(t, func() bool {
+				for _, e := range b.forwarder.Quarantine.Entries(time.Now()) {
+					if e.GetPart() && e.GetFingerprint() == uint64(part) {
+						return e.GetCrashes() == 1
+					}
+				}
+				return !dies && b.forwarder.Quarantine.Proven(time.Now(), part)
+			}, 5*time.Second, 5*time.Millisecond)
+			require.Equal(t, !dies, b.forwarder.Quarantine.Proven(time.Now(), part))
+		})
+	}
+}
--- a/mcquarantine/guard_query.go
+++ b/mcquarantine/guard_query.go
@@ -28,3 +28,10 @@
 	sortEntries(messages)
 	return messages
 }
+
+// Proven reports whether a request with the shared part is known to have been answered recently.
+func (g *Guard) Proven(now time.Time, part Fingerprint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.proven(now, part)
+}
