Let the stand-in of a platform server crash on a prompt part

Change: PlatformServer.CrashOnPart, with the place in the stream at which it crashes, and a hook Crash, with which the owner breaks the connections and closes the listener. The last part belongs to the request and never crashes the server. PlatformCall.Parts are the shared parts of a request; PlatformRun tells when it began and whether it has a part.

--- a/mcstandin/platformserver.go
+++ b/mcstandin/platformserver.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,6 +51,14 @@
 		EventInterval time.Duration
 		// CallTime is how long a request runs that is not a stream.
 		CallTime time.Duration
+		// CrashOnPart is the ID of a prompt part that crashes the server when it begins to answer
+		// a request with it; "" means none. The last part of a prompt never does. A stream is cut
+		// off CrashAfterBytes into the event after CrashAfterEvents.
+		CrashOnPart                       string
+		CrashAfterEvents, CrashAfterBytes int
+		// Crash is called at each request that crashes the server. It breaks the connections and
+		// closes the listener, which belong to the owner of the server.
+		Crash func()
 
 		mu        sync.Mutex
 		faults    PlatformServerFaults
@@ -62,6 +71,8 @@
 		ID, Method, Target string
 		Header             http.Header
 		Body               string
+		// Time is when the server began to run the request.
+		Time time.Time
 	}
 )
 
@@ -129,12 +140,24 @@
 	}
 	s.mu.Lock()
 	s.runs = append(s.runs, PlatformRun{
-		ID: r.Header.Get("Request-Id"), Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
+		ID: r.Header.Get("Request-Id"), Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: string(body), Time: time.Now(),
 	})
 	s.mu.Unlock()
 	s.respond(w, r)
 }
 
+// crashesOn reports whether the server crashes when it begins to answer the request.
+func (s *PlatformServer) crashesOn(r *http.Request) bool {
+	return s.CrashOnPart != "" && slices.Contains(sharedParts(r.Header), s.CrashOnPart)
+}
+
+func (s *PlatformServer) crash() {
+	if s.Crash != nil {
+		s.Crash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (s *PlatformServer) respond(w http.ResponseWriter, r *http.Request) {
 	if strings.Contains(r.URL.Path, "/stream/") {
 		s.sendEvents(w, r)
@@ -148,6 +171,9 @@
 		s.mu.Unlock()
 		return
 	}
+	if s.crashesOn(r) {
+		s.crash()
+	}
 	header := w.Header()
 	header.Set("Response-Seal", "seal-"+s.ID)
 	header.Set("Content-Type", "text/plain")
@@ -200,6 +226,10 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Response-Seal", "seal-"+s.ID)
 	control := http.NewResponseController(w)
+	deadly := s.crashesOn(r)
+	if deadly {
+		_ = control.Flush()
+	}
 	for n := from + 1; n <= s.Events; n++ {
 		select {
 		case <-time.After(s.EventInterval):
@@ -214,7 +244,13 @@
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n); err != nil {
+		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n)
+		if deadly && n > from+s.CrashAfterEvents {
+			_, _ = io.WriteString(w, event[:min(s.CrashAfterBytes, len(event)-1)])
+			_ = control.Flush()
+			s.crash()
+		}
+		if _, err := io.WriteString(w, event); err != nil {
 			return
 		}
 		if control.Flush() != nil {
--- a/mcstandin/platformtypes.go
+++ b/mcstandin/platformtypes.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 type (
@@ -18,6 +22,9 @@
 		TimeLimit  time.Duration
 		// PromptTokens and OutputTokens are sent to engines; PromptTokens 0 leaves both out.
 		PromptTokens, OutputTokens int
+		// Parts are the IDs of the prompt's parts that other requests may share, in hexadecimal.
+		// The last part, which belongs to the request alone, follows them.
+		Parts []string
 	}
 
 	// PlatformEntry is the entry of a server of the platform in the metadata store.
@@ -93,11 +100,33 @@
 		prompt := strconv.Itoa(c.PromptTokens)
 		r.Header.Set("Model", "m")
 		r.Header.Set("Token-Counts", prompt+","+strconv.Itoa(c.OutputTokens))
-		r.Header.Set("Prefix-Hash", "5c1e07a2:"+prompt)
+		r.Header.Set("Prefix-Hash", c.prefixHash())
 	}
 	return r, nil
 }
 
+// prefixHash divides the tokens of the prompt evenly among its parts.
+func (c PlatformCall) prefixHash() string {
+	tokens := c.PromptTokens / (len(c.Parts) + 1)
+	var entries []string
+	for _, part := range c.Parts {
+		entries = append(entries, fmt.Sprintf("%s:%d", part, tokens))
+	}
+	own := fmt.Sprintf("%x:%d", xxhash.Sum64String(c.ID), c.PromptTokens-tokens*len(c.Parts))
+	return strings.Join(append(entries, own), ",")
+}
+
+// sharedParts returns the IDs of the prompt's parts without the last one.
+func sharedParts(header http.Header) []string {
+	entries := strings.Split(header.Get("Prefix-Hash"), ",")
+	var parts []string
+	for _, entry := range entries[:len(entries)-1] {
+		part, _, _ := strings.Cut(strings.TrimSpace(entry), ":")
+		parts = append(parts, part)
+	}
+	return parts
+}
+
 // HasReceipt reports whether a response has a server's receipt.
 func HasReceipt(header http.Header) bool { return header.Get("Response-Seal") != "" }
 
@@ -107,6 +136,9 @@
 // KeyPassed reports whether the caller's API key reached the server.
 func (r PlatformRun) KeyPassed() bool { return r.Header.Get("Authorization") != "" }
 
+// HasPart reports whether the prompt shares the part.
+func (r PlatformRun) HasPart(part string) bool { return slices.Contains(sharedParts(r.Header), part) }
+
 // PutConfig writes the configuration to the store.
 func (s *PlatformStore) PutConfig(c PlatformConfig) { s.put("config", "main", c) }
 
