Send a prompt part that crashes servers in the soak test

What callers see: one part of a prompt crashes each server that begins to answer a request with it. No test showed this.

Change: a fault drawn from the seed. For 12 to 16 s every second caller sends 5 to 10 % of its streams with the part; servers send up to two events and part of the next, break all connections, refuse connections and return after 1.5 to 3 s at the same address. Checked at the end of the run from what callers and servers saw: at most three requests with the part reach servers later than 3 s after the fifth crash; sound requests begin at least half as often as without faults; a refusal as not run is true for repeatable requests with the part as well. Soak has a field and a flag for the name of the only fault to inject.

TestInvalidDeadlyRunsAreReported shows that each check fails on the fault it is meant to find.

--- a/mcsoak/backend.go
+++ b/mcsoak/backend.go
@@ -29,6 +29,8 @@
 	link        *proxy
 	// replacing is true once a fault has chosen the server to be replaced.
 	replacing atomic.Bool
+	// crashed is true once a request with deadlyPart has crashed the server.
+	crashed atomic.Bool
 
 	mu sync.Mutex
 	// leavingAt is the time at which the store had accepted the leaving state; zero before.
@@ -37,16 +39,29 @@
 	lateRequests []string
 }
 
-// startBackend starts a server and writes its entry to the store.
-func (s *Soak) startBackend(service string) (*backend, error) {
+// startBackend starts a server and writes its entry to the store. It uses a new ID if the given
+// one is "", and a free address likewise.
+func (s *Soak) startBackend(service, id, address string) (*backend, error) {
 	s.mu.Lock()
 	s.startedServers++
-	b := &backend{id: fmt.Sprintf("i-%s-%d", service, s.startedServers), service: service}
+	n := s.startedServers
 	s.mu.Unlock()
-	b.server = &mcstandin.PlatformServer{ID: b.id, Events: streamEvents, EventInterval: eventInterval, CallTime: serverWorkTime}
+	if id == "" {
+		id = fmt.Sprintf("i-%s-%d", service, n)
+	}
+	b := &backend{id: id, service: service}
+	b.server = &mcstandin.PlatformServer{
+		ID: b.id, Events: streamEvents, EventInterval: eventInterval, CallTime: serverWorkTime,
+		CrashOnPart: deadlyPart, CrashAfterEvents: n % 3, CrashAfterBytes: 5 * (n % 4), Crash: func() { s.crashOnPart(b) },
+	}
 	b.listener = httptest.NewServer(http.HandlerFunc(b.serve))
 	var err error
-	if b.link, err = newProxy(strings.TrimPrefix(b.listener.URL, "http://")); err != nil {
+	if address == "" {
+		if address, err = mcstandin.FreeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	if b.link, err = listenProxy(address, strings.TrimPrefix(b.listener.URL, "http://")); err != nil {
 		return nil, err
 	}
 	s.writeEntry(b, mcstandin.PlatformReady)
--- a/mcsoak/caller.go
+++ b/mcsoak/caller.go
@@ -28,6 +28,8 @@
 	rotatingKeyShare = 0.2
 	// promptTokens and outputTokens are the token counts that streaming requests declare.
 	promptTokens, outputTokens = 400, 100
+	// promptParts is the number of second parts of prompts.
+	promptParts = 4
 )
 
 type (
@@ -42,9 +44,11 @@
 	// outcome is a request and its result as the caller saw it.
 	outcome struct {
 		id, path, body, key string
-		kind                requestKind
-		instance            *instance
-		sentAt, endedAt     time.Time
+		// parts are the parts of the prompt that other requests share.
+		parts           []string
+		kind            requestKind
+		instance        *instance
+		sentAt, endedAt time.Time
 		// status is 0 when no response header arrived.
 		status int
 		// hasReceipt is true when the response has the receipt of a server.
@@ -81,7 +85,11 @@
 		}
 		o := &outcome{id: fmt.Sprintf("c%d-%d", caller, n), kind: requestKinds[random.IntN(len(requestKinds))], instance: i, key: key}
 		o.path = fmt.Sprintf("%sp%d?q=%d", o.kind.prefix, n, random.IntN(100))
-		o.body = strings.Repeat("x", random.IntN(2000))
+		o.body = o.id + strings.Repeat("x", random.IntN(2000))
+		o.parts = []string{firstPart, fmt.Sprintf("91bd3f%02x", random.IntN(promptParts))}
+		if o.kind.streaming && random.Float64() < s.currentDeadlyShare(caller) {
+			o.parts[1] = deadlyPart
+		}
 		o.send(ctx, transport)
 		if ctx.Err() == nil {
 			s.checkOutcome(o)
@@ -97,7 +105,7 @@
 	defer cancel()
 	c := mcstandin.PlatformCall{ID: o.id, Key: o.key, Host: host, Path: o.path, Body: o.body, TimeLimit: callerTimeLimit}
 	if o.kind.streaming {
-		c.PromptTokens, c.OutputTokens = promptTokens, outputTokens
+		c.PromptTokens, c.OutputTokens, c.Parts = promptTokens, outputTokens, o.parts
 	}
 	r, err := c.Request(ctx, o.instance.address())
 	if err != nil {
--- a/mcsoak/check.go
+++ b/mcsoak/check.go
@@ -92,6 +92,7 @@
 // called when all callers have stopped.
 func (s *Soak) checkRuns() {
 	runs := make(map[string]int)
+	var deadlyRuns []deadlyRun
 	for _, b := range s.currentAndRemovedServers() {
 		for _, run := range b.server.Runs() {
 			runs[run.ID]++
@@ -99,6 +100,9 @@
 			if o == nil {
 				continue // A probe, or a request that was still open when callers stopped.
 			}
+			if run.HasPart(deadlyPart) {
+				deadlyRuns = append(deadlyRuns, deadlyRun{at: run.Time, outcome: o, server: b})
+			}
 			where := fmt.Sprintf("%s of %s at %s", o.id, o.instance.name, b.id)
 			switch {
 			case run.Method != http.MethodPost || run.Target != o.path || run.Body != o.body:
@@ -113,14 +117,21 @@
 		}
 		s.checkLeaving(b)
 	}
+	s.checkRunCounts(runs)
+	s.checkDeadlyRuns(deadlyRuns)
+	s.checkSoundRequests(runs)
+}
+
+// checkRunCounts compares how often each request ran with the outcome that its caller saw.
+func (s *Soak) checkRunCounts(runs map[string]int) {
 	for id, n := range runs {
 		o := s.outcomes[id]
 		switch {
 		case o == nil:
 		case o.sentAt.After(s.rollingRestart.from) && o.sentAt.Before(s.rollingRestart.to) && !o.complete:
 			s.violation("planned stops", "%s %s at %s ran and ended with status %d and an incomplete response", id, o.path, o.instance.name, o.status)
-		case !o.kind.atMostOnce:
-		case n > 1:
+		case !o.kind.atMostOnce && !o.isDeadly():
+		case o.kind.atMostOnce && n > 1:
 			s.violation("at most once", "%s at %s ran %d times", id, o.instance.name, n)
 		case refusalStatuses[o.status]:
 			s.violation("not run", "%s at %s got status %d but ran", id, o.instance.name, o.status)
--- a/mcsoak/fault.go
+++ b/mcsoak/fault.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -92,6 +93,7 @@
 			s.pause(time.Duration(r.Int64N(int64(300 * time.Millisecond))))
 		}
 	}},
+	{deadlyPartFault, (*Soak).sendDeadlyPart},
 }
 
 // faultDuration draws the length of a fault: at least 200 ms.
@@ -134,7 +136,7 @@
 	if b.replacing.Swap(true) {
 		return
 	}
-	if _, err := s.startBackend(b.service); err != nil {
+	if _, err := s.startBackend(b.service, "", ""); err != nil {
 		s.violation("soak", "cannot start a replacement server: %v", err)
 	}
 	end(s, b)
@@ -198,8 +200,9 @@
 // that its draws do not depend on the timing of others.
 func (s *Soak) injectFaults() {
 	random := rand.New(rand.NewPCG(s.Seed, s.Seed))
+	drawn := slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return s.Fault != "" && f.name != s.Fault })
 	for time.Since(s.began) < s.Length && s.ctx.Err() == nil {
-		f := faults[random.IntN(len(faults))]
+		f := drawn[random.IntN(len(drawn))]
 		own := rand.New(rand.NewPCG(s.Seed, random.Uint64()))
 		s.logf("fault: %s", f.name)
 		s.activeFaults.Go(func() { f.inject(s, own) })
--- a/mcsoak/instance.go
+++ b/mcsoak/instance.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -39,9 +40,8 @@
 	// exitExpected is true once the soak has sent SIGTERM or SIGKILL, so that an exit is not a
 	// violation.
 	exitExpected bool
-	// disruptedAt is the time of the last signal that stops, pauses, resumes or kills the
-	// process.
-	disruptedAt time.Time
+	// disruptions are the times of the signals that stop, pause, resume or kill the process.
+	disruptions []time.Time
 	log         *os.File
 }
 
@@ -97,7 +97,7 @@
 func (i *instance) signal(sig syscall.Signal) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.disruptedAt = time.Now()
+	i.disruptions = append(i.disruptions, time.Now())
 	if sig == syscall.SIGTERM || sig == syscall.SIGKILL {
 		i.exitExpected = true
 	}
@@ -139,10 +139,18 @@
 }
 
 // disruptedSince reports whether the process got a disruptive signal after the given time.
-func (i *instance) disruptedSince(at time.Time) bool {
+func (i *instance) disruptedSince(at time.Time) bool { return i.disruptedBetween(at, time.Now()) }
+
+// disruptedBetween reports whether the process got a disruptive signal later than from and not
+// later than to.
+func (i *instance) disruptedBetween(from, to time.Time) bool {
+	return slices.ContainsFunc(i.disruptionTimes(), func(at time.Time) bool { return at.After(from) && !at.After(to) })
+}
+
+func (i *instance) disruptionTimes() []time.Time {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.disruptedAt.After(at)
+	return slices.Clone(i.disruptions)
 }
 
 // address returns the address that callers connect to.
--- a/mcsoak/proxy.go
+++ b/mcsoak/proxy.go
@@ -48,6 +48,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return listenProxy(address, target)
+}
+
+func listenProxy(address, target string) (*proxy, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
--- a/mcsoak/soak.go
+++ b/mcsoak/soak.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -38,7 +39,9 @@
 		// of the processes still differs between runs with the same seed.
 		Seed uint64
 		// Length is the time during which faults are injected.
-		Length    time.Duration
+		Length time.Duration
+		// Fault limits the faults to the one with this name; "" means all.
+		Fault     string
 		Instances int
 		Callers   int
 		// Log receives a line for each injected fault.
@@ -64,6 +67,15 @@
 		version     int
 		rotatingKey string
 		revoked     map[string]time.Time
+		// deadlyActive is true while requests with deadlyPart may be open, deadlyShare the
+		// fraction that have it, deadlyEndedAt the time of the last one, and crashes holds the
+		// times at which it crashed servers.
+		deadlyActive  bool
+		deadlyShare   float64
+		deadlyEndedAt time.Time
+		crashes       []time.Time
+		// quiet is the interval before the rolling restart, when no fault is active.
+		quiet interval
 		// rollingRestart is the interval of the rolling restart, in which no other fault is
 		// active.
 		rollingRestart interval
@@ -102,6 +114,9 @@
 	s.ctx, s.began = ctx, time.Now()
 	s.report.Seed, s.outcomes, s.revoked = s.Seed, make(map[string]*outcome), make(map[string]time.Time)
 	defer s.stop()
+	if s.Fault != "" && !slices.ContainsFunc(faults, func(f fault) bool { return f.name == s.Fault }) {
+		return s.report, marigoldcroft.NewFailure("start", KindStart, fmt.Errorf("no fault has the name %q", s.Fault))
+	}
 	if err := s.start(); err != nil {
 		return s.report, marigoldcroft.NewFailure("start", KindStart, err)
 	}
@@ -126,6 +141,7 @@
 	for _, b := range s.currentServers() {
 		b.server.SetFaults(mcstandin.PlatformServerFaults{})
 	}
+	quietFrom := time.Now()
 	s.pause(callerTimeLimit) // Requests that earlier faults affected have ended by then.
 	from := time.Now()
 	random := rand.New(rand.NewPCG(s.Seed, 1))
@@ -134,7 +150,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rollingRestart = interval{from: from, to: time.Now()}
+	s.quiet, s.rollingRestart = interval{from: quietFrom, to: from}, interval{from: from, to: time.Now()}
 }
 
 // start starts the stand-ins and the instances and waits until all instances serve requests.
@@ -144,7 +160,7 @@
 	s.configure(false)
 	for service, n := range map[string]int{"plain": plainServers, "pool": poolServers} {
 		for range n {
-			if _, err := s.startBackend(service); err != nil {
+			if _, err := s.startBackend(service, "", ""); err != nil {
 				return err
 			}
 		}
--- a/scripts/soak/main.go
+++ b/scripts/soak/main.go
@@ -23,6 +23,7 @@
 	seeds, parallel    int
 	instances, callers int
 	length             time.Duration
+	fault              string
 }
 
 func main() {
@@ -35,6 +36,7 @@
 	flaggy.Int(&o.instances, "i", "instances", "entry instances per seed")
 	flaggy.Int(&o.callers, "c", "callers", "concurrent callers per seed")
 	flaggy.Duration(&o.length, "l", "length", "time for which faults are injected")
+	flaggy.String(&o.fault, "f", "fault", "inject only the fault with this name; default: all")
 	flaggy.Parse()
 	ctx, cancel := mcverb.SignalContext()
 	defer cancel()
@@ -97,7 +99,7 @@
 		return true, fmt.Sprintf("seed=%d: %v\n", seed, err)
 	}
 	defer log.Close()
-	s := &mcsoak.Soak{Binary: binary, Folder: folder, Seed: seed, Length: o.length, Instances: o.instances, Callers: o.callers, Log: log}
+	s := &mcsoak.Soak{Binary: binary, Folder: folder, Seed: seed, Length: o.length, Fault: o.fault, Instances: o.instances, Callers: o.callers, Log: log}
 	report, err := s.Run(ctx)
 	text := report.String() + "\n"
 	if err != nil {
