Failing test: a part shared by a route is quarantined with the deadly one

Scenario: nothing with the part "system" was answered in the last minute. Three requests with the parts system and deadly crash an endpoint each, one second apart; a request with system alone is in flight at the third crash, its answer has not begun. system has 2 crashes from the requests with the deadly part, and the request beside it adds the third.

Cause: mostSuspect chooses among the parts of one attempt, although several attempts of one crash have one cause. A part is raised by each of them on its own.

--- /dev/null
+++ b/mcquarantine/part_review_test.go
@@ -0,0 +1,80 @@
+package mcquarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft/mcmessage"
+	"marigoldcroft/mcquarantine"
+)
+
+// partBed runs attempts with shared prompt parts at one guard.
+type partBed struct {
+	guard    *mcquarantine.Guard
+	requests int
+}
+
+func fingerprintsOf(parts []string) []mcquarantine.Fingerprint {
+	var fingerprints []mcquarantine.Fingerprint
+	for _, part := range parts {
+		fingerprints = append(fingerprints, mcquarantine.PartFingerprint("s", part))
+	}
+	return fingerprints
+}
+
+// begin sends a request with the parts to the endpoint.
+func (b *partBed) begin(at time.Duration, endpoint string, parts ...string) {
+	b.requests++
+	f := mcquarantine.FingerprintOf("team", []byte(fmt.Sprint(b.requests)))
+	b.guard.Begin(start.Add(at), endpoint, stream(b.requests), f, fingerprintsOf(parts))
+}
+
+// crash breaks all streams up to the latest one on the endpoint and reports its refusal.
+func (b *partBed) crash(at time.Duration, endpoint string) []*mcmessage.QuarantineEntry {
+	for n := range b.requests {
+		b.guard.StreamBroken(start.Add(at), endpoint, stream(n+1))
+	}
+	return b.guard.ConnectionRefused(start.Add(at+60*time.Millisecond), endpoint)
+}
+
+// answer sends a request with the parts that is answered at once.
+func (b *partBed) answer(at time.Duration, endpoint string, parts ...string) []*mcmessage.QuarantineEntry {
+	b.begin(at, endpoint, parts...)
+	b.guard.FirstOutput(start.Add(at), endpoint, stream(b.requests))
+	return b.guard.End(start.Add(at), endpoint, stream(b.requests), true)
+}
+
+func (b *partBed) quarantined(at time.Duration, parts ...string) bool {
+	_, quarantined := b.guard.QuarantinedPart(start.Add(at), fingerprintsOf(parts))
+	return quarantined
+}
+
+// partsOf returns the entries of parts; those of whole requests are left out.
+func partsOf(entries []*mcmessage.QuarantineEntry) []*mcmessage.QuarantineEntry {
+	var parts []*mcmessage.QuarantineEntry
+	for _, e := range entries {
+		if e.GetPart() {
+			parts = append(parts, e)
+		}
+	}
+	return parts
+}
+
+// A part that all requests of a route share must not be quarantined together with the deadly
+// part of some of them: it would refuse the whole route.
+func TestSharedPartIsNotQuarantinedWithDeadlyPart(t *testing.T) {
+	b := &partBed{guard: &mcquarantine.Guard{}}
+	for i := range 3 {
+		at, endpoint := time.Duration(i)*time.Second, fmt.Sprint("e", i)
+		b.begin(at, endpoint, "system", "deadly")
+		if i == 2 {
+			b.begin(at, endpoint, "system")
+		}
+		b.crash(at+100*time.Millisecond, endpoint)
+	}
+	require.True(t, b.quarantined(3*time.Second, "deadly"))
+	require.False(t, b.quarantined(3*time.Second, "system"))
+}
