Failing test: a route with low traffic and long answers is refused with the deadly part

Scenario: 3 instances, 4 endpoints, two sound requests a second that share their only part, answers of up to 20 s, one request with that part and a deadly one a second. The simulation gets fields for the time to the first output and the longest answer, whose defaults leave the existing tests as they are.

--- a/mcquarantine/part_review_test.go
+++ b/mcquarantine/part_review_test.go
@@ -78,3 +78,16 @@
 	require.True(t, b.quarantined(3*time.Second, "deadly"))
 	require.False(t, b.quarantined(3*time.Second, "system"))
 }
+
+// At low traffic, where all requests of a route share their first part and answers are long, the
+// deadly part of some of them must not take the first part, and thereby the route, with it.
+func TestLowTrafficRouteIsServedBesideDeadlyPart(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newStorm(seed, 3, 4, 400*time.Millisecond)
+		s.streamTime = 20 * time.Second
+		s.after(0, func() { s.soundTraffic(500*time.Millisecond, 1) })
+		s.after(2*time.Second, func() { s.deadlyTraffic(time.Second, []string{"subject0", "deadly"}) })
+		s.runUntil(60 * time.Second)
+		require.Less(t, s.refused["subject0"]*2, s.sent["subject0"], "seed %d", seed)
+	}
+}
--- a/mcquarantine/part_test.go
+++ b/mcquarantine/part_test.go
@@ -29,6 +29,10 @@
 	crashes, deadlySends []time.Time
 	sent, refused        map[string]int
 	requests             int
+	// firstOutput is the least time from sending a request to its first output.
+	firstOutput time.Duration
+	// streamTime is the longest time from the first output of an answer to its end.
+	streamTime time.Duration
 }
 
 type stormEndpoint struct {
@@ -62,7 +66,7 @@
 
 func newStorm(seed uint64, instances, endpoints int, gossip time.Duration) *storm {
 	s := &storm{
-		random: rand.New(rand.NewPCG(seed, 23)), now: start, gossip: gossip, endpoints: make([]stormEndpoint, endpoints),
+		random: rand.New(rand.NewPCG(seed, 23)), now: start, gossip: gossip, streamTime: stormStreamTime, endpoints: make([]stormEndpoint, endpoints),
 		sent: make(map[string]int), refused: make(map[string]int),
 	}
 	for range instances {
@@ -126,7 +130,7 @@
 			}
 		}
 	}
-	firstOutput := 30*time.Millisecond + s.draw(100*time.Millisecond)
+	firstOutput := max(s.firstOutput, 30*time.Millisecond) + s.draw(100*time.Millisecond)
 	if deadly {
 		s.after(firstOutput+s.draw(80*time.Millisecond), whileUp(func() {
 			s.crashes = append(s.crashes, s.now)
@@ -135,7 +139,7 @@
 		return
 	}
 	s.after(firstOutput, whileUp(func() { s.guards[at].FirstOutput(s.now, name, id) }))
-	s.after(firstOutput+s.draw(stormStreamTime), whileUp(func() {
+	s.after(firstOutput+s.draw(s.streamTime), whileUp(func() {
 		delete(e.inFlight, id)
 		s.announce(at, s.guards[at].End(s.now, name, id, true))
 	}))
