Failing test: deadly parts are counted too slowly when answers begin late

Scenario: answers begin 3 s after the request was sent, as in the queue of a loaded engine; otherwise as the first case of TestDeadlyPartIsQuarantined.

Cause: a crash counts only if its attempt began after the previous count was known. All requests sent within one time to first output therefore count once, and three counts take three such times.

--- a/mcquarantine/part_review_test.go
+++ b/mcquarantine/part_review_test.go
@@ -91,3 +91,16 @@
 		require.Less(t, s.refused["subject0"]*2, s.sent["subject0"], "seed %d", seed)
 	}
 }
+
+// Requests with a deadly part that wait for seconds at their endpoint before their answer begins,
+// as they do under high load, must stop to reach endpoints as soon as others.
+func TestDeadlyPartIsQuarantinedWhenAnswersBeginLate(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newStorm(seed, 9, 21, 400*time.Millisecond)
+		s.firstOutput = 3 * time.Second
+		s.after(0, func() { s.soundTraffic(25*time.Millisecond, 60) })
+		s.after(4*time.Second, func() { s.deadlyTraffic(500*time.Millisecond, []string{"subject1", "deadly"}) })
+		s.runUntil(30 * time.Second)
+		require.LessOrEqual(t, s.lateSends(3*time.Second), 3, "seed %d: %d crashes", seed, len(s.crashes))
+	}
+}
