Failing test: a part that turns deadly takes many crashes to be quarantined

Scenario: requests with the part are answered for two seconds, then each request with it crashes its endpoint, two a second; 9, 23 and 86 instances.

Cause: the first crash of a part that the instance has seen answered is not announced, so each instance counts it for itself. The number of crashes until two of them meet at one instance grows with the number of instances, and three more follow.

--- a/mcquarantine/part_review_test.go
+++ b/mcquarantine/part_review_test.go
@@ -104,3 +104,22 @@
 		require.LessOrEqual(t, s.lateSends(3*time.Second), 3, "seed %d: %d crashes", seed, len(s.crashes))
 	}
 }
+
+// A part that requests had been answered with before it began to crash endpoints must stop to
+// reach endpoints as soon as one that was never answered, however many instances there are.
+func TestPartThatTurnsDeadlyIsQuarantined(t *testing.T) {
+	for _, instances := range []int{9, 23, 86} {
+		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
+			for seed := range uint64(10) {
+				s := newStorm(seed, instances, 69, 400*time.Millisecond)
+				s.after(0, func() { s.soundTraffic(10*time.Millisecond, 60) })
+				for i := range 200 {
+					s.after(time.Duration(i)*10*time.Millisecond, func() { s.arrive([]string{"subject1", "turned"}, false) })
+				}
+				s.after(4*time.Second, func() { s.deadlyTraffic(500*time.Millisecond, []string{"subject1", "turned"}) })
+				s.runUntil(26 * time.Second)
+				require.LessOrEqual(t, s.lateSends(3*time.Second), 3, "seed %d: %d crashes", seed, len(s.crashes))
+			}
+		})
+	}
+}
