Failing test: an answer that began before the crashes clears a deadly part

Scenario: eight answers with the part are streaming when it turns deadly. Each second a request with it crashes an endpoint and one of the earlier answers ends.

Cause: proveParts clears the crashes in a row, whenever the answer began. The proof is the begin of an answer (it shows that the part did not crash the endpoint then); the end of one that began before the crashes says nothing about them.

--- a/mcquarantine/part_review_test.go
+++ b/mcquarantine/part_review_test.go
@@ -123,3 +123,22 @@
 		})
 	}
 }
+
+// A part that begins to crash endpoints while earlier answers with it are still streaming must
+// be quarantined. The end of an answer that began before the crashes says nothing about them.
+func TestEarlierAnswerDoesNotClearLaterCrashes(t *testing.T) {
+	b := &partBed{guard: &mcquarantine.Guard{}}
+	b.answer(0, "sound", "deadly")
+	const streams = 8
+	for i := range streams {
+		b.begin(0, fmt.Sprint("sound", i), "deadly")
+		b.guard.FirstOutput(start.Add(100*time.Millisecond), fmt.Sprint("sound", i), stream(b.requests))
+	}
+	for i := range streams {
+		at, endpoint := time.Duration(4+i)*time.Second, fmt.Sprint("e", i)
+		b.begin(at, endpoint, "deadly")
+		b.crash(at+100*time.Millisecond, endpoint)
+		b.guard.End(start.Add(at+500*time.Millisecond), fmt.Sprint("sound", i), stream(2+i), true)
+	}
+	require.True(t, b.quarantined(13*time.Second, "deadly"), "after %d crashes in a row", streams)
+}
