Failing test: an answer that is streaming does not count as proof of its parts

Scenario: an answer with the part system has been streaming for 10 s and goes on. Three other endpoints fail one after the other, 5 s apart, each with a request with system whose answer has not begun.

Cause: a part is proven only when an answer ends. A deadly part crashes endpoints when the answer begins, so an answer that has gone on for blameWindow is proof already.

--- a/mcquarantine/part_review_test.go
+++ b/mcquarantine/part_review_test.go
@@ -142,3 +142,17 @@
 	}
 	require.True(t, b.quarantined(13*time.Second, "deadly"), "after %d crashes in a row", streams)
 }
+
+// Endpoints that fail one after the other for another reason must not put a part under
+// quarantine with which answers are streaming at that time: it does not crash endpoints.
+func TestStreamingAnswerProvesItsParts(t *testing.T) {
+	b := &partBed{guard: &mcquarantine.Guard{}}
+	b.begin(0, "sound", "system")
+	b.guard.FirstOutput(start.Add(100*time.Millisecond), "sound", stream(1))
+	for i := range 3 {
+		at, endpoint := time.Duration(10+5*i)*time.Second, fmt.Sprint("e", i)
+		b.begin(at, endpoint, "system")
+		b.crash(at+100*time.Millisecond, endpoint)
+	}
+	require.False(t, b.quarantined(25*time.Second, "system"))
+}
