Failing test: an unannounced clear keeps an instance from clearing a part at its peers

Scenario: an instance answers requests with a part; one crash with it, which is not announced as the part is proven; an answer clears it, which is not announced either but raises the version. A peer that has answered none suspects the part in three crashes and quarantines it. The first instance merges this and answers another request.

Cause: ClearProvenParts clears only entries of version 1, Merge ignores the peer's entry as older, and proveParts announces nothing as its own entry has no crash. The version is raised without the peers' knowledge.

--- a/mcquarantine/part_review_test.go
+++ b/mcquarantine/part_review_test.go
@@ -156,3 +156,25 @@
 	}
 	require.False(t, b.quarantined(25*time.Second, "system"))
 }
+
+// An instance that answers requests with a part must clear the part at the peers that suspect it,
+// also if it was itself affected by a crash shortly before. Otherwise these peers refuse for
+// minutes what it serves.
+func TestClearAfterUnannouncedCrashReachesPeers(t *testing.T) {
+	serving, peer := &partBed{guard: &mcquarantine.Guard{}}, &partBed{guard: &mcquarantine.Guard{}}
+	serving.answer(0, "sound", "popular")
+	serving.begin(time.Second, "e", "popular")
+	require.Empty(t, partsOf(serving.crash(time.Second, "e")), "not announced")
+	serving.answer(2*time.Second, "sound", "popular")
+	for i := range 3 {
+		at, endpoint := time.Duration(3+i)*time.Second, fmt.Sprint("f", i)
+		peer.begin(at, endpoint, "popular")
+		peer.crash(at+100*time.Millisecond, endpoint)
+	}
+	at := 6 * time.Second
+	require.True(t, peer.quarantined(at, "popular"))
+	serving.guard.Merge(start.Add(at), peer.guard.Entries(start.Add(at)))
+	cleared := append(serving.guard.ClearProvenParts(start.Add(at)), serving.answer(at, "sound", "popular")...)
+	peer.guard.Merge(start.Add(at), cleared)
+	require.False(t, peer.quarantined(at, "popular"))
+}
