Failing test: a deadly part that comes less than once a minute is never quarantined

Scenario: one request with the part every 90 s, ten times.

Cause: partSuspectTTL is a minute, while whole requests stay suspects for ten.

--- a/mcquarantine/part_review_test.go
+++ b/mcquarantine/part_review_test.go
@@ -178,3 +178,20 @@
 	peer.guard.Merge(start.Add(at), cleared)
 	require.False(t, peer.quarantined(at, "popular"))
 }
+
+// A deadly part that comes less than once a minute must be quarantined as well: it would otherwise
+// crash an endpoint each time, for as long as such requests come.
+func TestRareDeadlyPartIsQuarantined(t *testing.T) {
+	b := &partBed{guard: &mcquarantine.Guard{}}
+	crashes := 0
+	for i := range 10 {
+		at, endpoint := time.Duration(i)*90*time.Second, fmt.Sprint("e", i)
+		if b.quarantined(at, "deadly") {
+			break
+		}
+		b.begin(at, endpoint, "deadly")
+		b.crash(at+100*time.Millisecond, endpoint)
+		crashes++
+	}
+	require.Less(t, crashes, 6)
+}
