Failing test: a lifted quarantine returns from an instance that was cut off

Scenario: a part is quarantined (version 1, expires after 10 minutes) and cleared by an answer (version 2, expires after one). An instance that was cut off before the clear returns 90 s later and sends version 1.

Cause: the entry that records the clear expires before the one that it replaces.

--- a/mcquarantine/part_review_test.go
+++ b/mcquarantine/part_review_test.go
@@ -195,3 +195,24 @@
 	}
 	require.Less(t, crashes, 6)
 }
+
+// A quarantine that was lifted must not return from an instance that was cut off meanwhile. The
+// entry that records the clear must last as long as the one that it replaces.
+func TestLiftedQuarantineDoesNotReturn(t *testing.T) {
+	b, away := &partBed{guard: &mcquarantine.Guard{}}, &mcquarantine.Guard{}
+	b.begin(0, "sound", "popular")
+	for i := range 3 {
+		at, endpoint := time.Duration(1+i)*time.Second, fmt.Sprint("e", i)
+		b.begin(at, endpoint, "popular")
+		b.crash(at+100*time.Millisecond, endpoint)
+	}
+	at := 4 * time.Second
+	require.True(t, b.quarantined(at, "popular"))
+	away.Merge(start.Add(at), b.guard.Entries(start.Add(at)))
+	b.guard.End(start.Add(at), "sound", stream(1), true)
+	require.False(t, b.quarantined(at, "popular"))
+	// The instance that was away returns.
+	at += 90 * time.Second
+	b.guard.Merge(start.Add(at), away.Entries(start.Add(at)))
+	require.False(t, b.quarantined(at, "popular"))
+}
