Failing test: a sound request beside two deadly ones is quarantined for an hour

Scenario: a sound request is in flight at two endpoints, one after the other, that requests with the same deadly part crash.

Cause: the crash is also attributed to each whole request in flight, even if a part explains it. Requests with a suspected part are not isolated (only whole requests are), so a suspect may be placed beside them.

--- a/mcquarantine/part_review_test.go
+++ b/mcquarantine/part_review_test.go
@@ -216,3 +216,18 @@
 	b.guard.Merge(start.Add(at), away.Entries(start.Add(at)))
 	require.False(t, b.quarantined(at, "popular"))
 }
+
+// A sound request that was in flight at crashes which a deadly part explains must not be
+// quarantined itself: its callers would be refused for an hour.
+func TestRequestBesideDeadlyPartIsNotQuarantined(t *testing.T) {
+	g := &mcquarantine.Guard{}
+	for i := range 2 {
+		at, endpoint := start.Add(time.Duration(i)*time.Second), fmt.Sprint("e", i)
+		g.Begin(at, endpoint, stream(10+i), mcquarantine.FingerprintOf("team", []byte(fmt.Sprint(i))), fingerprintsOf([]string{"deadly"}))
+		g.Begin(at, endpoint, stream(20+i), good, nil)
+		g.StreamBroken(at.Add(100*time.Millisecond), endpoint, stream(10+i))
+		g.StreamBroken(at.Add(100*time.Millisecond), endpoint, stream(20+i))
+		g.ConnectionRefused(at.Add(160*time.Millisecond), endpoint)
+	}
+	require.NotEqual(t, mcquarantine.VerdictQuarantined, g.Check(start.Add(2*time.Second), good))
+}
