Failing test: the companion of a deadly part is quarantined instead of it

Scenario: three requests with the parts deadly and companion, in this order, crash an endpoint each; no sound request with companion in the last minute.

Cause: of parts with equal counts the last one is quarantined. Requests with it alone are then refused for 10 minutes, without a trial that could clear it.

With the evidence at hand the two cannot be told apart; a single request with companion alone, at one endpoint, could.

--- a/mcquarantine/part_review_test.go
+++ b/mcquarantine/part_review_test.go
@@ -231,3 +231,16 @@
 	}
 	require.NotEqual(t, mcquarantine.VerdictQuarantined, g.Check(start.Add(2*time.Second), good))
 }
+
+// Of two parts that always come together, the one that does not crash endpoints must not be
+// refused to other requests for minutes.
+func TestCompanionOfDeadlyPartIsServed(t *testing.T) {
+	b := &partBed{guard: &mcquarantine.Guard{}}
+	for i := range 3 {
+		at, endpoint := time.Duration(i)*time.Second, fmt.Sprint("e", i)
+		b.begin(at, endpoint, "deadly", "companion")
+		b.crash(at+100*time.Millisecond, endpoint)
+	}
+	require.True(t, b.quarantined(3*time.Second, "deadly", "companion"))
+	require.False(t, b.quarantined(time.Minute, "companion"))
+}
