Failing test: the mark of a part depends on the order of merges in a mixed deployment

Scenario: an instance of the build before shared parts joins two entries of version 1 and drops the mark. An instance of this build merges the entry with and without it.

Cause: merge sets the mark only on a new entry, and the table's stamp does not include it. ClearProvenParts skips an entry without the mark, ensurePart starts it from zero.

--- a/mcquarantine/part_review_test.go
+++ b/mcquarantine/part_review_test.go
@@ -244,3 +244,17 @@
 	require.True(t, b.quarantined(3*time.Second, "deadly", "companion"))
 	require.False(t, b.quarantined(time.Minute, "companion"))
 }
+
+// An instance of the build before shared parts drops the mark of a part when it joins two entries.
+// The mark must be restored from another entry of the part, in either order.
+func TestMarkOfPartIsRestoredInAnyOrder(t *testing.T) {
+	entry := func(part bool) []*mcmessage.QuarantineEntry {
+		return []*mcmessage.QuarantineEntry{{Fingerprint: 1, Crashes: 2, Version: 1, Part: part, ExpiresUnixMs: start.Add(time.Minute).UnixMilli()}}
+	}
+	one, other := &mcquarantine.Guard{}, &mcquarantine.Guard{}
+	one.Merge(start, entry(true))
+	one.Merge(start, entry(false))
+	other.Merge(start, entry(false))
+	other.Merge(start, entry(true))
+	require.Equal(t, fmt.Sprint(one.Entries(start)), fmt.Sprint(other.Entries(start)))
+}
