Failing test: a crash is not detected if the port closes after the probe

Scenario: an endpoint breaks its connections and closes its port 150 ms later. Requests with a deadly part come every 200 ms; ten endpoints, one instance.

Cause: the probe runs once, 60 ms after a break. A connection that it opens ends the check, and nothing of the crash is counted unless a request is refused there, or the record expires, within 5 s. The dispatcher of the chat interface probes for a second.

--- /dev/null
+++ b/mcforward/quarantine_review_test.go
@@ -0,0 +1,34 @@
+package mcforward_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A process that crashes may break its connections some time before its port refuses new ones. A
+// crash must be detected then as well, or the deadly part reaches one endpoint after another.
+func TestDeadlyPartIsFoundIfPortClosesLate(t *testing.T) {
+	b := newTestBed(t, 10)
+	var crashed atomic.Int64
+	for i := range b.servers {
+		b.httpServers[i].Config.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			crashed.Add(1)
+			time.AfterFunc(150*time.Millisecond, func() { _ = b.httpServers[i].Listener.Close() })
+			panic(http.ErrAbortHandler)
+		})
+	}
+	var last callerResponse
+	require.Eventually(t, func() bool {
+		r := b.request(http.MethodPost, "/solo/stream/", "prompt")
+		r.URL.Path += r.Header.Get("Request-Id")
+		r.Header.Set("Prefix-Hash", "dead:410,"+r.Header.Get("Request-Id")+":250")
+		last = b.send(r)
+		return last.status == http.StatusServiceUnavailable
+	}, 10*time.Second, 200*time.Millisecond)
+	require.Contains(t, last.body, "part dead of the prompt")
+	require.LessOrEqual(t, crashed.Load(), int64(5))
+}
