Failing test: an answer without a length that ends in order hides the crash

Scenario: an endpoint sends the head of an answer without a length, closes the connection in order and then its port; the route is not a stream.

Cause: the empty body counts as a complete answer, so the attempt proves the part and no probe follows. Streams are not affected, as one without an end mark counts as broken.

What the caller gets may be right; it should be no proof.

--- a/mcforward/quarantine_review_test.go
+++ b/mcforward/quarantine_review_test.go
@@ -1,6 +1,7 @@
 package mcforward_test
 
 import (
+	"io"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -32,3 +33,33 @@
 	require.Contains(t, last.body, "part dead of the prompt")
 	require.LessOrEqual(t, crashed.Load(), int64(5))
 }
+
+// An endpoint that crashes once it has sent the head of an answer without a length may close the
+// connection in order. Its empty body must not count as proof that the part is harmless.
+func TestDeadlyPartIsFoundByCleanEnd(t *testing.T) {
+	b := newTestBed(t, 10)
+	var crashed atomic.Int64
+	for i := range b.servers {
+		b.httpServers[i].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			crashed.Add(1)
+			_ = b.httpServers[i].Listener.Close()
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: "+r.Header.Get("Request-Id")+"\r\nResponse-Seal: seal\r\n\r\n")
+			_ = conn.Close()
+		})
+	}
+	var last callerResponse
+	require.Eventually(t, func() bool {
+		r := b.request(http.MethodPost, "/again/", "prompt")
+		r.URL.Path += r.Header.Get("Request-Id")
+		r.Header.Set("Prefix-Hash", "dead:410,"+r.Header.Get("Request-Id")+":250")
+		last = b.send(r)
+		return last.status == http.StatusServiceUnavailable
+	}, 10*time.Second, 200*time.Millisecond)
+	require.Contains(t, last.body, "part dead of the prompt")
+	require.LessOrEqual(t, crashed.Load(), int64(5))
+}
