Failing test: a stream that breaks late is not resumed because of a suspected part

Scenario: a part with one crash (not proven at this instance); a stream with it breaks 1.75 s after its first event.

Cause: NearQuarantine does not ask whether the answer had begun; blameWindow already says that such an attempt cannot have crashed the endpoint by the part.

--- a/mcforward/quarantine_review_test.go
+++ b/mcforward/quarantine_review_test.go
@@ -8,6 +8,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"marigoldcroft/mcmessage"
+	"marigoldcroft/mcquarantine"
+	"marigoldcroft/mcstandin"
 )
 
 // A process that crashes may break its connections some time before its port refuses new ones. A
@@ -63,3 +67,30 @@
 	require.Contains(t, last.body, "part dead of the prompt")
 	require.LessOrEqual(t, crashed.Load(), int64(5))
 }
+
+// A stream that breaks long after its first event must be resumed although one of its parts is
+// suspected: a deadly part crashes endpoints when the answer begins.
+func TestBrokenStreamWithSuspectedPartIsResumed(t *testing.T) {
+	b := newTestBed(t, 2)
+	for _, s := range b.servers {
+		s.EventInterval = 350 * time.Millisecond
+	}
+	b.forwarder.Quarantine.Merge(time.Now(), []*mcmessage.QuarantineEntry{{
+		Fingerprint: uint64(mcquarantine.PartFingerprint("s", "aa")), Crashes: 1, Version: 1, Part: true,
+		ExpiresUnixMs: time.Now().Add(time.Minute).UnixMilli(),
+	}})
+	r := b.request(http.MethodPost, "/stream/x", "prompt")
+	r.Header.Set("Prefix-Hash", "aa:800,b1:250")
+	r.Header.Set("Deadline-Ms", "3000")
+	answer := make(chan callerResponse, 1)
+	go func() { answer <- b.send(r) }()
+	require.Eventually(t, func() bool { return len(b.runs()) == 1 }, 5*time.Second, time.Millisecond)
+	for _, s := range b.servers {
+		if len(s.Runs()) == 1 {
+			s.SetFaults(mcstandin.PlatformServerFaults{BreakAfterEvent: 5, BrokenStreams: 1})
+		}
+	}
+	got := <-answer
+	require.Equal(t, http.StatusOK, got.status)
+	require.False(t, got.broken, "%d runs", len(b.runs()))
+}
