Failing test: an endpoint that restarts at once under its old name is not a crash

Scenario: a stream breaks; the endpoint listens again before the probe, and its record has a higher incarnation.

Cause: the forwarder tells the quarantine only the new incarnation, never the one listed before. The first report of an endpoint therefore counts as its first incarnation and discards the broken streams.

--- a/mcforward/quarantine_review_test.go
+++ b/mcforward/quarantine_review_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"marigoldcroft"
 	"marigoldcroft/mcmessage"
 	"marigoldcroft/mcquarantine"
 	"marigoldcroft/mcstandin"
@@ -94,3 +95,15 @@
 	require.Equal(t, http.StatusOK, got.status)
 	require.False(t, got.broken, "%d runs", len(b.runs()))
 }
+
+// An endpoint that is back under its old name before the probe must count as crashed: its record
+// has a higher incarnation than the one that was listed when the streams broke.
+func TestQuickRestartUnderOldNameIsACrash(t *testing.T) {
+	b := newTestBed(t, 1)
+	id := marigoldcroft.NewStreamID("request", 1)
+	dead := mcquarantine.PartFingerprint("s", "dead")
+	b.forwarder.Quarantine.Begin(time.Now(), "i-0", id, 1, []mcquarantine.Fingerprint{dead})
+	b.forwarder.Quarantine.StreamBroken(time.Now(), "i-0", id)
+	b.forwarder.EndpointEnded("i-0", b.forwarder.Fleet.Incarnation("i-0")+1)
+	require.NotEmpty(t, b.suspects)
+}
