Blame prompt parts once for a crash, by when answers began

The review of the quarantine of parts showed, each with a failing test, that a sound part could be quarantined or a deadly one missed.

Causes and changes: - Each attempt in flight raised its parts on its own, although a crash has one cause: the parts of one crash are weighed together, and a strong suspect (two crashes in a row) is blamed alone. Of several parts of one prompt that crashed before, only the last is raised. - An answer proved its parts only when it ended, and also when it had begun long before the crashes: the proof is now its beginning, 1 s after the first output, also while it goes on. - The first crash of a proven part, and a clear of it, were not announced, so that instances counted a part that turns deadly each for itself and could not clear it at their peers: all changes are announced. - Only attempts that began after the previous crash was known counted, which is slow where answers begin late: crashes 1 s apart count, too. - Crashes in a row were forgotten after a minute, and the record of a clear expired before the entry that it replaced: all entries of parts last 10 minutes. - The mark of a part was lost in a deployment with older builds.

Result: TestSharedPartIsNotQuarantinedWithDeadlyPart, TestLowTrafficRouteIsServed- BesideDeadlyPart, TestDeadlyPartIsQuarantinedWhenAnswersBeginLate, TestPartThatTurnsDeadlyIsQuarantined, TestEarlierAnswerDoesNotClearLaterCrashes, TestStreamingAnswerProvesItsParts, TestRareDeadlyPartIsQuarantined, TestLiftedQuarantineDoesNotReturn, TestMarkOfPartIsRestoredInAnyOrder failed before and pass. TestClearAfterUnannouncedCrashReachesPeers demanded that the first crash is not announced, which was the fault: TestClearAfterOwnCrashReachesPeers demands the announcements and the same outcome. Still red: TestRequestBesideDeadlyPartIsNotQuarantined, TestCompanionOfDeadlyPartIsServed.

--- a/mcquarantine/crash.go
+++ b/mcquarantine/crash.go
@@ -24,6 +24,8 @@
 		startedAt   time.Time
 		// firstOutputAt is when the answer began, or zero.
 		firstOutputAt time.Time
+		// proved is true once the answer was taken for proof of its parts.
+		proved bool
 		// brokenAt is when the stream broke, or zero.
 		brokenAt time.Time
 		// crashCounted is true after the crash was counted against the fingerprint. The
@@ -100,19 +102,21 @@
 // stream broke, and against the shared parts of these requests.
 func (g *Guard) countCrash(now time.Time, state *endpointState) []*mcmessage.QuarantineEntry {
 	fingerprints := make(map[Fingerprint]bool)
-	var messages []*mcmessage.QuarantineEntry
+	messages := g.proveByStreams(now)
+	var attempts []inFlightAttempt
 	for id, attempt := range state.inFlight {
 		if attempt.crashCounted || attempt.startedAt.After(state.firstBroken) {
 			continue
 		}
 		fingerprints[attempt.fingerprint] = true
-		messages = append(messages, g.blameParts(now, state.firstBroken, attempt)...)
+		attempts = append(attempts, attempt)
 		if attempt.crashCounted = true; attempt.brokenAt.IsZero() {
 			state.inFlight[id] = attempt
 		} else {
 			delete(state.inFlight, id)
 		}
 	}
+	messages = append(messages, g.blameParts(now, state.firstBroken, attempts)...)
 	state.firstBroken = time.Time{}
 	for f := range fingerprints {
 		e := g.ensureEntry(now, f)
--- a/mcquarantine/guard.go
+++ b/mcquarantine/guard.go
@@ -141,7 +141,7 @@
 	if !finished {
 		return nil
 	}
-	cleared := g.proveParts(now, attempt.parts)
+	cleared := g.proveParts(now, attempt)
 	if e := g.entries[attempt.fingerprint]; e != nil && !e.quarantined && e.crashes > 0 {
 		e.clear(now)
 		cleared = append(cleared, e.toMessage(attempt.fingerprint))
--- a/mcquarantine/merge.go
+++ b/mcquarantine/merge.go
@@ -33,6 +33,8 @@
 		return false
 	}
 	next := *e
+	// A build that does not know shared parts drops the mark when it joins two entries.
+	next.part = e.part || m.GetPart()
 	if m.GetVersion() > e.version {
 		next.version, next.crashes, next.expires = m.GetVersion(), m.GetCrashes(), expires
 		next.quarantined, next.cleared = m.GetQuarantined(), m.GetCleared()
--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -1,6 +1,7 @@
 package mcquarantine
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -15,16 +16,22 @@
 	// provenPartCrashLimit applies to a part with which a request was answered recently.
 	partCrashLimit       = 3
 	provenPartCrashLimit = 5
-	// partSuspectTTL is how long the crashes in a row of a part are remembered after the last
-	// one, and partQuarantineTTL how long its quarantine lasts.
-	partSuspectTTL    = time.Minute
-	partQuarantineTTL = 10 * time.Minute
+	// partTTL is how long the entry of a part lasts after its last change, and so how long a
+	// quarantine does. It is the same for all entries, so that the record of a clear does not
+	// expire before an entry that it replaces.
+	partTTL = 10 * time.Minute
 	// proofTTL is how long an answered request counts as proof that its shared parts do not
 	// crash endpoints.
 	proofTTL = time.Minute
 	// blameWindow is the time after the first output of an answer in which a crash of the
 	// endpoint is attributed to it. A part that crashes endpoints does so when its answer begins.
 	blameWindow = time.Second
+	// crashSpacing is the time between two crashes from which both count, although the
+	// second attempt began before the first crash was known.
+	crashSpacing = time.Second
+	// strongSuspicion is the number of crashes in a row from which a part is blamed alone for
+	// a crash of an endpoint where requests without it were in flight as well.
+	strongSuspicion = partCrashLimit - 1
 	// firstPartVersion is the version of the entry of a part that was never cleared. Only a
 	// clear raises it, so that crashes that several instances count at the same time neither
 	// add up nor replace each other: of equal versions the larger number of crashes is kept.
@@ -83,7 +90,7 @@
 func (g *Guard) ClearProvenParts(now time.Time) []*mcmessage.QuarantineEntry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var cleared []*mcmessage.QuarantineEntry
+	cleared := g.proveByStreams(now)
 	for f, e := range g.entries {
 		if e.part && e.crashes > 0 && e.version == firstPartVersion && now.Before(e.expires) && g.provenHere(now, f) {
 			e.clearPart(now)
@@ -116,34 +123,44 @@
 	return found && now.Sub(at) < proofTTL
 }
 
-// blameParts attributes a crash to the shared parts of an attempt that was in flight. The
-// number of crashes in a row of a part grows by one at a time: only a crash of an attempt that
-// began after the previous number was known counts, so that endpoints that fail together count
-// once. It returns the entries to announce.
-func (g *Guard) blameParts(now, crashedAt time.Time, attempt inFlightAttempt) []*mcmessage.QuarantineEntry {
-	if !attempt.firstOutputAt.IsZero() && crashedAt.Sub(attempt.firstOutputAt) > blameWindow {
-		return nil
+// blameParts attributes a crash to shared parts of the attempts that were in flight and returns
+// the entries that changed. The number of crashes in a row of a part grows by one at a time: a
+// crash counts if its attempt began after the previous number was known, or crashSpacing later,
+// so that endpoints that fail together count once.
+func (g *Guard) blameParts(now, crashedAt time.Time, attempts []inFlightAttempt) []*mcmessage.QuarantineEntry {
+	var blamed []Fingerprint
+	highest := uint32(0)
+	for _, attempt := range attempts {
+		if !attempt.firstOutputAt.IsZero() && crashedAt.Sub(attempt.firstOutputAt) > blameWindow {
+			continue
+		}
+		for _, part := range g.mostSuspect(now, attempt.parts) {
+			e := g.ensurePart(now, part)
+			if e.crashes > 0 && !attempt.startedAt.After(e.changedAt) && crashedAt.Sub(e.changedAt) < crashSpacing {
+				continue
+			}
+			if !slices.Contains(blamed, part) {
+				blamed = append(blamed, part)
+				highest = max(highest, e.crashes)
+			}
+		}
 	}
 	var changed []*mcmessage.QuarantineEntry
-	for _, part := range g.mostSuspect(now, attempt.parts) {
-		e := g.ensurePart(now, part)
-		if e.crashes > 0 && !attempt.startedAt.After(e.changedAt) {
+	for _, part := range blamed {
+		e := g.entries[part]
+		if highest >= strongSuspicion && e.crashes < highest {
 			continue
 		}
-		proven := g.proven(now, part)
 		e.raisePart(now, g.partLimit(now, part))
-		// The first crash of a proven part is not announced, as any crash is one for the
-		// shared parts of all requests that were in flight.
-		if !proven || e.crashes > 1 {
-			changed = append(changed, e.toMessage(part))
-		}
+		changed = append(changed, e.toMessage(part))
 	}
 	return changed
 }
 
-// mostSuspect returns the parts of a prompt to which a crash is attributed. Proven parts are left out if there are others; of those that remain, the
-// ones with the most crashes are blamed. If several of these would be quarantined, only the
-// last one is: in the order of a prompt, the fewest requests contain it.
+// mostSuspect returns the parts of a prompt to which a crash is attributed. Proven parts are left
+// out if there are others; of those that remain, the ones with the most crashes are blamed. Of
+// several that crashed before, only the last one is: in the order of a prompt, the fewest
+// requests contain it.
 func (g *Guard) mostSuspect(now time.Time, parts []Fingerprint) []Fingerprint {
 	var blamed []Fingerprint
 	crashes, onlyUnproven := uint32(0), false
@@ -165,36 +182,56 @@
 			blamed = append(blamed, part)
 		}
 	}
-	if len(blamed) > 1 && crashes+1 >= g.partLimit(now, blamed[len(blamed)-1]) {
+	if len(blamed) > 1 && crashes > 0 {
 		blamed = blamed[len(blamed)-1:]
 	}
 	return blamed
 }
 
-// proveParts records that a request with the parts was answered. It returns the entries that
-// this clears, for the peers.
-func (g *Guard) proveParts(now time.Time, parts []Fingerprint) []*mcmessage.QuarantineEntry {
+// proveByStreams takes the answers in progress that began more than blameWindow ago for proof of
+// their parts. It returns the entries that this clears.
+func (g *Guard) proveByStreams(now time.Time) []*mcmessage.QuarantineEntry {
 	var cleared []*mcmessage.QuarantineEntry
-	for _, part := range parts {
-		announced := false
-		if e := g.entries[part]; e != nil && e.crashes > 0 && now.Before(e.expires) {
-			announced = e.crashes > 1 || !g.proven(now, part)
-			if e.clearPart(now); announced {
-				cleared = append(cleared, e.toMessage(part))
+	for _, state := range g.endpoints {
+		for id, attempt := range state.inFlight {
+			if attempt.firstOutputAt.IsZero() || attempt.proved || now.Sub(attempt.firstOutputAt) <= blameWindow ||
+				!attempt.brokenAt.IsZero() && attempt.brokenAt.Sub(attempt.firstOutputAt) <= blameWindow {
+				continue
 			}
+			cleared = append(cleared, g.proveParts(now, attempt)...)
+			attempt.proved = true
+			state.inFlight[id] = attempt
 		}
-		g.recordProof(now, part)
 	}
 	return cleared
 }
 
-func (g *Guard) recordProof(now time.Time, part Fingerprint) {
+// proveParts records that a request with the parts was answered. An answer proves nothing about
+// crashes after the time by which its beginning had shown that its parts are harmless. It returns
+// the entries that this clears, for the peers.
+func (g *Guard) proveParts(now time.Time, attempt inFlightAttempt) []*mcmessage.QuarantineEntry {
+	provedAt := now
+	if harmlessAt := attempt.firstOutputAt.Add(blameWindow); !attempt.firstOutputAt.IsZero() && harmlessAt.Before(now) {
+		provedAt = harmlessAt
+	}
+	var cleared []*mcmessage.QuarantineEntry
+	for _, part := range attempt.parts {
+		if e := g.entries[part]; e != nil && e.crashes > 0 && now.Before(e.expires) && provedAt.After(e.changedAt) {
+			e.clearPart(now)
+			cleared = append(cleared, e.toMessage(part))
+		}
+		g.recordProof(provedAt, part)
+	}
+	return cleared
+}
+
+func (g *Guard) recordProof(at time.Time, part Fingerprint) {
 	if g.provenParts == nil {
 		g.provenParts = make(map[Fingerprint]time.Time)
 	}
 	if _, found := g.provenParts[part]; !found && len(g.provenParts) >= maxEntries {
-		for other, at := range g.provenParts {
-			if now.Sub(at) >= proofTTL {
+		for other, provedAt := range g.provenParts {
+			if at.Sub(provedAt) >= proofTTL {
 				delete(g.provenParts, other)
 			}
 		}
@@ -202,7 +239,9 @@
 			return
 		}
 	}
-	g.provenParts[part] = now
+	if at.After(g.provenParts[part]) {
+		g.provenParts[part] = at
+	}
 }
 
 func (g *Guard) ensurePart(now time.Time, part Fingerprint) *entry {
@@ -216,16 +255,13 @@
 func (e *entry) raisePart(now time.Time, limit uint32) {
 	e.crashes++
 	e.quarantined, e.cleared = e.crashes >= limit, false
-	e.changedAt, e.expires = now, now.Add(partSuspectTTL)
-	if e.quarantined {
-		e.expires = now.Add(partQuarantineTTL)
-	}
+	e.changedAt, e.expires = now, now.Add(partTTL)
 }
 
 func (e *entry) clearPart(now time.Time) {
 	e.crashes, e.quarantined, e.cleared = 0, false, true
 	e.version++
-	e.changedAt, e.expires = now, now.Add(partSuspectTTL)
+	e.changedAt, e.expires = now, now.Add(partTTL)
 }
 
 func sortEntries(messages []*mcmessage.QuarantineEntry) {
--- a/mcquarantine/part_review_test.go
+++ b/mcquarantine/part_review_test.go
@@ -159,13 +159,16 @@
 
 // An instance that answers requests with a part must clear the part at the peers that suspect it,
 // also if it was itself affected by a crash shortly before. Otherwise these peers refuse for
-// minutes what it serves.
-func TestClearAfterUnannouncedCrashReachesPeers(t *testing.T) {
+// minutes what it serves. For this, peers must learn of each crash and of each clear.
+func TestClearAfterOwnCrashReachesPeers(t *testing.T) {
 	serving, peer := &partBed{guard: &mcquarantine.Guard{}}, &partBed{guard: &mcquarantine.Guard{}}
 	serving.answer(0, "sound", "popular")
 	serving.begin(time.Second, "e", "popular")
-	require.Empty(t, partsOf(serving.crash(time.Second, "e")), "not announced")
-	serving.answer(2*time.Second, "sound", "popular")
+	crashed := partsOf(serving.crash(time.Second, "e"))
+	require.Len(t, crashed, 1)
+	require.Equal(t, uint32(1), crashed[0].GetCrashes())
+	cleared := partsOf(serving.answer(2*time.Second, "sound", "popular"))
+	require.Len(t, cleared, 1)
 	for i := range 3 {
 		at, endpoint := time.Duration(3+i)*time.Second, fmt.Sprint("f", i)
 		peer.begin(at, endpoint, "popular")
@@ -173,8 +176,7 @@
 	}
 	at := 6 * time.Second
 	require.True(t, peer.quarantined(at, "popular"))
-	serving.guard.Merge(start.Add(at), peer.guard.Entries(start.Add(at)))
-	cleared := append(serving.guard.ClearProvenParts(start.Add(at)), serving.answer(at, "sound", "popular")...)
+	peer.guard.Merge(start.Add(at), crashed)
 	peer.guard.Merge(start.Add(at), cleared)
 	require.False(t, peer.quarantined(at, "popular"))
 }
