Find crashes whose port closes late or whose process is back at once

Causes and changes: - The only probe came 60 ms after a break: a process that closes its port later counts as alive, and the deadly part reaches all endpoints.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"marigoldcroft"
+	"marigoldcroft/mcquarantine"
 	"marigoldcroft/mcsocket"
 )
 
@@ -45,6 +46,8 @@
 	// sent is true once a part of the request may have reached the endpoint.
 	sent   bool
 	sentAt time.Time
+	// firstOutputAt is when the answer began, or zero.
+	firstOutputAt time.Time
 	// endedWithConnection is true if the end of the connection is the end of the response. Such
 	// a response does not prove that the endpoint survived the request: a crash that closes the
 	// connection between two events ends it in the same way.
@@ -104,6 +107,12 @@
 	return result, err
 }
 
+// answerBegins reports whether the answer has not begun, or so recently that a crash of the
+// endpoint is attributed to the prompt.
+func (a *attempt) answerBegins(now time.Time) bool {
+	return a.firstOutputAt.IsZero() || now.Sub(a.firstOutputAt) <= mcquarantine.BlameWindow
+}
+
 // loadChanged reports a change of the work on an engine, so that it can be sent to the
 // other instances, which share the slots and the prefill capacity of the engine.
 func (a *attempt) loadChanged() {
@@ -168,7 +177,7 @@
 		if errors.Is(err, syscall.ETIMEDOUT) {
 			f.health.recordSilent(now, endpoint)
 		}
-		f.probe(endpoint, nil)
+		f.probeBroken(endpoint, a.answerBegins(now))
 	}
 }
 
@@ -440,7 +449,7 @@
 	if c.firstOutputAt.IsZero() {
 		c.firstOutputAt = now
 	}
-	c.lastOutputAt = now
+	c.lastOutputAt, a.firstOutputAt = now, now
 	a.completion.FirstToken = now.Sub(a.sentAt)
 	c.forwarder.Dispatcher.FirstToken(id)
 	c.forwarder.Quarantine.FirstOutput(now, a.endpoint, id)
--- a/mcforward/health.go
+++ b/mcforward/health.go
@@ -35,8 +35,10 @@
 	// as well, but then other endpoints of its data centre still respond.
 	refusedThreshold  = 3
 	unreachableWindow = 2 * time.Second
-	// probeDelay gives a dying process time to close its port before it is probed.
-	probeDelay = 60 * time.Millisecond
+	// probeDelay gives a dying process time to close its port before it is probed, and
+	// secondProbeDelay is the time until the probe is repeated if the answer had just begun.
+	probeDelay       = 60 * time.Millisecond
+	secondProbeDelay = 120 * time.Millisecond
 )
 
 type (
@@ -204,10 +206,11 @@
 	return true
 }
 
-// probe checks whether an endpoint whose connection broke has died, in which case its host
-// refuses the connection. It calls survived, if that is not nil, when the endpoint accepts one.
-func (f *Forwarder) probe(endpoint marigoldcroft.Endpoint, survived func()) {
-	time.AfterFunc(probeDelay, func() {
+// probe checks, after each of the delays, whether an endpoint whose connection broke has died, in
+// which case its host refuses the connection. It calls survived, if that is not nil, when the
+// endpoint accepts the last one.
+func (f *Forwarder) probe(endpoint marigoldcroft.Endpoint, survived func(), delay time.Duration, further ...time.Duration) {
+	time.AfterFunc(delay, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
 		var dialer net.Dialer
@@ -215,7 +218,10 @@
 		if err == nil {
 			// The connection served only to show that the endpoint listens.
 			_ = conn.Close()
-			if survived != nil {
+			switch {
+			case len(further) > 0:
+				f.probe(endpoint, survived, further[0], further[1:]...)
+			case survived != nil:
 				survived()
 			}
 			return
@@ -228,6 +234,15 @@
 	})
 }
 
+// probeBroken probes an endpoint that broke the connection of an attempt.
+func (f *Forwarder) probeBroken(endpoint marigoldcroft.Endpoint, answerBegins bool) {
+	if answerBegins {
+		f.probe(endpoint, nil, probeDelay, secondProbeDelay)
+		return
+	}
+	f.probe(endpoint, nil, probeDelay)
+}
+
 // confirmSurvival tells the quarantine about a response whose end is the end of its connection.
 // It counts as complete once the endpoint is found to listen, as the response of a process that
 // died looks the same.
@@ -235,18 +250,13 @@
 	f.Quarantine.StreamBroken(time.Now(), endpoint.Name(), id)
 	f.probe(endpoint, func() {
 		f.announce(endpoint.Name(), f.Quarantine.End(time.Now(), endpoint.Name(), id, true))
-	})
+	}, probeDelay)
 }
 
 // EndpointEnded reports to the quarantine that an endpoint's process ended without announcing that
-// it leaves. incarnation is that of the process that took its place, or 0.
-func (f *Forwarder) EndpointEnded(name string, incarnation uint64) {
-	now := time.Now()
-	if incarnation != 0 {
-		f.announce(name, f.Quarantine.IncarnationReported(now, now, name, incarnation))
-		return
-	}
-	f.announce(name, f.Quarantine.ConnectionRefused(now, name))
+// it leaves. Whether another process took its place makes no difference.
+func (f *Forwarder) EndpointEnded(name string, _ uint64) {
+	f.announce(name, f.Quarantine.ConnectionRefused(time.Now(), name))
 }
 
 // MergeSuspects merges the quarantine entries of peers. It clears those of shared prompt parts
--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -23,9 +23,9 @@
 	// proofTTL is how long an answered request counts as proof that its shared parts do not
 	// crash endpoints.
 	proofTTL = time.Minute
-	// blameWindow is the time after the first output of an answer in which a crash of the
+	// BlameWindow is the time after the first output of an answer in which a crash of the
 	// endpoint is attributed to it. A part that crashes endpoints does so when its answer begins.
-	blameWindow = time.Second
+	BlameWindow = time.Second
 	// crashSpacing is the time between two crashes from which both count, although the
 	// second attempt began before the first crash was known.
 	crashSpacing = time.Second
@@ -131,7 +131,7 @@
 	var blamed []Fingerprint
 	highest := uint32(0)
 	for _, attempt := range attempts {
-		if !attempt.firstOutputAt.IsZero() && crashedAt.Sub(attempt.firstOutputAt) > blameWindow {
+		if !attempt.firstOutputAt.IsZero() && crashedAt.Sub(attempt.firstOutputAt) > BlameWindow {
 			continue
 		}
 		for _, part := range g.mostSuspect(now, attempt.parts) {
@@ -188,14 +188,14 @@
 	return blamed
 }
 
-// proveByStreams takes the answers in progress that began more than blameWindow ago for proof of
+// proveByStreams takes the answers in progress that began more than BlameWindow ago for proof of
 // their parts. It returns the entries that this clears.
 func (g *Guard) proveByStreams(now time.Time) []*mcmessage.QuarantineEntry {
 	var cleared []*mcmessage.QuarantineEntry
 	for _, state := range g.endpoints {
 		for id, attempt := range state.inFlight {
-			if attempt.firstOutputAt.IsZero() || attempt.proved || now.Sub(attempt.firstOutputAt) <= blameWindow ||
-				!attempt.brokenAt.IsZero() && attempt.brokenAt.Sub(attempt.firstOutputAt) <= blameWindow {
+			if attempt.firstOutputAt.IsZero() || attempt.proved || now.Sub(attempt.firstOutputAt) <= BlameWindow ||
+				!attempt.brokenAt.IsZero() && attempt.brokenAt.Sub(attempt.firstOutputAt) <= BlameWindow {
 				continue
 			}
 			cleared = append(cleared, g.proveParts(now, attempt)...)
@@ -211,7 +211,7 @@
 // the entries that this clears, for the peers.
 func (g *Guard) proveParts(now time.Time, attempt inFlightAttempt) []*mcmessage.QuarantineEntry {
 	provedAt := now
-	if harmlessAt := attempt.firstOutputAt.Add(blameWindow); !attempt.firstOutputAt.IsZero() && harmlessAt.Before(now) {
+	if harmlessAt := attempt.firstOutputAt.Add(BlameWindow); !attempt.firstOutputAt.IsZero() && harmlessAt.Before(now) {
 		provedAt = harmlessAt
 	}
 	var cleared []*mcmessage.QuarantineEntry
