Keep quarantined entries in a full member table

Cause: the table of quarantine entries takes no entry above 4096 and evicts none. Each request in flight at a crash adds entries for 10 minutes, so that a quarantined part could be known only to the instance that found it.

Change: a quarantined entry replaces the suspect that expires first.

--- a/mcmember/apply.go
+++ b/mcmember/apply.go
@@ -257,8 +257,10 @@
 func (t *Table) applyQuarantine(now time.Time, r *mcmessage.QuarantineEntry, push bool) {
 	fingerprint := r.GetFingerprint()
 	cur := t.quarantine[fingerprint]
-	if r.GetExpiresUnixMs() < now.UnixMilli() || cur == nil && len(t.quarantine) >= maxRecords ||
-		cur.GetVersion() > r.GetVersion() {
+	if r.GetExpiresUnixMs() < now.UnixMilli() || cur.GetVersion() > r.GetVersion() {
+		return
+	}
+	if cur == nil && len(t.quarantine) >= maxRecords && !(r.GetQuarantined() && t.evictSuspect()) {
 		return
 	}
 	if cur.GetVersion() == r.GetVersion() && cur != nil {
@@ -280,6 +282,24 @@
 	}
 }
 
+// evictSuspect removes the entry that expires first among those that are not quarantined, and
+// reports whether there was one.
+func (t *Table) evictSuspect() bool {
+	var victim *mcmessage.QuarantineEntry
+	for _, q := range t.quarantine {
+		if !q.GetQuarantined() && (victim == nil || q.GetExpiresUnixMs() < victim.GetExpiresUnixMs()) {
+			victim = q
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	delete(t.quarantine, victim.GetFingerprint())
+	t.stopReplicating(quarantineID(victim.GetFingerprint()))
+	t.emit(Event{Kind: EventQuarantine, Fingerprint: victim.GetFingerprint()})
+	return true
+}
+
 // applySummary merges the summary of a member of another data centre.
 func (t *Table) applySummary(now time.Time, r *mcmessage.MemberSummary, push bool) {
 	if r.GetDataCentre() == t.self.Identity.DataCentre() || incarnationTooFarAhead(now, r.GetIncarnation()) ||
