Log the predicted end and the output tokens of each placement

The scheduler admits in a stop what it predicts to end in time, but the log held neither that prediction nor the token counts it rests on, so that it could not tell a wrong estimate of the caller from a slow engine or a late first token.

Change: Decision has PredictedEnd, from the same calculation that a stop uses; the line dispatched has predictedEndMs, outputTokens and expectedOutputTokens.

Result: no decision changes; mcscheduler and mcforward pass with -race.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -87,7 +87,8 @@
 	}
 	f.Logger.Info().Str("requestId", c.request.ID).Str("endpoint", a.endpoint).Strs("helpers", a.decision.Helpers).
 		Stringer("class", a.decision.Class).Dur("queuedMs", time.Since(queuedAt)).Dur("predictedStartMs", a.decision.PredictedStart).
-		Dur("predictedFirstMs", a.decision.PredictedFirstToken).Msg("dispatched")
+		Dur("predictedFirstMs", a.decision.PredictedFirstToken).Dur("predictedEndMs", a.decision.PredictedEnd).
+		Int64("outputTokens", work.OutputTokens).Int64("expectedOutputTokens", work.ExpectedOutputTokens).Msg("dispatched")
 	a.loadChanged()
 	defer a.loadChanged()
 	f.Quarantine.Begin(time.Now(), a.endpoint, work.ID, c.fingerprint)
--- a/mcscheduler/scheduler.go
+++ b/mcscheduler/scheduler.go
@@ -300,6 +300,7 @@
 	d.HolderCount, d.KVTokensPerHolder = len(it.holders), it.kvPerShard
 	d.PredictedStart = seconds(at.wait + at.unreportedWait)
 	d.PredictedFirstToken = seconds(it.expectedFirstToken)
+	d.PredictedEnd = seconds(s.endSeconds(now, it, at, 0))
 	return d
 }
 
--- a/mcscheduler/scheduler_command.go
+++ b/mcscheduler/scheduler_command.go
@@ -74,6 +74,7 @@
 	d := it.decision(action, marigoldcroft.ReasonNone)
 	d.PredictedStart = seconds(start)
 	d.PredictedFirstToken = seconds(start + prefill)
+	d.PredictedEnd = seconds(s.endSeconds(now, it, at, start))
 	return it, at, d
 }
 
--- a/mcscheduler/stop.go
+++ b/mcscheduler/stop.go
@@ -71,12 +71,18 @@
 	if !s.stopping {
 		return true
 	}
+	return now+seconds(s.endSeconds(now, it, at, start)*(1+stopMargin)) <= s.stopAt
+}
+
+// endSeconds predicts the seconds until work ends that starts in the given number of seconds,
+// or at the placement.
+func (s *scheduler) endSeconds(now time.Duration, it *item, at placement, start float64) float64 {
 	prefill, output := s.policy.serviceSeconds(now, it)
 	if at.endpoint != nil {
 		start = at.wait + at.unreportedWait
 		prefill = max(prefill, at.firstTokenDelay)
 	}
-	return now+seconds((start+prefill+output)*(1+stopMargin)) <= s.stopAt
+	return start + prefill + output
 }
 
 // refuseForStop returns a refusal, or an expiry, of work that would not end before the stop.
--- a/scheduler.go
+++ b/scheduler.go
@@ -101,9 +101,11 @@
 	// KVTokensPerHolder of the prompt each, because the prompt does not fit into one engine.
 	HolderCount       int
 	KVTokensPerHolder int64
-	// PredictedStart and PredictedFirstToken are relative to the time of the decision.
+	// PredictedStart, PredictedFirstToken and PredictedEnd are relative to the time of the
+	// decision. PredictedEnd is 0 if nothing is known.
 	PredictedStart      time.Duration
 	PredictedFirstToken time.Duration
+	PredictedEnd        time.Duration
 	// RetryAfter is the delay after which the caller may retry. It is set with ActionRefuse
 	// and for ReasonStopping.
 	RetryAfter time.Duration
