Judge work in a planned stop by its largest output

What callers saw: a stream that a stopping instance accepted was cut off in the middle at the end of the grace time (LOST).

Cause: a stop admits work that is predicted to end in time, and the prediction took the caller's estimate of the output (passModel) or the mean share of the largest output (lengthAware) as if they were bounds. Estimates are right at the median only.

Change: serviceSeconds, which only a stop uses, predicts the end of the largest output under both policies.

Result: TestStopJudgesAnswersByTheirLargestSize fails before under both policies and passes.

--- a/mcscheduler/scheduler.go
+++ b/mcscheduler/scheduler.go
@@ -65,7 +65,9 @@
 		// such items.
 		shardKV(it *item) bool
 		// serviceSeconds predicts the least time from the start of the item to its first
-		// token, and from there to its end. Both are 0 if nothing is known.
+		// token, and from there to the end of its largest output: the caller's estimate of
+		// the output and the mean of earlier ones are no bounds. Both are 0 if nothing is
+		// known.
 		serviceSeconds(now time.Duration, it *item) (prefill, output float64)
 		// maxSkips returns how many blocked items a dispatch attempt may skip.
 		maxSkips() int
--- a/mcscheduler/stop.go
+++ b/mcscheduler/stop.go
@@ -96,7 +96,7 @@
 	if !it.pool.serviceTimeReliable(now) {
 		return 0, 0
 	}
-	return it.prefillSeconds, it.pool.decodeSeconds(it.work.OutputTokens)
+	return it.prefillSeconds, float64(it.work.OutputTokens) * it.pool.cost.decodeSecondsPerToken.value
 }
 
 // serviceSeconds returns the time with as many engines as can prefill the prompt, or for plain
@@ -110,7 +110,7 @@
 	if it.class != marigoldcroft.ClassShort {
 		prefill /= float64(max(1, min(len(p.live), maxHelpers)))
 	}
-	return prefill, p.streamSeconds(&it.work)
+	return prefill, float64(it.work.OutputTokens) * p.figures.StepTime.Seconds()
 }
 
 func (b *baseline) serviceSeconds(time.Duration, *item) (prefill, output float64) { return 0, 0 }
--- a/mcscheduler/stop_test.go
+++ b/mcscheduler/stop_test.go
@@ -89,3 +89,46 @@
 	require.Equal(t, marigoldcroft.ActionRefuse, s.Submit(at(2950), marigoldcroft.Work{ID: id(3), Model: "m", PromptTokens: 100, Deadline: at(2900)}).Action)
 	s.Finish(at(3000), id(1), marigoldcroft.Completion{Succeeded: true, Total: time.Second})
 }
+
+// Answers are often longer than their callers expect, and than earlier answers were on average.
+// An answer that would reach its largest size only after the end of a stop must be refused, as
+// it would be cut off in the middle. One that ends in time at its largest size must run.
+func TestStopJudgesAnswersByTheirLargestSize(t *testing.T) {
+	const largest = 3000
+	for _, c := range []struct {
+		policy    string
+		scheduler func() marigoldcroft.Scheduler
+	}{
+		{policy: mcscheduler.PolicyPassModel, scheduler: func() marigoldcroft.Scheduler { return newPassModel(t, 1) }},
+		{policy: mcscheduler.PolicyLengthAware, scheduler: func() marigoldcroft.Scheduler {
+			s := newScheduler(t, mcscheduler.PolicyLengthAware, 1, func(settings *mcscheduler.Settings) {
+				settings.DecodeTimePerToken, settings.OutputShare = time.Millisecond, 0.1
+			})
+			// Predictions are not used before an answer has completed.
+			s.Submit(at(-1000), work(0, 2000, largest))
+			s.FirstToken(at(-900), id(0))
+			s.Finish(at(-500), id(0), marigoldcroft.Completion{
+				Succeeded: true, PromptTokens: 2000, OutputTokens: 301, FirstToken: 100 * time.Millisecond, Total: 400 * time.Millisecond,
+			})
+			return s
+		}},
+	} {
+		t.Run(c.policy, func(t *testing.T) {
+			s := c.scheduler()
+			s.StopBy(at(0), at(7000))
+			answer := func(n int) marigoldcroft.Work {
+				w := passWork(n, 100)
+				w.OutputTokens, w.ExpectedOutputTokens, w.Deadline = largest, largest/10, at(20_000)
+				if c.policy == mcscheduler.PolicyLengthAware {
+					w.Model = model
+				}
+				return w
+			}
+			require.Equal(t, marigoldcroft.ActionDispatch, s.Submit(at(2500), answer(1)).Action)
+			late := s.Submit(at(4500), answer(2))
+			require.Equal(t, marigoldcroft.ActionRefuse, late.Action)
+			require.Equal(t, marigoldcroft.ReasonStopping, late.Reason)
+			require.Positive(t, late.RetryAfter)
+		})
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -102,7 +102,7 @@
 	HolderCount       int
 	KVTokensPerHolder int64
 	// PredictedStart, PredictedFirstToken and PredictedEnd are relative to the time of the
-	// decision. PredictedEnd is 0 if nothing is known.
+	// decision. PredictedEnd assumes the largest output and is 0 if nothing is known.
 	PredictedStart      time.Duration
 	PredictedFirstToken time.Duration
 	PredictedEnd        time.Duration
