Accept requests in a stop no longer than the balancer sends them

What callers saw: a request sent 3.1 s after SIGTERM was accepted and its stream cut off at the end of the grace time (LOST).

Cause: an instance on the users' platform accepted requests for 0.4 of the grace time, 3.2 s of 8 s, whatever the balancer needs. With its largest output it is still predicted to end in time.

Ruled out: a smaller share of the grace time, which with a short one falls below what the balancer needs; a larger margin for predictions, which refuses work that came early too.

Change: the lame-duck time is at most 2.5 s.

Result: TestStopAcceptsNoLongerThanTheBalancerSends fails before (8.0 s with a grace time of 20 s) and passes.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -79,9 +79,11 @@
 	// bodyShare is the fraction of the memory setting that request bodies may take.
 	bodyShare = 0.25
 	// lameDuckShare is the fraction of the grace time in which an instance that shuts down
-	// still accepts requests. The load balancer checks readiness once a second and stops
-	// sending requests after two failed checks.
+	// still accepts requests, and maxLameDuck its upper bound. The load balancer checks
+	// readiness once a second and stops sending requests after two failed checks; later
+	// requests only have less time left.
 	lameDuckShare = 0.4
+	maxLameDuck   = 2500 * time.Millisecond
 	// graceMargin is the fraction of the grace time that remains when the last requests are
 	// aborted.
 	graceMargin = 0.05
@@ -337,7 +339,7 @@
 	defer cancel()
 	e.forwarder.Drain(time.Now().Add(share(1 - graceMargin - answerShare)))
 	e.logger.Info().Int64("inFlight", e.forwarder.InFlight()).Msg("stopBegun")
-	mcclock.Sleep(limit, share(lameDuckShare))
+	mcclock.Sleep(limit, min(share(lameDuckShare), maxLameDuck))
 	e.forwarder.RefuseNew()
 	err := endRequests(limit, e.forwarder, min(maxAnswerTime, share(graceMargin/2)))
 	if err == nil {
--- a/mcentry/forwarding_test.go
+++ b/mcentry/forwarding_test.go
@@ -190,6 +190,21 @@
 	require.NoError(t, err)
 }
 
+// Guards against work that is accepted late in a stop and cut off at its end: the balancer checks
+// once a second and stops sending after two failures, and later requests have less time left.
+func TestStopAcceptsNoLongerThanTheBalancerSends(t *testing.T) {
+	s := newSite(t, 1, func(settings *mcsetting.Settings) { settings.Forward.Grace = 20 * time.Second })
+	in := s.instances[0]
+	require.Equal(t, http.StatusOK, in.get(t, "/v1/x", "key"))
+	begun := time.Now()
+	in.stop()
+	require.Eventually(t, func() bool { return !in.isReady() }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return in.get(t, "/v1/x", "key") != http.StatusOK }, 10*time.Second, 10*time.Millisecond)
+	served := time.Since(begun)
+	require.Greater(t, served, 2*time.Second, "the balancer still sends requests")
+	require.Less(t, served, 3*time.Second)
+}
+
 // Guards against a hang-up signal that ends the process, and against settings that are
 // applied or rejected without a log line.
 func TestSettingsAreReloaded(t *testing.T) {
