--- a/mcscheduler/stop.go
+++ b/mcscheduler/stop.go
@@ -71,12 +71,18 @@
 	if !s.stopping {
 		return true
 	}
+	return now+seconds(s.endSeconds(now, it, at, start)*(1+stopMargin)) <= s.stopAt
+}
+
+// endSeconds predicts the seconds until work ends that starts in the given number of seconds,
+// or at the placement.
+func (s *scheduler) endSeconds(now time.Duration, it *item, at placement, start float64) float64 {
 	prefill, output := s.policy.serviceSeconds(now, it)
 	if at.endpoint != nil {
 		start = at.wait + at.unreportedWait
 		prefill = max(prefill, at.firstTokenDelay)
 	}
-	return now+seconds((start+prefill+output)*(1+stopMargin)) <= s.stopAt
+	return start + prefill + output
 }
 
 // refuseForStop returns a refusal, or an expiry, of work that would not end before the stop.
@@ -90,7 +96,7 @@
 	if !it.pool.serviceTimeReliable(now) {
 		return 0, 0
 	}
-	return it.prefillSeconds, it.pool.decodeSeconds(it.work.OutputTokens)
+	return it.prefillSeconds, float64(it.work.OutputTokens) * it.pool.cost.decodeSecondsPerToken.value
 }
 
 // serviceSeconds returns the time with as many engines as can prefill the prompt, or for plain
@@ -104,7 +110,7 @@
 	if it.class != marigoldcroft.ClassShort {
 		prefill /= float64(max(1, min(len(p.live), maxHelpers)))
 	}
-	return prefill, p.streamSeconds(&it.work)
+	return prefill, float64(it.work.OutputTokens) * p.figures.StepTime.Seconds()
 }
 
 func (b *baseline) serviceSeconds(time.Duration, *item) (prefill, output float64) { return 0, 0 }
