Do not break off streams that end with a blank line or a comment

Seen by callers: a complete stream with a blank line, or a comment without a blank line, after its last event was broken off, or repeated at other endpoints.

Cause: relayStream took any bytes after the last event for an event that was cut off. Blank lines and comments are no part of an event.

Change: they may follow the last event. Where the body ends with its connection, the last line must have ended, as a cut inside a line shows that the server broke off.

--- a/mcforward/endless_test.go
+++ b/mcforward/endless_test.go
@@ -132,6 +132,41 @@
 	require.Eventually(t, func() bool { return server.Serving() == 0 }, 5*time.Second, time.Millisecond, "the connection is still open")
 }
 
+// A stream that states its end may have a blank line or a comment after its last event. Taking
+// that for the begin of an event would break off a complete stream.
+func TestStreamMayEndWithAComment(t *testing.T) {
+	const event = "id: 1\ndata: token 1\n\n"
+	for _, c := range []struct {
+		name, body string
+		whole      bool
+	}{
+		{"blank line", event + "\n", true},
+		{"blank lines", event + "\r\n\n", true},
+		{"comment line", event + ": a\n", true},
+		{"comment without the end of its line", event + ": a\n\n: b", true},
+		{"begin of an event", event + ": a\nid: 2\n", false},
+		{"blank lines only", "\n\n", false},
+		{"comment only", ": a", false},
+	} {
+		for _, framing := range []string{
+			fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(c.body), c.body),
+			fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(c.body), c.body),
+		} {
+			t.Run(c.name+", "+strings.SplitN(framing, ":", 2)[0], func(t *testing.T) {
+				b := newTestBed(t, 1)
+				b.httpServers[0].Config.Handler = &mcstandin.RawServer{Response: func(r *http.Request) string {
+					return strings.TrimSuffix(endlessHead(r, ""), "\r\n") + framing
+				}}
+				got := b.get("/solo/stream/x")
+				require.Equal(t, c.whole, !got.broken && got.status == http.StatusOK)
+				if c.whole {
+					require.Equal(t, c.body, got.body)
+				}
+			})
+		}
+	}
+}
+
 // A stream that sends only comments makes no progress. It must not count as begun, so that the
 // request can be repeated where its route allows it, and must not look complete when it ends.
 func TestCommentsAreNoProgress(t *testing.T) {
--- a/mcforward/stream.go
+++ b/mcforward/stream.go
@@ -34,8 +34,8 @@
 	for {
 		event, err := readEvent(reader)
 		switch {
-		case errors.Is(err, io.EOF) && len(event) == 0 && a.isWholeStream(delivered):
-			if _, err := c.w.Write(comments); err != nil {
+		case errors.Is(err, io.EOF) && a.isWholeStream(delivered, event):
+			if _, err := c.w.Write(append(comments, event...)); err != nil {
 				return nil, failure("write to the caller", KindCallerLeft, err)
 			}
 			a.recordCompletion()
@@ -87,12 +87,19 @@
 	}
 }
 
-// isWholeStream reports whether a stream that ended outside an event, after this attempt
-// delivered the given number of events, is complete. A stream whose body ended with its
+// isWholeStream reports whether a stream is complete that ended after this attempt delivered
+// the given number of events, with rest after the last one. A stream whose body ended with its
 // connection must have delivered an event: without one, nothing shows that the endpoint did
-// not end before it began. Any other stream may be the empty rest of a resumed one.
-func (a *attempt) isWholeStream(delivered int) bool {
-	return delivered > 0 || !a.endedWithConnection && a.call.lastEventNumber > 0
+// not end before it began. It must also have ended its last line. Any other stream may be the
+// empty rest of a resumed one.
+func (a *attempt) isWholeStream(delivered int, rest []byte) bool {
+	switch {
+	case !isComment(rest):
+		return false
+	case a.endedWithConnection:
+		return delivered > 0 && (len(rest) == 0 || bytes.HasSuffix(rest, []byte("\n")))
+	}
+	return delivered > 0 || a.call.lastEventNumber > 0
 }
 
 // endsWithConnection reports whether the response states neither a length nor chunks, so that
@@ -170,7 +177,7 @@
 	}
 }
 
-// isComment reports whether the event consists of comments only. Comments are no progress of a
+// isComment reports whether the event consists of comments and blank lines only. Comments are no progress of a
 // stream: they wait for the next event, so that a stream of comments alone neither counts as
 // begun nor looks complete.
 func isComment(event []byte) bool {
