--- a/mcforward/connpool_test.go
+++ b/mcforward/connpool_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -42,3 +44,51 @@
 	require.Error(t, err)
 	require.EqualValues(t, 2, c.written.Load())
 }
+
+// The kernel reports a reset only once. If a write takes the report, a read that follows
+// returns the end of the connection, and a response without a length would look complete.
+func TestResetThatAWriteReportsIsNoEnd(t *testing.T) {
+	conn, peer := connect(t)
+	require.NoError(t, peer.SetLinger(0))
+	require.NoError(t, peer.Close())
+	c := &countingConn{Conn: conn}
+	for err := error(nil); err == nil; {
+		_, err = c.Write([]byte("x"))
+	}
+	_, err := c.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, io.EOF)
+}
+
+// A peer may close its side while the request is still being sent and not read the rest of it.
+// The end of its response must be returned at once and not as an error.
+func TestEndWhileAWriteIsBlockedIsAnEnd(t *testing.T) {
+	conn, peer := connect(t)
+	c := &countingConn{Conn: conn}
+	written := make(chan error, 1)
+	go func() {
+		_, err := c.Write(make([]byte, 64<<20))
+		written <- err
+	}()
+	_, err := peer.Read(make([]byte, 1))
+	require.NoError(t, err)
+	require.NoError(t, peer.CloseWrite())
+	_, err = c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.ErrorIs(t, <-written, os.ErrDeadlineExceeded)
+}
+
+// connect returns both sides of a TCP connection.
+func connect(t *testing.T) (conn net.Conn, peer *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	conn, err = net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = accepted.Close() })
+	return conn, accepted.(*net.TCPConn)
+}
