Reset the connection of an HTTP/1.0 caller whose response broke off

Seen by callers: a stream, or a body over 1 MiB, that broke off looked complete to a caller of HTTP/1.0.

Cause: such a caller gets no chunks, so that the end of the connection is the end of the response. ErrAbortHandler closes the connection, which is that end.

Change: the connection is reset instead.

Result: TestIncompleteResponseToHTTP10IsReset failed before and passes; a complete stream still ends without an error. go test -race -count=3 ./mcforward passes.

--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -135,12 +136,30 @@
 	result := f.serve(c, n)
 	f.record(c, result)
 	if result.abort {
+		resetUnframed(w, r)
 		// Aborting the connection is the only way to tell the caller that a response that
 		// has begun is incomplete.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// resetUnframed resets the connection of a caller of HTTP/1.0, where closing the connection is
+// the regular end of a response without a length.
+func resetUnframed(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// The error is ignored: an invalid connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 func (f *Forwarder) serve(c *call, inFlight int64) callResult {
 	if problem := f.accept(c, inFlight); problem != nil {
 		return c.refuse(*problem)
--- a/mcforward/unframed_test.go
+++ b/mcforward/unframed_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -130,3 +133,31 @@
 		})
 	}
 }
+
+// A response to a caller of HTTP/1.0 ends with its connection. If it is incomplete, closing the
+// connection would make it look complete, so the connection must be reset.
+func TestIncompleteResponseToHTTP10IsReset(t *testing.T) {
+	for _, c := range []struct {
+		name, path, body string
+	}{
+		{"stream", "/solo/stream/x", "id: 1\ndata: token 1\n\nid: 2\n"},
+		{"complete stream", "/solo/stream/x", wholeStream},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBed(t, 1)
+			b.httpServers[0].Config.Handler = &mcstandin.RawServer{Response: unframed("HTTP/1.1 200 OK", "", c.body)}
+			conn, err := net.Dial("tcp", b.frontServer.Listener.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "GET %s HTTP/1.0\r\nHost: svc.example\r\nRequest-Id: r\r\nAuthorization: Bearer %s\r\n\r\n", c.path, testKey)
+			require.NoError(t, err)
+			got, err := io.ReadAll(conn)
+			if c.body == wholeStream {
+				require.NoError(t, err)
+				require.Contains(t, string(got), wholeStream)
+				return
+			}
+			require.ErrorIs(t, err, syscall.ECONNRESET, "the response looks complete: %q", got)
+		})
+	}
+}
