--- a/mcforward/endless_test.go
+++ b/mcforward/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -195,3 +196,25 @@
 		})
 	}
 }
+
+// A caller that stops reading must not hold its endpoint and its place in this instance beyond
+// the deadline of the request: a write to it would block without end.
+func TestStalledCallerEndsAtItsDeadline(t *testing.T) {
+	for _, c := range []struct{ name, path, fields, rest string }{
+		{"stream", "/solo/stream/x", "Content-Type: text/event-stream\r\n", "data: " + strings.Repeat("x", 1024) + "\n\n"},
+		{"body", "/once/x", "Content-Length: 1073741824\r\n", "x"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBed(t, 1)
+			server := &mcstandin.EndlessServer{Start: func(r *http.Request) string { return endlessHead(r, c.fields) }, Rest: c.rest}
+			b.httpServers[0].Config.Handler = server
+			conn, err := net.Dial("tcp", b.frontServer.Listener.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: r\r\nDeadline-Ms: 300\r\nAuthorization: Bearer %s\r\n\r\n", c.path, testKey)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return server.Serving() == 1 }, 5*time.Second, time.Millisecond)
+			require.Eventually(t, func() bool { return server.Serving() == 0 && b.forwarder.InFlight() == 0 }, 3*time.Second, time.Millisecond)
+		})
+	}
+}
