Do not send requests to endpoints after the abort of a planned stop

Seen by callers: when an instance aborted its requests, a request that waited for an endpoint could be sent to one and given up at once: 502 instead of a refusal as not run.

Cause: the abort cancels the context of each request separately. The requests that end first make room, and the scheduler places a waiting request whose context is not cancelled yet.

Change: an attempt that has been placed checks whether the requests were aborted.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -83,6 +83,10 @@
 			return nil, a.refusedError()
 		}
 	}
+	if f.stop.IsAborted() {
+		// The requests that were aborted first may have made room for this one.
+		return nil, a.contextError(ctx, "wait for an endpoint")
+	}
 	a.endpoint = a.decision.Endpoint
 	endpoint, ok := f.Fleet.Endpoint(a.endpoint)
 	if !ok {
