--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -86,6 +86,10 @@
 			return nil, a.refusedError()
 		}
 	}
+	if f.stop.IsAborted() {
+		// The requests that were aborted first may have made room for this one.
+		return nil, a.contextError(ctx, "wait for an endpoint")
+	}
 	if err := c.quarantinedPart(); err != nil {
 		// The part was quarantined while the request waited.
 		return nil, err
