Attribute crashes to the messages that chat requests share

What callers saw: requests to the chat interface that shared a system message, a document or an earlier message which crashes engines, otherwise unlike, took down one engine after the other, until none was left for anyone.

Cause: mcgateway passed no shared parts to the quarantine, which then knew requests only by the fingerprint of the whole request.

Change: the parts of a chat request are the fingerprints of its messages but the last, the first 16, within the model. A segment of a split has those of the messages that it sends itself, so an answered segment proves nothing about the others. A quarantined message is refused with 422 quarantined at admission, before each attempt and right before an attempt is sent. Requests with a message close to quarantine are not hedged, and not tried again after a broken stream. The crash that broke the stream does not count here, even if another request of the same endpoint has reported it already. The time of the first token is passed to the quarantine and kept when a stream is resumed.

Weighed: the parts of the whole request for each segment (an answered segment would clear a document of which it has another piece); 32 messages (a crash announces each message that is unproven, for each request in flight).

Evidence: on the code before, TestDeadlyMessageIsQuarantined loses all 10 engines to 10 requests (a trial that lets the test run on) and fails, as do TestMessageQuarantinedDuringTheWait, TestSuspectedMessageIsNotRepeated and TestJobWithQuarantinedMessage; one case of TestLateCrashSuspectsNoMessage fails, the others do without the calls that they guard.

The tests of mcgateway pass with -race.

--- a/mcgateway/attempt.go
+++ b/mcgateway/attempt.go
@@ -30,6 +30,12 @@
 	// dispatched receives a decision to dispatch the work; it buffers one and further
 	// ones are dropped.
 	dispatched chan marigoldcroft.Decision
+	// firstOutputAt is when the first token arrived, or zero.
+	firstOutputAt time.Time
+	// startedAt is when the work was sent to the endpoint or its stream was resumed.
+	startedAt time.Time
+	// nearQuarantine is true if the request must not be tried again after a broken stream.
+	nearQuarantine bool
 	// nextSequence is the sequence number of the next event of the engine's stream.
 	nextSequence uint64
 	// recalled is true if the scheduler took the dispatch back before its first token;
@@ -135,6 +141,9 @@
 	if !ok {
 		return marigoldcroft.NewFailure("dispatch to "+a.decision.Endpoint, mcengine.KindUnreachable, nil)
 	}
+	if err := a.checkParts(); err != nil {
+		return err
+	}
 	if !a.run.out.beforeSend() {
 		return errNotSent
 	}
@@ -195,7 +204,7 @@
 	a.run.mu.Lock()
 	defer a.run.mu.Unlock()
 	a.recalled, a.everRecalled = false, true
-	a.nextSequence = 0
+	a.nextSequence, a.firstOutputAt = 0, time.Time{}
 	a.decision = marigoldcroft.Decision{ID: a.id, Action: marigoldcroft.ActionWait}
 }
 
--- a/mcgateway/chat.go
+++ b/mcgateway/chat.go
@@ -60,6 +60,8 @@
 	// engine is deterministic.
 	canonical   []byte
 	fingerprint mcquarantine.Fingerprint
+	// parts are the fingerprints of the messages that other prompts may share.
+	parts []mcquarantine.Fingerprint
 	// key is the caller's idempotency key, or empty.
 	key string
 	// peerJoinKey is the join key that the forwarding peer sent, or empty.
@@ -182,7 +184,7 @@
 	request := &modelRequest{
 		team: team, template: t, deadline: deadline, messages: messages,
 		promptTokens: g.tokens.estimate(t.Model(), messages), outputTokens: output,
-		temperature: in.Temperature, seed: in.Seed, prefixHash: prefixHint(messages),
+		temperature: in.Temperature, seed: in.Seed, prefixHash: prefixHint(messages), parts: sharedParts(t.Model(), messages),
 	}
 	if limit := t.MaxPromptTokens(); limit > 0 && request.promptTokens > int64(limit) {
 		return nil, notRun(CodeTooLarge, fmt.Sprintf("messages: about %d tokens, template %s allows %d", request.promptTokens, t.Name(), limit))
--- a/mcgateway/crash.go
+++ b/mcgateway/crash.go
@@ -28,12 +28,26 @@
 	if quarantine == nil {
 		return
 	}
-	quarantine.Begin(time.Now(), endpoint.Name(), a.id, a.run.request.fingerprint, nil)
+	quarantine.Begin(time.Now(), endpoint.Name(), a.id, a.run.request.fingerprint, a.run.request.parts)
+	a.startedAt, a.nearQuarantine = time.Now(), a.run.nearQuarantine()
+	if !a.firstOutputAt.IsZero() {
+		// The stream was resumed after its answer had begun.
+		quarantine.FirstOutput(a.firstOutputAt, endpoint.Name(), a.id)
+	}
 	a.run.mu.Lock()
 	defer a.run.mu.Unlock()
 	a.sentTo = endpoint.Name()
 }
 
+// recordFirstOutput records that the answer began, so that a later crash of the endpoint is not
+// attributed to the messages of the request.
+func (a *attempt) recordFirstOutput() {
+	a.firstOutputAt = time.Now()
+	if quarantine := a.run.gateway.Quarantine; quarantine != nil {
+		quarantine.FirstOutput(a.firstOutputAt, a.decision.Endpoint, a.id)
+	}
+}
+
 // endCrashTracking records the end of the attempt on the endpoint. Success clears the
 // fingerprint, also of crashes counted for the competing attempt. After a refused
 // connection nothing ran, and the refusal is evidence that the endpoint crashed.
@@ -50,7 +64,7 @@
 		g.background(announceTimeout, func(ctx context.Context) { g.announce(ctx, cleared) })
 	}
 	if connectionRefused(err) {
-		g.reportCrash(endpoint, g.Quarantine.ConnectionRefused(time.Now(), endpoint.Name()))
+		g.countCrash(endpoint)
 	}
 }
 
@@ -93,7 +107,7 @@
 	defer cancel()
 	for ctx.Err() == nil {
 		if connectionRefused(err) {
-			g.reportCrash(endpoint, g.Quarantine.ConnectionRefused(time.Now(), endpoint.Name()))
+			g.countCrash(endpoint)
 			return
 		}
 		requestedAt := time.Now()
@@ -108,6 +122,25 @@
 	}
 }
 
+// countCrash counts a crash of the endpoint, whose host refused a connection, if a stream of it
+// broke.
+func (g *Gateway) countCrash(endpoint marigoldcroft.Endpoint) {
+	// The time is stored first, so that streams that break later do not miss it.
+	g.refusedAt.Store(endpoint.Name(), time.Now())
+	g.reportCrash(endpoint, g.Quarantine.ConnectionRefused(time.Now(), endpoint.Name()))
+}
+
+// checkRepeat decides, when the stream broke, whether the request may be tried again. It counts
+// only crashes other than the one that may have broken the stream: another request that was in
+// flight at the endpoint may have reported that one already.
+func (a *attempt) checkRepeat(endpoint marigoldcroft.Endpoint) {
+	near := a.run.nearQuarantine()
+	refusedAt, refused := a.run.gateway.refusedAt.Load(endpoint.Name())
+	if !refused || refusedAt.(time.Time).Before(a.startedAt) {
+		a.nearQuarantine = near
+	}
+}
+
 // reportCrash tells the scheduler and the peers about a crash that made requests
 // suspects. It does nothing if there are no new suspects.
 func (g *Gateway) reportCrash(endpoint marigoldcroft.Endpoint, newSuspects []*mcmessage.QuarantineEntry) {
--- a/mcgateway/execute.go
+++ b/mcgateway/execute.go
@@ -29,8 +29,8 @@
 // admit checks the quarantine and the team's limits. The function that it returns
 // replaces the estimated charge with the tokens that the request used.
 func (g *Gateway) admit(request *modelRequest) (func(flightResult), *Problem) {
-	if g.Quarantine != nil && g.Quarantine.Check(time.Now(), request.fingerprint) == mcquarantine.VerdictQuarantined {
-		return nil, quarantinedProblem(request.fingerprint)
+	if problem := g.checkQuarantine(request); problem != nil {
+		return nil, problem
 	}
 	if g.TeamLimits == nil {
 		return func(flightResult) {}, nil
--- a/mcgateway/gateway.go
+++ b/mcgateway/gateway.go
@@ -95,6 +95,8 @@
 	tokens  tokenEstimator
 	flights flightTable
 	retries mclimit.RetryBudget
+	// refusedAt holds, by endpoint name, the time.Time at which its host last refused a connection.
+	refusedAt sync.Map
 }
 
 // Handler returns the HTTP handler of the callers' API.
--- a/mcgateway/jobs.go
+++ b/mcgateway/jobs.go
@@ -11,7 +11,6 @@
 	"marigoldcroft"
 	"marigoldcroft/mcclock"
 	"marigoldcroft/mcjob"
-	"marigoldcroft/mcquarantine"
 	"marigoldcroft/mcstore"
 )
 
@@ -32,8 +31,8 @@
 	if problem != nil {
 		return problem
 	}
-	if g.Quarantine != nil && g.Quarantine.Check(time.Now(), request.fingerprint) == mcquarantine.VerdictQuarantined {
-		return quarantinedProblem(request.fingerprint)
+	if problem := g.checkQuarantine(request); problem != nil {
+		return problem
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), jobCallTimeout)
 	defer cancel()
--- a/mcgateway/race.go
+++ b/mcgateway/race.go
@@ -82,9 +82,10 @@
 }
 
 // hedge returns a second attempt on another endpoint, or nil if the first one has
-// produced a token, no endpoint is free now or the retry budget is used up.
+// produced a token, a message of the request is a crash suspect, no endpoint is free now or
+// the retry budget is used up.
 func (r *run) hedge(first *attempt, endpoint string) *attempt {
-	if r.won(first) {
+	if r.won(first) || r.nearQuarantine() {
 		return nil
 	}
 	second := r.newAttempt(false)
--- a/mcgateway/run.go
+++ b/mcgateway/run.go
@@ -138,6 +138,9 @@
 		return r.request.isolated, nil
 	}
 	for ctx.Err() == nil {
+		if part, quarantined := quarantine.QuarantinedPart(time.Now(), r.request.parts); quarantined {
+			return false, quarantinedPart{part}.problem()
+		}
 		switch quarantine.Acquire(time.Now(), r.request.fingerprint, r.request.origin) {
 		case mcquarantine.VerdictQuarantined:
 			return false, quarantinedProblem(r.request.fingerprint)
@@ -172,11 +175,15 @@
 	if ctx.Err() != nil || errors.Is(err, errNoCaller) || errors.Is(err, errNotSent) {
 		return r.correctNotRun(notRun(CodeDeadline, "the request's time ended before its answer was whole")), false
 	}
+	var quarantined quarantinedPart
+	if errors.As(err, &quarantined) {
+		return r.correctNotRun(quarantined.problem()), false
+	}
 	kind := marigoldcroft.FailureKind[mcengine.Kind](err)
 	if kind == mcengine.KindInvalid {
 		return r.correctNotRun(notRun(CodeBadRequest, err.Error())), false
 	}
-	if r.attempts < maxAttempts && r.mayRetry(kind, err) {
+	if r.attempts < maxAttempts && r.mayRetry(a, kind, err) {
 		r.reset()
 		return nil, true
 	}
@@ -186,7 +193,7 @@
 // mayRetry reports whether another attempt may follow a failure of the kind. A failed
 // dial put no load on any engine, so its retry is not charged to the retry budget. All
 // other retries are, so that failing engines do not get several times their load.
-func (r *run) mayRetry(kind mcengine.Kind, err error) bool {
+func (r *run) mayRetry(a *attempt, kind mcengine.Kind, err error) bool {
 	switch {
 	case errors.Is(err, errDiverged):
 		return false
@@ -194,6 +201,8 @@
 		return true
 	case kind != mcengine.KindRefused && !r.request.idempotent():
 		return false
+	case kind == mcengine.KindStreamBroken && a.nearQuarantine:
+		return false
 	case !r.gateway.retries.TryConsume(time.Now(), r.request.template.Model()):
 		return false
 	}
@@ -219,7 +228,8 @@
 func (r *run) recordEnd(e attemptEnd) {
 	var refused refusal
 	r.mayHaveRun = r.mayHaveRun || e.attempt.everRecalled
-	if e.err == nil || errors.As(e.err, &refused) || errors.Is(e.err, errNotSent) {
+	var quarantined quarantinedPart
+	if e.err == nil || errors.As(e.err, &refused) || errors.As(e.err, &quarantined) || errors.Is(e.err, errNotSent) {
 		return
 	}
 	r.exclude = append(r.exclude, e.attempt.decision.Endpoint)
--- a/mcgateway/split.go
+++ b/mcgateway/split.go
@@ -118,7 +118,7 @@
 	}
 	request.messages, request.segment = messages, true
 	request.promptTokens = g.tokens.estimate(request.template.Model(), messages)
-	request.prefixHash = prefixHint(messages)
+	request.prefixHash, request.parts = prefixHint(messages), sharedParts(request.template.Model(), messages)
 	return &run{gateway: g, request: &request, out: out}
 }
 
--- a/mcgateway/stream.go
+++ b/mcgateway/stream.go
@@ -47,6 +47,7 @@
 // to the retry budget.
 func (a *attempt) resume(ctx context.Context, endpoint marigoldcroft.Endpoint, allowed bool) marigoldcroft.TokenStream {
 	g := a.run.gateway
+	a.checkRepeat(endpoint)
 	g.recordBrokenStream(endpoint, a.id)
 	var err error
 	if allowed {
@@ -90,6 +91,7 @@
 	if a.completion.FirstToken > 0 {
 		return nil
 	}
+	a.recordFirstOutput()
 	if err := a.run.claim(a); err != nil {
 		return err
 	}
