Tell peers of shared messages that this instance has seen answered

What callers saw: a sound message could be refused at all instances after three crashes that one instance counted, while requests with it were answered at others.

Cause: an entry instance merged the suspects of its peers without comparing them with the requests that it had answered itself. The forwarding instance does so in Forwarder.MergeSuspects.

Change: after a merge the watcher clears the suspected parts with which this instance answered requests, and announces them.

Evidence: mcentry TestProvenMessageIsClearedAtPeers fails on the code before (2 of 3 instances refuse the message after four crashes) and passes now.

--- a/mcentry/watch.go
+++ b/mcentry/watch.go
@@ -177,8 +177,12 @@
 	p[peer] = work
 }
 
+// mergeQuarantine merges the peers' entries and clears those of messages with which this
+// instance answered requests.
 func (w *watcher) mergeQuarantine() {
-	w.quarantine.Merge(time.Now(), w.membership.member.QuarantineEntries())
+	now := time.Now()
+	w.quarantine.Merge(now, w.membership.member.QuarantineEntries())
+	w.membership.announce(w.quarantine.ClearProvenParts(now))
 }
 
 // rebalance reports the peers' usage of the locally active teams to the limiter and then
