Give announced quarantine entries a version that their instance accepts

What callers saw: after `quarantine clear` at one instance, the request was still refused at the instance that had counted a crash of it, for up to an hour. An instance that had counted a crash did not learn of a later one at a peer either, so the request was not quarantined there.

Cause: mcquarantine versions the entry of a request by the time in ms, and Table.SetQuarantine replaced this by the time in units of 100 ms. The instance's own entry then had the higher version, and it ignored all entries of its peers for the fingerprint.

Change: SetQuarantine takes the version of the entry if it is the highest.

Evidence: mcentry TestRequestEntriesOfPeersAreNotIgnored fails on the code before (after a crash at each of two instances, the first one still takes the request for a suspect) and passes now.

--- a/mcentry/quarantine_test.go
+++ b/mcentry/quarantine_test.go
@@ -96,3 +96,33 @@
 		require.Equal(t, 3, f.quarantining(), "five crashes in a row since it was cleared")
 	})
 }
+
+// Guards against an operator's clear of a request, or a crash that a peer counts, which the instance
+// that counted the first crash ignores.
+func TestRequestEntriesOfPeersAreNotIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSuspectFleet(t, 3)
+		crash := func(instance, n int) {
+			time.Sleep(time.Millisecond)
+			s, id := f.instances[instance], marigoldcroft.NewStreamID("crash", n)
+			s.Guard.Begin(time.Now(), fmt.Sprint("e", n), id, 7, nil)
+			s.Guard.StreamBroken(time.Now(), fmt.Sprint("e", n), id)
+			s.Announce(s.Guard.ConnectionRefused(time.Now(), fmt.Sprint("e", n)))
+			f.exchange()
+		}
+		verdicts := func() (verdicts []mcquarantine.Verdict) {
+			for _, s := range f.instances {
+				verdicts = append(verdicts, s.Guard.Check(time.Now(), 7))
+			}
+			return verdicts
+		}
+		all := func(v mcquarantine.Verdict) []mcquarantine.Verdict { return []mcquarantine.Verdict{v, v, v} }
+		crash(0, 1)
+		require.Equal(t, all(mcquarantine.VerdictExclusive), verdicts())
+		crash(1, 2)
+		require.Equal(t, all(mcquarantine.VerdictQuarantined), verdicts())
+		require.NoError(t, f.instances[2].ClearQuarantine(7))
+		f.exchange()
+		require.Equal(t, all(mcquarantine.VerdictRun), verdicts())
+	})
+}
--- a/mcmember/table_command.go
+++ b/mcmember/table_command.go
@@ -177,12 +177,13 @@
 		slices.EqualFunc(chunk, t.own.usage.chunk, func(a, b *mcmessage.TeamUse) bool { return proto.Equal(a, b) })
 }
 
-// SetQuarantine stores and shares a quarantine entry with a version above the known one. The
-// entry of a shared part keeps its version, by which crashes that several instances count at
+// SetQuarantine stores and shares a quarantine entry with a version above the known one and not
+// below its own, as the instance that made it would ignore peers' entries until theirs are higher.
+// The entry of a shared part keeps its version, by which crashes that several instances count at
 // the same time are merged.
 func (t *Table) SetQuarantine(now time.Time, q *mcmessage.QuarantineEntry) {
 	cur := t.quarantine[q.GetFingerprint()]
-	version := max(cur.GetVersion()+1, versionAt(now))
+	version := max(cur.GetVersion()+1, versionAt(now), q.GetVersion())
 	if q.GetPart() {
 		version = q.GetVersion()
 	}
