Keep the version of a cleared prompt part until its entry expires

What callers saw: after an operator cleared a quarantined message, further crashes by it at one instance were not known to the others for up to 10 minutes, so that each instance had to lose endpoints of its own.

Cause: an operator's clear gives the entry of a part a high version for 10 minutes. The next crash shortened the entry to one minute at the instance that counted it. Then this instance began again at the lowest version, which the others ignored. The same occurred at once at an instance that was told to clear a part that it did not know: it took the entry for one of a request and replaced it.

Change: a crash never shortens the entry of a part, and an entry that has not expired becomes one of a part without losing its version.

Evidence: on the code before, mcentry TestOperatorClearsMessageOnAllInstances ends with no instance that refuses the message after six crashes, in both cases; it passes now. The clear itself reached all instances before, too.

--- a/mcentry/quarantine_test.go
+++ b/mcentry/quarantine_test.go
@@ -97,6 +97,46 @@
 	})
 }
 
+// Guards against a quarantine of a message that an operator cannot lift on all instances, or after
+// which the instances no longer agree on further crashes: here some minutes after the clear, with
+// one crash in between, and at an instance that did not know the message.
+func TestOperatorClearsMessageOnAllInstances(t *testing.T) {
+	for name, c := range map[string]struct {
+		// crashes are those before the clear; told is true if the instances exchange them.
+		crashes int
+		told    bool
+		// later is the instance at which crashes follow.
+		later int
+	}{
+		"quarantined": {3, true, 0}, "not known at the instance": {1, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSuspectFleet(t, 3)
+				for range c.crashes {
+					f.request(0, true)
+					if c.told {
+						f.exchange()
+					}
+				}
+				if c.told {
+					require.Equal(t, 3, f.quarantining())
+				}
+				require.NoError(t, f.instances[1].ClearQuarantine(sharedMessage[0]))
+				f.exchange()
+				require.Zero(t, f.quarantining())
+				f.request(c.later, true)
+				time.Sleep(2 * time.Minute)
+				f.crash(c.later, 5)
+				require.Equal(t, 3, f.quarantining(), "five crashes in a row after the clear")
+				f.request(2, false)
+				f.exchange()
+				require.Zero(t, f.quarantining())
+			})
+		})
+	}
+}
+
 // Guards against an operator's clear of a request, or a crash that a peer counts, which the instance
 // that counted the first crash ignores.
 func TestRequestEntriesOfPeersAreNotIgnored(t *testing.T) {
--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -207,18 +207,26 @@
 
 func (g *Guard) ensurePart(now time.Time, part Fingerprint) *entry {
 	e := g.ensureEntry(now, part)
-	if !e.part || !now.Before(e.expires) {
-		*e = entry{part: true, version: firstPartVersion}
+	if !now.Before(e.expires) {
+		*e = entry{version: firstPartVersion}
 	}
+	// An operator may have cleared the part where it was not known.
+	e.part = true
 	return e
 }
 
 func (e *entry) raisePart(now time.Time, limit uint32) {
 	e.crashes++
 	e.quarantined, e.cleared = e.crashes >= limit, false
-	e.changedAt, e.expires = now, now.Add(partSuspectTTL)
+	ttl := partSuspectTTL
 	if e.quarantined {
-		e.expires = now.Add(partQuarantineTTL)
+		ttl = partQuarantineTTL
+	}
+	e.changedAt = now
+	// A higher version, as of an operator's clear, has to be kept for as long as at the peers, which
+	// would ignore a new entry.
+	if expires := now.Add(ttl); expires.After(e.expires) {
+		e.expires = expires
 	}
 }
 
