Derive the versions of quarantine entries in the unit of the exchange

Cause: the quarantine derived versions from ms, the records that members exchange from units of 100 ms, and members reject larger ones with the whole exchange.

Change: both use units of 100 ms. A larger limit was weighed; members of an older build would reject the exchange.

Result: mcquarantine TestVersionsAreAcceptedByMembers fails before and passes; TestCrashingPromptLosesFewEngines passes in 4 of 4 runs, mcentry TestRequestEntriesOfPeersAreNotIgnored still passes.

--- a/mcquarantine/guard.go
+++ b/mcquarantine/guard.go
@@ -32,6 +32,8 @@
 		// provenParts holds, for the shared parts of requests that were answered at this
 		// instance, the time of the last such answer.
 		provenParts map[Fingerprint]time.Time
+		// provenSweptAt is when expired proofs were last removed.
+		provenSweptAt time.Time
 	}
 
 	// entry is the record of one fingerprint. Entries of several instances are merged by
@@ -76,6 +78,9 @@
 	// fingerprint lasts after its last change.
 	suspectTTL    = 10 * time.Minute
 	quarantineTTL = time.Hour
+	// versionUnit is the resolution of versions that are derived from the time. It is that of
+	// the records that members exchange, which reject larger versions.
+	versionUnit = 100 * time.Millisecond
 	// maxEntries limits the memory used. Suspects are evicted before quarantined entries.
 	maxEntries = 10_000
 )
@@ -227,10 +232,10 @@
 }
 
 // markChanged raises the version and extends the expiry. A version is at least the current
-// time in ms, so that it exceeds all versions of an earlier, expired entry of the
+// time in versionUnit, so that it exceeds all versions of an earlier, expired entry of the
 // fingerprint.
 func (e *entry) markChanged(now time.Time) {
-	e.version = max(e.version+1, uint64(now.UnixMilli()))
+	e.version = max(e.version+1, uint64(now.UnixNano())/uint64(versionUnit))
 	e.expires = now.Add(suspectTTL)
 	if e.quarantined {
 		e.expires = now.Add(quarantineTTL)
--- a/mcquarantine/guard_test.go
+++ b/mcquarantine/guard_test.go
@@ -185,3 +185,14 @@
 		require.LessOrEqual(t, lost, 3)
 	})
 }
+
+// Members reject records with versions of 2^40 and more, and with them the whole exchange. Entries
+// that an instance makes must stay below that.
+func TestVersionsAreAcceptedByMembers(t *testing.T) {
+	g := &mcquarantine.Guard{}
+	crashEndpoint(g, start, "a", stream(1), bad)
+	crashEndpoint(g, start, "b", stream(2), bad)
+	for _, e := range append(g.Entries(start), g.Clear(start, good)) {
+		require.Less(t, e.GetVersion(), uint64(1)<<40)
+	}
+}
