Search for expired proofs at most once a second

Change: the search runs at most once a second; parts that find no room count as unproven meanwhile, as before.

--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -23,6 +23,9 @@
 	// proofTTL is how long an answered request counts as proof that its shared parts do not
 	// crash endpoints.
 	proofTTL = time.Minute
+	// proofSweepInterval is the time between two searches for expired proofs while there are
+	// too many, as each reads all of them under the lock.
+	proofSweepInterval = time.Second
 	// BlameWindow is the time after the first output of an answer in which a crash of the
 	// endpoint is attributed to it. A part that crashes endpoints does so when its answer begins.
 	BlameWindow = time.Second
@@ -230,6 +233,10 @@
 		g.provenParts = make(map[Fingerprint]time.Time)
 	}
 	if _, found := g.provenParts[part]; !found && len(g.provenParts) >= maxEntries {
+		if at.Sub(g.provenSweptAt) < proofSweepInterval {
+			return
+		}
+		g.provenSweptAt = at
 		for other, provedAt := range g.provenParts {
 			if at.Sub(provedAt) >= proofTTL {
 				delete(g.provenParts, other)
