Failing test: a stop judges calls of plain services by their mean time

Scenario: 16 of 20 calls take 0.1 s and 4 take 3 s, the last of them four calls ago; 2 s before work should have ended, a stop accepts another call.

Seen: the call is dispatched. One call in five would be cut off.

Cause: serviceSeconds of passModel returns the mean residence of the calls: an expected value is used as a bound, as the caller's estimate of the output was. The mean is over all routes of the service. A bound needs the longest recent calls, or else the deadline.

--- /dev/null
+++ b/mcscheduler/stop_review_test.go
@@ -0,0 +1,54 @@
+package mcscheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcscheduler"
+)
+
+// newPlainService returns a scheduler for one server of a plain service.
+func newPlainService(t *testing.T) marigoldcroft.Scheduler {
+	t.Helper()
+	s, err := mcscheduler.New(mcscheduler.PolicyPassModel, mcscheduler.Default())
+	require.NoError(t, err)
+	s.SetEndpoints(at(0), []marigoldcroft.Endpoint{marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
+		Name: "s", Kind: marigoldcroft.EndpointService, Pool: "m", Performance: marigoldcroft.EnginePerformance{Slots: 4},
+	})})
+	return s
+}
+
+// serviceCall returns a call to the plain service.
+func serviceCall(n int) marigoldcroft.Work {
+	return marigoldcroft.Work{ID: id(n), Model: "m", PromptTokens: 1, Deadline: at(60_000)}
+}
+
+// runCall dispatches a call at the time and ends it after it took the given milliseconds.
+func runCall(t *testing.T, s marigoldcroft.Scheduler, n, begin, took int, succeeded bool) {
+	t.Helper()
+	require.Equal(t, marigoldcroft.ActionDispatch, s.Submit(at(begin), serviceCall(n)).Action)
+	s.Finish(at(begin+took), id(n), marigoldcroft.Completion{Succeeded: succeeded, Total: time.Duration(took) * time.Millisecond})
+}
+
+// Guards against a call that a stop accepts by the mean time of earlier calls and cuts off: every
+// fifth call takes much longer than the mean.
+func TestStopJudgesCallsByTheLongOnes(t *testing.T) {
+	s := newPlainService(t)
+	now := 0
+	for n := range 20 {
+		took := 100
+		if n%5 == 0 {
+			took = 3000
+		}
+		runCall(t, s, n, now, took, true)
+		now += took
+	}
+	s.StopBy(at(now), at(now+7200))
+	require.Equal(t, marigoldcroft.ActionDispatch, s.Submit(at(now+2000), serviceCall(100)).Action, "5.2 s are left")
+	late := s.Submit(at(now+5200), serviceCall(101))
+	require.Equal(t, marigoldcroft.ActionRefuse, late.Action, "2 s are left")
+	require.Equal(t, marigoldcroft.ReasonStopping, late.Reason)
+}
