Failing test: failed attempts shorten the call time that a stop predicts

Scenario: five calls of a plain service take 2 s each, then ten attempts fail after 1 ms, as when a server refuses connections. A stop accepts a call with 1 s left.

Seen: the call is dispatched.

Cause: Finish records the residence of each dispatched attempt, failed or not. The mean falls to a fraction of 2 s.

--- a/mcscheduler/stop_review_test.go
+++ b/mcscheduler/stop_review_test.go
@@ -52,3 +52,19 @@
 	require.Equal(t, marigoldcroft.ActionRefuse, late.Action, "2 s are left")
 	require.Equal(t, marigoldcroft.ReasonStopping, late.Reason)
 }
+
+// Guards against attempts that fail at once, which shorten the time that a stop predicts for calls.
+func TestFailedAttemptsDoNotShortenThePredictionOfAStop(t *testing.T) {
+	s := newPlainService(t)
+	for n := range 5 {
+		runCall(t, s, n, 2000*n, 2000, true)
+	}
+	for n := range 10 {
+		runCall(t, s, 10+n, 10_000+n, 1, false)
+	}
+	s.StopBy(at(10_100), at(17_300))
+	require.Equal(t, marigoldcroft.ActionDispatch, s.Submit(at(12_000), serviceCall(100)).Action)
+	late := s.Submit(at(16_300), serviceCall(101))
+	require.Equal(t, marigoldcroft.ActionRefuse, late.Action, "1 s is left for a call that takes 2 s")
+	require.Equal(t, marigoldcroft.ReasonStopping, late.Reason)
+}
