Failing test: a stop accepts anything when no answer has ended for 10 s

Scenario: policy lengthAware, 1 ms per token learned. No answer ends for 12 s, as when all answers are long or load is low; then a stop begins. With 1.5 s left it accepts an answer of at most 3000 tokens.

Seen: the answer is dispatched.

Cause: serviceSeconds returns 0, 0 if serviceTimeReliable is false. That keeps a stale rate from refusing work for ever, which cannot happen in a stop; there, an unknown time is taken for no time.

--- a/mcscheduler/stop_review_test.go
+++ b/mcscheduler/stop_review_test.go
@@ -68,3 +68,21 @@
 	require.Equal(t, marigoldcroft.ActionRefuse, late.Action, "1 s is left for a call that takes 2 s")
 	require.Equal(t, marigoldcroft.ReasonStopping, late.Reason)
 }
+
+// Guards against an answer that a stop accepts and cuts off because no answer has ended in the
+// last seconds, as when all answers are long: what was learned before counts for a stop.
+func TestStopUsesPredictionsAfterAQuietTime(t *testing.T) {
+	s := newScheduler(t, mcscheduler.PolicyLengthAware, 1, func(settings *mcscheduler.Settings) {
+		settings.DecodeTimePerToken, settings.OutputShare = time.Millisecond, 0.1
+	})
+	s.Submit(at(0), work(0, 2000, 3000))
+	s.FirstToken(at(100), id(0))
+	s.Finish(at(3100), id(0), marigoldcroft.Completion{
+		Succeeded: true, PromptTokens: 2000, OutputTokens: 3000, FirstToken: 100 * time.Millisecond, Total: 3100 * time.Millisecond,
+	})
+	s.StopBy(at(15_000), at(22_000))
+	require.Equal(t, marigoldcroft.ActionDispatch, s.Submit(at(16_000), work(1, 100, 3000)).Action)
+	late := s.Submit(at(20_500), work(2, 100, 3000))
+	require.Equal(t, marigoldcroft.ActionRefuse, late.Action, "1.5 s are left for an answer of 3 s")
+	require.Equal(t, marigoldcroft.ReasonStopping, late.Reason)
+}
