Failing test: a stop takes a request whose body arrives after it refuses new ones

Scenario: the header of a request arrives before RefuseNew, the end of its body after it; the call takes 1 s and the stop aborts after 0.6 s.

Seen: the request is sent to the server and answered 502, 'this instance stopped before the request ended', and not 503 as not run. Its body may end up to 0.9 of the grace time after SIGTERM; the request is then sent longer than 3 s after it, with the least time left. A stream would be broken off.

Cause: accept asks RefusesNew before the body is read; nobody asks after it.

--- /dev/null
+++ b/mcforward/stop_body_test.go
@@ -0,0 +1,37 @@
+package mcforward_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a request that a stop takes long after it refuses new ones, and ends: its body
+// was still arriving.
+func TestStopRefusesBodiesThatEndLate(t *testing.T) {
+	b := newTestBed(t, 1)
+	b.servers[0].CallTime = time.Second
+	conn, err := net.Dial("tcp", b.frontServer.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: slow\r\nDeadline-Ms: 2500\r\n"+
+		"Authorization: Bearer %s\r\nContent-Length: 8\r\n\r\nhalf", testKey)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return b.forwarder.InFlight() == 1 }, 5*time.Second, time.Millisecond)
+	b.forwarder.Drain(time.Now().Add(500 * time.Millisecond))
+	b.forwarder.RefuseNew()
+	time.AfterFunc(600*time.Millisecond, b.forwarder.Abort)
+	_, err = io.WriteString(conn, "rest")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Empty(t, b.runs())
+}
