Do not refuse the repeat of begun work in a planned stop for its length

Cause: a stop judged each attempt by the largest output of the whole answer. A refusal is harmless only while another instance can still run the request.

Change: work that may have run before is judged by the time to its first token.

--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -211,7 +211,7 @@
 	c.placements++
 	work := marigoldcroft.Work{
 		ID: marigoldcroft.NewStreamID(c.request.ID+"/"+c.start.Format("05.000000"), c.placements), Team: c.team.Name, Model: c.service,
-		Deadline: c.deadline, Exclude: c.excluded, IsolateSuspect: isolate, Objective: c.start.Add(c.route.Objective()),
+		Deadline: c.deadline, Exclude: c.excluded, Begun: c.mayHaveRun, IsolateSuspect: isolate, Objective: c.start.Add(c.route.Objective()),
 		PromptTokens: 1,
 	}
 	if c.engine.PrefillTokensPerSecond > 0 {
--- a/mcscheduler/stop.go
+++ b/mcscheduler/stop.go
@@ -58,7 +58,7 @@
 	if !s.stopping {
 		return
 	}
-	prefill, output := s.policy.serviceSeconds(now, it)
+	prefill, output := s.stopSeconds(now, it)
 	if latest := s.stopAt - seconds((prefill+output)*(1+stopMargin)); latest < it.expiry {
 		it.expiry, it.boundByStop = latest, true
 		s.scheduleTimer(it)
@@ -77,7 +77,7 @@
 // endSeconds predicts the seconds until work ends that starts in the given number of seconds,
 // or at the placement.
 func (s *scheduler) endSeconds(now time.Duration, it *item, at placement, start float64) float64 {
-	prefill, output := s.policy.serviceSeconds(now, it)
+	prefill, output := s.stopSeconds(now, it)
 	if at.endpoint != nil {
 		start = at.wait + at.unreportedWait
 		prefill = max(prefill, at.firstTokenDelay)
@@ -85,6 +85,16 @@
 	return start + prefill + output
 }
 
+// stopSeconds returns the service time by which a stop judges the item. Only the time to the
+// first token counts for work that has begun.
+func (s *scheduler) stopSeconds(now time.Duration, it *item) (prefill, output float64) {
+	prefill, output = s.policy.serviceSeconds(now, it)
+	if it.work.Begun {
+		output = 0
+	}
+	return prefill, output
+}
+
 // refuseForStop returns a refusal, or an expiry, of work that would not end before the stop.
 func (s *scheduler) refuseForStop(it *item, action marigoldcroft.Action) marigoldcroft.Decision {
 	d := it.decision(action, marigoldcroft.ReasonStopping)
--- a/scheduler.go
+++ b/scheduler.go
@@ -82,6 +82,9 @@
 	PrefixHash uint64
 	// Exclude lists the endpoints on which earlier attempts failed.
 	Exclude []string
+	// Begun is true if an earlier attempt may have run. A planned stop does not refuse such work
+	// for its length, as the caller would lose it, whereas other work runs at another instance.
+	Begun bool
 	// IsolateSuspect is true for a request suspected of crashing endpoints. It must run on an endpoint
 	// where no other suspect runs.
 	IsolateSuspect bool
