Refuse requests whose body ends after a stop refuses new ones

What callers would see: a request taken long after SIGTERM and given up.

Change: it is asked again after the body; such a request has not run and another instance can serve it.

Result: mcforward TestStopRefusesBodiesThatEndLate failed before and passes.

--- a/mcforward/body.go
+++ b/mcforward/body.go
@@ -67,6 +67,8 @@
 		return &problem{status: http.StatusRequestTimeout, reason: "the body did not arrive in time", closeConnection: true}
 	case err != nil:
 		return &problem{status: http.StatusBadRequest, reason: "the body could not be read", closeConnection: true}
+	case f.stop.RefusesNew():
+		return stoppingProblem()
 	case int64(len(body)) > limit:
 		return &problem{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes", closeConnection: true}
 	}
