--- a/mcforward/doc.go
+++ b/mcforward/doc.go
@@ -21,6 +21,9 @@
 	KindUnreachable Kind = "unreachable"
 	// KindConnectionRefused means that the endpoint's host refused the connection.
 	KindConnectionRefused Kind = "connection refused"
+	// KindNotReserved means that a helper did not reserve memory for its part of the prompt;
+	// nothing was sent to the endpoint.
+	KindNotReserved Kind = "not reserved"
 	// KindNotRun means that the endpoint reported that it did not run the request and will
 	// not.
 	KindNotRun Kind = "not run"
--- a/mcforward/reserve.go
+++ b/mcforward/reserve.go
@@ -58,7 +58,12 @@
 	a.reservations = append(a.reservations, helper)
 	if err := a.requestReservation(ctx, helper); err != nil {
 		a.call.excluded = append(a.call.excluded, name)
-		return failure(operation, KindUnreachable, err)
+		if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
+			now := time.Now()
+			a.call.forwarder.health.markDown(now, name)
+			a.call.forwarder.health.recordSilent(now, endpoint)
+		}
+		return failure(operation, KindNotReserved, err)
 	}
 	return nil
 }
