Release reserved memory without delaying the answer

Cause: the reservations were released, one after the other, before the answer was written.

Result: mcforward TestReleaseOfMemoryDelaysNoAnswer failed before and passes.

--- a/mcforward/reserve.go
+++ b/mcforward/reserve.go
@@ -26,7 +26,8 @@
 	if a.decision.HolderCount == 0 {
 		return a.send(ctx, endpoint, id)
 	}
-	defer a.releaseAll()
+	// The release must not delay the answer if a helper does not respond.
+	defer func() { go a.releaseAll() }()
 	for _, name := range a.decision.Helpers[:a.decision.HolderCount] {
 		if err := a.reserve(ctx, name); err != nil {
 			return nil, err
