Judge calls of plain services in a planned stop by the long ones

What callers would see: a call that a stopping instance accepted and ended with 502, because it took longer than the mean of earlier ones, or because attempts that failed at once had lowered that mean. Found by the review.

Cause: the mean time was used as a bound, as the caller's estimate was for streams.

Change: the time of the longest recent call that succeeded, which falls by 1 % with each shorter one.

--- a/mcscheduler/cost.go
+++ b/mcscheduler/cost.go
@@ -93,6 +93,9 @@
 	}
 	if p.plainService {
 		p.observeCallSlowdown(now, it, done)
+		if done.Succeeded {
+			p.longCallSeconds = max(done.Total.Seconds(), p.longCallSeconds*longCallDecay)
+		}
 		return
 	}
 	if !done.Succeeded || it.endpoint == nil {
--- a/mcscheduler/stop.go
+++ b/mcscheduler/stop.go
@@ -14,6 +14,8 @@
 	// stopRetryAfter is the largest Retry-After of work that is refused because of a planned
 	// stop. Another instance can run it at once; the jitter spreads the callers.
 	stopRetryAfter = 100 * time.Millisecond
+	// longCallDecay is the factor by which the time of a long call falls with each shorter one.
+	longCallDecay = 0.99
 )
 
 // StopBy refuses work, from now on, that is predicted to end after the limit. Such work that
@@ -111,11 +113,11 @@
 }
 
 // serviceSeconds returns the time with as many engines as can prefill the prompt, or for plain
-// services the mean time of their calls.
+// services the time of a long call.
 func (m *passModel) serviceSeconds(_ time.Duration, it *item) (prefill, output float64) {
 	p := it.pool
 	if !p.publishesFigures() {
-		return 0, p.residence.value
+		return 0, p.longCallSeconds
 	}
 	prefill = it.prefillSeconds
 	if it.class != marigoldcroft.ClassShort {
