Judge streams in a planned stop by the batch that they join

What callers would see: a stream that a stopping instance accepted and cut off, as its engine decoded more slowly than the published step time of a single request.

Cause: the published times for each request of the batch and for its context were not used.

Change: where the endpoint is known, the step time is that of its present batch. The bound of a full engine was weighed: it would refuse all short streams from the begin of a stop.

Result: mcscheduler TestStopUsesAllPublishedFigures failed before and passes.

--- a/mcscheduler/stop.go
+++ b/mcscheduler/stop.go
@@ -83,6 +83,7 @@
 	if at.endpoint != nil {
 		start = at.wait + at.unreportedWait
 		prefill = max(prefill, at.firstTokenDelay)
+		output *= it.pool.batchSlowdown(now, at.endpoint)
 	}
 	return start + prefill + output
 }
@@ -97,6 +98,18 @@
 	return prefill, output
 }
 
+// batchSlowdown returns how many times longer a decoding step takes in the present batch of the
+// endpoint than alone.
+func (p *pool) batchSlowdown(now time.Duration, e *endpoint) float64 {
+	f := &p.figures
+	if f.StepTime <= 0 {
+		return 1
+	}
+	kiloTokens := float64(e.capacity-e.free(now)) / 1000
+	extra := float64(e.requests(now)+1)*f.StepTimePerRequest.Seconds() + kiloTokens*f.StepTimePerKiloToken.Seconds()
+	return 1 + extra/f.StepTime.Seconds()
+}
+
 // refuseForStop returns a refusal, or an expiry, of work that would not end before the stop.
 func (s *scheduler) refuseForStop(it *item, action marigoldcroft.Action) marigoldcroft.Decision {
 	d := it.decision(action, marigoldcroft.ReasonStopping)
