--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -31,7 +31,7 @@
 	BlameWindow = time.Second
 	// crashSpacing is the time between two crashes from which both count, although the
 	// second attempt began before the first crash was known.
-	crashSpacing = time.Second
+	crashSpacing = 500 * time.Millisecond
 	// strongSuspicion is the number of crashes in a row from which a part is blamed alone for
 	// a crash of an endpoint where requests without it were in flight as well.
 	strongSuspicion = partCrashLimit - 1
--- a/mcquarantine/part_test.go
+++ b/mcquarantine/part_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -159,7 +161,7 @@
 	clear(e.inFlight)
 	e.incarnation++
 	e.downUntil = s.now.Add(stormDownTime)
-	for at := range affected {
+	for _, at := range slices.Sorted(maps.Keys(affected)) {
 		s.after(stormProbeDelay, func() { s.announce(at, s.guards[at].ConnectionRefused(s.now, name)) })
 	}
 }
