Refuse requests of peers in a planned stop that refuses new ones

What callers would see: in the chat interface, a request that a peer forwarded to a stopping instance was taken until its stop ended, and could be cut off. Found by the review.

Change: such a request is refused before it is accepted, so that the instance that the caller reached runs it.

Result: mcgateway TestStopRefusesNewRequestsOfPeers failed before and passes.

--- a/mcgateway/streamserver.go
+++ b/mcgateway/streamserver.go
@@ -40,6 +40,9 @@
 	if err != nil {
 		return err
 	}
+	if g.stop.RefusesNew() {
+		return status.Error(codes.Unavailable, "this instance is stopping")
+	}
 	g.active.Add(1)
 	defer g.active.Done()
 	defer g.inFlight.Add(-1)
