End requests of peers when a planned stop aborts

What callers would see: in the chat interface, the abort of a stop left requests that peers forwarded running until the process ended.

Change: the abort ends them like the requests of the instance's own callers. The test waits for the call before it counts it, as the race detector found a read beside the write.

--- a/mcgateway/stop_peer_abort_test.go
+++ b/mcgateway/stop_peer_abort_test.go
@@ -23,6 +23,7 @@
 			response <- entry.chat(t.Context(), strings.Replace(body("caption", ""), "{", `{"stream":true,`, 1), "Idempotency-Key", "k")
 		}()
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.Len(t, home.engine.calls, 1)
 		home.Drain(time.Now())
 		home.Abort()
--- a/mcgateway/streamserver.go
+++ b/mcgateway/streamserver.go
@@ -56,6 +56,8 @@
 	ctx := mcobserve.Propagator.Extract(stream.Context(), carrier)
 	ctx, cancel := context.WithDeadline(ctx, request.deadline)
 	defer cancel()
+	ctx, abort := context.WithCancelCause(ctx)
+	defer g.stop.OnAbort(func() { abort(errStopping) })()
 	out := &peerSink{stream: stream}
 	return out.finish(g.joinOrRun(ctx, request, out))
 }
