--- a/mcforward/health.go
+++ b/mcforward/health.go
@@ -234,7 +234,8 @@
 	})
 }
 
-// probeBroken probes an endpoint that broke the connection of an attempt.
+// probeBroken probes an endpoint that broke the connection of an attempt, twice if the crash would
+// be attributed to the prompt.
 func (f *Forwarder) probeBroken(endpoint marigoldcroft.Endpoint, answerBegins bool) {
 	if answerBegins {
 		f.probe(endpoint, nil, probeDelay, secondProbeDelay)
--- a/mcforward/quarantine_review_test.go
+++ b/mcforward/part_test.go
@@ -15,6 +15,21 @@
 	"marigoldcroft/mcstandin"
 )
 
+// requireDeadRefused sends requests with the part "dead", otherwise unlike, until one of them is
+// refused for it.
+func requireDeadRefused(b *testBed, path string) {
+	b.t.Helper()
+	var last callerResponse
+	require.Eventually(b.t, func() bool {
+		r := b.request(http.MethodPost, path, "prompt")
+		r.URL.Path += r.Header.Get("Request-Id")
+		r.Header.Set("Prefix-Hash", "dead:410,"+r.Header.Get("Request-Id")+":250")
+		last = b.send(r)
+		return last.status == http.StatusServiceUnavailable
+	}, 10*time.Second, 200*time.Millisecond)
+	require.Contains(b.t, last.body, "part dead of the prompt")
+}
+
 // A process that crashes may break its connections some time before its port refuses new ones. A
 // crash must be detected then as well, or the deadly part reaches one endpoint after another.
 func TestDeadlyPartIsFoundIfPortClosesLate(t *testing.T) {
@@ -27,15 +42,7 @@
 			panic(http.ErrAbortHandler)
 		})
 	}
-	var last callerResponse
-	require.Eventually(t, func() bool {
-		r := b.request(http.MethodPost, "/solo/stream/", "prompt")
-		r.URL.Path += r.Header.Get("Request-Id")
-		r.Header.Set("Prefix-Hash", "dead:410,"+r.Header.Get("Request-Id")+":250")
-		last = b.send(r)
-		return last.status == http.StatusServiceUnavailable
-	}, 10*time.Second, 200*time.Millisecond)
-	require.Contains(t, last.body, "part dead of the prompt")
+	requireDeadRefused(b, "/solo/stream/")
 	require.LessOrEqual(t, crashed.Load(), int64(5))
 }
 
@@ -57,15 +64,7 @@
 			_ = conn.Close()
 		})
 	}
-	var last callerResponse
-	require.Eventually(t, func() bool {
-		r := b.request(http.MethodPost, "/again/", "prompt")
-		r.URL.Path += r.Header.Get("Request-Id")
-		r.Header.Set("Prefix-Hash", "dead:410,"+r.Header.Get("Request-Id")+":250")
-		last = b.send(r)
-		return last.status == http.StatusServiceUnavailable
-	}, 10*time.Second, 200*time.Millisecond)
-	require.Contains(t, last.body, "part dead of the prompt")
+	requireDeadRefused(b, "/again/")
 	require.LessOrEqual(t, crashed.Load(), int64(5))
 }
 
--- a/mcforward/stream.go
+++ b/mcforward/stream.go
@@ -177,9 +177,9 @@
 	}
 }
 
-// isComment reports whether the event consists of comments and blank lines only. Comments are no progress of a
-// stream: they wait for the next event, so that a stream of comments alone neither counts as
-// begun nor looks complete.
+// isComment reports whether the event consists of comments and blank lines only. Comments are no
+// progress of a stream: they wait for the next event, so that a stream of comments alone neither
+// counts as begun nor looks complete.
 func isComment(event []byte) bool {
 	for line := range bytes.Lines(event) {
 		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
