Run forwarded requests here when their home aborts a planned stop

What callers would see: in the chat interface, an idempotent request at an instance that is not stopping failed with 503 "this instance is stopping" (notRun false), because its home, at which identical requests are joined, reached the limit of its own stop. Found by a review.

The instance that forwarded the request took only a lost connection, or a refusal that says notRun, as a reason to run it itself.

Change: a home that is stopping counts as lost, unless the caller has received text that cannot be reproduced.

Result: mcgateway TestRequestOutlivesAbortedStopOfItsHome failed before and passes; the package passes 3 times.

--- a/mcgateway/forward.go
+++ b/mcgateway/forward.go
@@ -149,12 +149,14 @@
 	}
 }
 
-// peerProblem passes on the problem of the peer. Work that the peer did not run because
-// it is overloaded or stopping runs on this instance instead, unless it is a suspect.
+// peerProblem passes on the problem of the peer. Work that the peer did not run because it is
+// overloaded, or did not finish because it is stopping, runs on this instance instead, unless it
+// is a suspect.
 func (r *run) peerProblem(chunk *mcmessage.JoinChunk, isolated bool) (*Problem, bool) {
 	code := Code(chunk.GetErrorCode())
-	if chunk.GetNotRun() && !isolated && (code == CodeOverloaded || code == CodeStopping) {
-		return r.peerFailed(isolated, false)
+	unfinished := code == CodeStopping || chunk.GetNotRun() && code == CodeOverloaded
+	if unfinished && !isolated {
+		return r.peerFailed(isolated, !chunk.GetNotRun())
 	}
 	r.mayHaveRun = r.mayHaveRun || !chunk.GetNotRun()
 	problem := notRun(code, chunk.GetErrorMessage()).withRetryAfter(time.Duration(chunk.GetRetryAfterMs()) * time.Millisecond)
