Refuse chat requests whose body ends after a stop refuses new ones

What callers would see: in the chat interface, a chat request, a job or a call of a plain service whose body was still arriving was taken after the planned stop refused new requests, and could be cut off at its limit. Found by a review.

Result: mcgateway TestStopRefusesBodiesThatEndLate failed before in its three cases (200, 200 and 202 instead of 503) and passes.

--- a/mcgateway/chat.go
+++ b/mcgateway/chat.go
@@ -163,6 +163,9 @@
 	if err != nil {
 		return nil, notRun(CodeBadRequest, "body: not received within "+g.Limits.BodyReadTimeout.String())
 	}
+	if g.stop.RefusesNew() {
+		return nil, stoppingProblem()
+	}
 	return body, nil
 }
 
