Do not refuse begun chat work in a planned stop for its length

What callers would see: in the chat interface, a planned stop ended requests that were in progress: the attempt after a broken one was refused as if it were new, and of a prompt that is answered in segments, the segments that had not begun and the combination of the answers were. The caller got 503 "this instance is stopping" with notRun false, although the rest would have ended in time. Found by a review.

Cause: lets begun work go on by Work.Begun, which only the forwarding interface set.

--- a/mcgateway/split.go
+++ b/mcgateway/split.go
@@ -119,7 +119,9 @@
 	request.messages, request.segment = messages, true
 	request.promptTokens = g.tokens.estimate(request.template.Model(), messages)
 	request.prefixHash, request.parts = prefixHint(messages), sharedParts(request.template.Model(), messages)
-	return &run{gateway: g, request: &request, out: out}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &run{gateway: g, request: &request, out: out, mayHaveRun: s.mayHaveRun}
 }
 
 // recordEnd records what the end of a segment means for the whole request.
