Judge chat requests that a stopping instance would forward

What callers would see: in the chat interface, an idempotent request with an idempotency key that arrived in the lame-duck time of a planned stop was forwarded to its home without a prediction of its end, and failed at the limit of the stop (notRun false) although other instances could have run it. Found by a review.

Cause: a stop judges work in this instance's scheduler, which work at a peer does not pass.

Change: an instance that is stopping forwards no requests to their homes, as if these could not be reached; its scheduler runs or refuses them. Crash suspects still run at their home alone.

--- a/mcgateway/forward.go
+++ b/mcgateway/forward.go
@@ -32,13 +32,14 @@
 )
 
 // forwardToHome runs the request at its home instance. It returns false if the request is
-// to run on this instance.
+// to run on this instance, as during a planned stop, in which this instance's scheduler judges
+// whether the answer would end in time.
 func (r *run) forwardToHome(ctx context.Context) (*Problem, bool) {
 	if problem, done := r.forwardSuspect(ctx); done {
 		return problem, true
 	}
 	key := r.request.joinKey()
-	if key == "" || r.request.hop > 0 || r.gateway.JoinInstance == nil || len(r.request.canonical) > maxJoinBytes {
+	if key == "" || r.request.hop > 0 || r.gateway.JoinInstance == nil || len(r.request.canonical) > maxJoinBytes || r.gateway.Draining() {
 		return nil, false
 	}
 	client, self := r.gateway.JoinInstance(key)
