Use quarantine entries that peers sent before the instance followed them

What callers would see: a starting forwarding instance could send requests with a quarantined prompt part to engines, until the next change of any entry: the entries came in the first exchange, before the instance began to follow the changes.

Cause: watchPeers merged entries only upon an event, unlike the watcher of the chat interface, which reads the complete state first.

--- /dev/null
+++ b/mcentry/export_peers_test.go
@@ -0,0 +1,24 @@
+package mcentry
+
+import (
+	"context"
+	"time"
+
+	"marigoldcroft"
+	"marigoldcroft/mcforward"
+	"marigoldcroft/mcmember"
+	"marigoldcroft/mcmessage"
+	"marigoldcroft/mcquarantine"
+)
+
+// WatchPeers runs the part of a forwarding instance that follows its peers until ctx ends. entry was
+// received before.
+func WatchPeers(ctx context.Context, guard *mcquarantine.Guard, entry *mcmessage.QuarantineEntry) {
+	identity := marigoldcroft.NewIdentity("test", "r", "dc", "i", time.Now(), 0)
+	e := &Forwarding{
+		member:    &mcmember.Member{Self: mcmember.Self{Identity: identity}},
+		forwarder: &mcforward.Forwarder{Quarantine: guard, Announce: func([]*mcmessage.QuarantineEntry) {}},
+	}
+	e.member.SetQuarantine(entry)
+	e.watchPeers(ctx)
+}
--- a/mcentry/forwarding_peer.go
+++ b/mcentry/forwarding_peer.go
@@ -136,6 +136,8 @@
 // watchPeers passes membership events on to the scheduler and the quarantine.
 func (e *Forwarding) watchPeers(ctx context.Context) {
 	events := e.member.Subscribe(eventBacklog)
+	// Peers may have sent entries before.
+	e.forwarder.MergeSuspects(e.member.QuarantineEntries())
 	reported := make(peerWork)
 	for {
 		select {
