Share suspected prompt parts when the member table is full of suspects

What callers would see: after a series of crashes with thousands of unlike requests in flight, instances no longer told each other of new suspects for up to 10 minutes, so that each instance had to lose three endpoints to a deadly part (two to a deadly request) before it was quarantined.

Cause: a table with 4096 entries took only quarantined ones; the first suspects kept all later ones out.

Change: a new suspect replaces the least suspect entry, by crashes and then by expiry; entries with more crashes and quarantined ones stay.

Result: mcmember TestSuspectedPartIsTakenByFullTable failed before and passes, as does the package.

--- a/mcmember/apply.go
+++ b/mcmember/apply.go
@@ -260,7 +260,7 @@
 	if r.GetExpiresUnixMs() < now.UnixMilli() || cur.GetVersion() > r.GetVersion() {
 		return
 	}
-	if cur == nil && len(t.quarantine) >= maxRecords && !(r.GetQuarantined() && t.evictSuspect()) {
+	if cur == nil && len(t.quarantine) >= maxRecords && !t.evictSuspect(r) {
 		return
 	}
 	if cur.GetVersion() == r.GetVersion() && cur != nil {
@@ -282,16 +282,16 @@
 	}
 }
 
-// evictSuspect removes the entry that expires first among those that are not quarantined, and
-// reports whether there was one.
-func (t *Table) evictSuspect() bool {
+// evictSuspect removes the least suspect entry, if it is less suspect than the new one, and reports
+// whether it did. Quarantined entries stay.
+func (t *Table) evictSuspect(next *mcmessage.QuarantineEntry) bool {
 	var victim *mcmessage.QuarantineEntry
 	for _, q := range t.quarantine {
-		if !q.GetQuarantined() && (victim == nil || q.GetExpiresUnixMs() < victim.GetExpiresUnixMs()) {
+		if !q.GetQuarantined() && (victim == nil || lessSuspect(q, victim)) {
 			victim = q
 		}
 	}
-	if victim == nil {
+	if victim == nil || !next.GetQuarantined() && !lessSuspect(victim, next) {
 		return false
 	}
 	delete(t.quarantine, victim.GetFingerprint())
@@ -300,6 +300,11 @@
 	return true
 }
 
+// lessSuspect orders suspects by their crashes, and then by their expiry.
+func lessSuspect(a, b *mcmessage.QuarantineEntry) bool {
+	return cmp.Or(cmp.Compare(a.GetCrashes(), b.GetCrashes()), cmp.Compare(a.GetExpiresUnixMs(), b.GetExpiresUnixMs())) < 0
+}
+
 // applySummary merges the summary of a member of another data centre.
 func (t *Table) applySummary(now time.Time, r *mcmessage.MemberSummary, push bool) {
 	if r.GetDataCentre() == t.self.Identity.DataCentre() || incarnationTooFarAhead(now, r.GetIncarnation()) ||
