Take each answer for a sign that its data centre is reachable

What callers would see: when three endpoints of a data centre refuse connections within 2 s, as after crashes, all its endpoints are taken out of rotation for 125 ms or more, and requests are refused, although others there have just answered.

Cause: the count of unreachable endpoints starts again only after an answer whose connection can be reused; an answer that ends with its connection, that closes it, or that is an error did not count.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -212,6 +212,7 @@
 		return nil, a.exchangeError(ctx, err)
 	}
 	defer response.Body.Close()
+	f.health.recordResponse(endpoint)
 	a.endedWithConnection = endsWithConnection(response)
 	responseInfo := f.Codec.DecodeResponse(response.Header)
 	result, err := a.receive(ctx, response, responseInfo, id)
@@ -220,7 +221,6 @@
 		conn.close()
 		return result, err
 	}
-	f.health.recordResponse(endpoint)
 	f.pool.put(conn, responseInfo.KeepAliveTimeout)
 	return result, nil
 }
