Judge answers in a planned stop by the settings before the first one ends

What callers would see: in the chat interface, an instance that is stopped before an answer of the model has ended took every request in its lame-duck time, and cut off those that lasted longer.

Cause: still predicted a time of 0 while nothing had been learned, an unknown time taken for none.

Change: the initial estimates in the settings count. Work that they overestimate is refused as not run, and runs at another instance.

Result: mcscheduler TestStopUsesTheSettingsBeforeTheFirstAnswer failed before and passes; mcscheduler and mcentry pass but for the tests that are known to fail.

--- a/mcscheduler/stop.go
+++ b/mcscheduler/stop.go
@@ -117,11 +117,9 @@
 	return d
 }
 
-// serviceSeconds uses what was learned, however long ago, as it is better than nothing.
+// serviceSeconds uses what was learned, however long ago, or the settings, as either is better than
+// nothing.
 func (l *lengthAware) serviceSeconds(_ time.Duration, it *item) (prefill, output float64) {
-	if it.pool.cost.prefillRate.samples == 0 {
-		return 0, 0
-	}
 	return it.prefillSeconds, float64(it.work.OutputTokens) * it.pool.cost.decodeSecondsPerToken.value
 }
 
