Run HEAD requests on streaming routes once

What callers would see: a HEAD request on a resumable streaming route runs at as many endpoints as the route allows and is answered 502; on another one it is answered 502 although it ran. Found by a review.

Cause: an answer without events counts as broken off, and relayStream was used for HEAD, whose answers have no body.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -330,7 +330,7 @@
 		return nil, a.receiveErrorResponse(ctx, response)
 	case !responseInfo.HasReceipt:
 		return nil, failure(operation, KindInvalidResponse, errors.New("it has no receipt"))
-	case c.route.Streaming():
+	case c.route.Streaming() && c.r.Method != http.MethodHead:
 		return a.relayStream(ctx, response, id)
 	}
 	return a.relayBuffered(ctx, response, id)
