--- a/mcgateway/forward.go
+++ b/mcgateway/forward.go
@@ -32,13 +32,14 @@
 )
 
 // forwardToHome runs the request at its home instance. It returns false if the request is
-// to run on this instance.
+// to run on this instance, as during a planned stop, in which this instance's scheduler judges
+// whether the answer would end in time.
 func (r *run) forwardToHome(ctx context.Context) (*Problem, bool) {
 	if problem, done := r.forwardSuspect(ctx); done {
 		return problem, true
 	}
 	key := r.request.joinKey()
-	if key == "" || r.request.hop > 0 || r.gateway.JoinInstance == nil || len(r.request.canonical) > maxJoinBytes {
+	if key == "" || r.request.hop > 0 || r.gateway.JoinInstance == nil || len(r.request.canonical) > maxJoinBytes || r.gateway.Draining() {
 		return nil, false
 	}
 	client, self := r.gateway.JoinInstance(key)
@@ -149,12 +150,14 @@
 	}
 }
 
-// peerProblem passes on the problem of the peer. Work that the peer did not run because
-// it is overloaded or stopping runs on this instance instead, unless it is a suspect.
+// peerProblem passes on the problem of the peer. Work that the peer did not run because it is
+// overloaded, or did not finish because it is stopping, runs on this instance instead, unless it
+// is a suspect.
 func (r *run) peerProblem(chunk *mcmessage.JoinChunk, isolated bool) (*Problem, bool) {
 	code := Code(chunk.GetErrorCode())
-	if chunk.GetNotRun() && !isolated && (code == CodeOverloaded || code == CodeStopping) {
-		return r.peerFailed(isolated, false)
+	unfinished := code == CodeStopping || chunk.GetNotRun() && code == CodeOverloaded
+	if unfinished && !isolated {
+		return r.peerFailed(isolated, !chunk.GetNotRun())
 	}
 	r.mayHaveRun = r.mayHaveRun || !chunk.GetNotRun()
 	problem := notRun(code, chunk.GetErrorMessage()).withRetryAfter(time.Duration(chunk.GetRetryAfterMs()) * time.Millisecond)
