Count only output that was read as an answer that goes on

What callers saw: an instance that was paused while an engine crashed lifted the quarantine of the deadly prompt part at all instances, and requests with it crashed engines again. It also did not attribute the crash to the part, and repeated the request.

Cause: proof, blame and the repeat rule used the time since the first output of an answer. In an instance that was paused (SIGSTOP, a hypervisor), this time includes the pause, and the end of the stream is read only after it.

Evidence: mcquarantine TestPausedInstanceDoesNotProveDeadlyPart, found by a review, failed: "the paused instance sends more requests with the part".

Change: an answer counts as going on, for all three, only by output that was read later than BlameWindow after the first one. mcquarantine.Progress tells once per attempt, and the guard is told with AnswerContinued, which clears the parts at once; events within the window take no lock. Output that was in the kernel before a pause is read after it. Bodies of more than 1 MB, relayed as they arrive, are observed in the same way.

Tests: TestStreamingAnswerProvesItsParts relied on the fault, as it reported no output after the first one. It now reads output every 50 ms for 1.2 s and has the same requirement; that an answer without later output is still blamed is required by TestCrashIsBlamedOnAnswerThatDoesNotGoOn. The simulated instances of part_test.go report that answers go on, as both interfaces do; their bounds are unchanged.

--- a/mcclock/clock.go
+++ b/mcclock/clock.go
@@ -1,6 +1,6 @@
 // Package mcclock provides a monotonic clock that keeps running while the machine is
-// suspended, unlike Go's own monotonic clock, a sleep that a context can cancel, and
-// exponential backoff.
+// suspended, unlike Go's own monotonic clock, a measure of the time without pauses of the
+// process, a sleep that a context can cancel, and exponential backoff.
 package mcclock
 
 import (
--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -46,8 +46,8 @@
 	// sent is true once a part of the request may have reached the endpoint.
 	sent   bool
 	sentAt time.Time
-	// firstOutputAt is when the answer began, or zero.
-	firstOutputAt time.Time
+	// progress follows the output of the answer.
+	progress mcquarantine.Progress
 	// endedWithConnection is true if the end of the connection is the end of the response. Such
 	// a response does not prove that the endpoint survived the request: a crash that closes the
 	// connection between two events ends it in the same way.
@@ -112,10 +112,24 @@
 	return result, err
 }
 
-// answerBegins reports whether the answer has not begun, or so recently that a crash of the
-// endpoint is attributed to the prompt.
-func (a *attempt) answerBegins(now time.Time) bool {
-	return a.firstOutputAt.IsZero() || now.Sub(a.firstOutputAt) <= mcquarantine.BlameWindow
+// observeOutput records that output was read. The quarantine is told once of an answer that goes
+// on.
+func (a *attempt) observeOutput(now time.Time, id marigoldcroft.StreamID) {
+	if f := a.call.forwarder; a.progress.Output(now, a.call.forwarder.running.Elapsed) {
+		f.announce(a.endpoint, f.Quarantine.AnswerContinued(now, a.endpoint, id))
+	}
+}
+
+// outputObserver observes the output that is written to it.
+type outputObserver struct {
+	io.Writer
+	attempt *attempt
+	id      marigoldcroft.StreamID
+}
+
+func (o outputObserver) Write(p []byte) (int, error) {
+	o.attempt.observeOutput(time.Now(), o.id)
+	return o.Writer.Write(p)
 }
 
 // loadChanged reports a change of the work on an engine, so that it can be sent to the
@@ -182,7 +196,7 @@
 		if errors.Is(err, syscall.ETIMEDOUT) {
 			f.health.recordSilent(now, endpoint)
 		}
-		f.probeBroken(endpoint, a.answerBegins(now))
+		f.probeBroken(endpoint, !a.progress.Continued())
 	}
 }
 
@@ -370,7 +384,7 @@
 	}
 	c.w.WriteHeader(response.StatusCode)
 	if _, err = c.w.Write(body); err == nil {
-		err = copyBody(c.w, response)
+		err = copyBody(outputObserver{Writer: c.w, attempt: a, id: id}, response)
 	}
 	if marigoldcroft.FailureKind[Kind](err) == KindOversized {
 		return nil, err
@@ -454,7 +468,8 @@
 	if c.firstOutputAt.IsZero() {
 		c.firstOutputAt = now
 	}
-	c.lastOutputAt, a.firstOutputAt = now, now
+	c.lastOutputAt = now
+	a.observeOutput(now, id)
 	a.completion.FirstToken = now.Sub(a.sentAt)
 	c.forwarder.Dispatcher.FirstToken(id)
 	c.forwarder.Quarantine.FirstOutput(now, a.endpoint, id)
--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -175,7 +175,7 @@
 		return false, "answerBegan"
 	case !a.sent:
 		return true, "notSent"
-	case kind == KindConnectionBroken && a.answerBegins(now) && c.forwarder.Quarantine.NearQuarantine(now, c.parts):
+	case kind == KindConnectionBroken && !a.progress.Continued() && c.forwarder.Quarantine.NearQuarantine(now, c.parts):
 		// Whether the endpoint crashed is known only after a probe.
 		return false, "suspectPart"
 	case c.attempts >= c.route.MaxAttempts():
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"marigoldcroft"
+	"marigoldcroft/mcclock"
 	"marigoldcroft/mcfleet"
 	"marigoldcroft/mcgateway"
 	"marigoldcroft/mclimit"
@@ -72,6 +73,7 @@
 	stop      mcstop.Stop
 	inFlight  atomic.Int64
 	bodyBytes atomic.Int64
+	running   mcclock.RunningTime
 }
 
 func (f *Forwarder) init() {
--- a/mcforward/stream.go
+++ b/mcforward/stream.go
@@ -61,6 +61,8 @@
 		}
 		if delivered == 0 {
 			c.recordFirstOutput(id, a)
+		} else {
+			a.observeOutput(time.Now(), id)
 		}
 		if !c.responseStarted {
 			c.responseStarted = true
--- a/mcgateway/attempt.go
+++ b/mcgateway/attempt.go
@@ -10,6 +10,7 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcengine"
+	"marigoldcroft/mcquarantine"
 	"marigoldcroft/mcrecover"
 )
 
@@ -32,6 +33,8 @@
 	dispatched chan marigoldcroft.Decision
 	// firstOutputAt is when the first token arrived, or zero.
 	firstOutputAt time.Time
+	// progress follows the output of the answer.
+	progress mcquarantine.Progress
 	// startedAt is when the work was sent to the endpoint or its stream was resumed.
 	startedAt time.Time
 	// nearQuarantine is true if the request must not be tried again after a broken stream.
@@ -205,7 +208,7 @@
 	a.run.mu.Lock()
 	defer a.run.mu.Unlock()
 	a.recalled, a.everRecalled = false, true
-	a.nextSequence, a.firstOutputAt = 0, time.Time{}
+	a.nextSequence, a.firstOutputAt, a.progress = 0, time.Time{}, mcquarantine.Progress{}
 	a.decision = marigoldcroft.Decision{ID: a.id, Action: marigoldcroft.ActionWait}
 }
 
--- a/mcgateway/crash.go
+++ b/mcgateway/crash.go
@@ -34,13 +34,15 @@
 		// The stream was resumed after its answer had begun.
 		quarantine.FirstOutput(a.firstOutputAt, endpoint.Name(), a.id)
 	}
+	if a.progress.Continued() {
+		a.reportContinued(a.startedAt, endpoint.Name())
+	}
 	a.run.mu.Lock()
 	defer a.run.mu.Unlock()
 	a.sentTo = endpoint.Name()
 }
 
-// recordFirstOutput records that the answer began, so that a later crash of the endpoint is not
-// attributed to the messages of the request.
+// recordFirstOutput records that the answer began.
 func (a *attempt) recordFirstOutput() {
 	a.firstOutputAt = time.Now()
 	if quarantine := a.run.gateway.Quarantine; quarantine != nil {
@@ -48,6 +50,24 @@
 	}
 }
 
+// observeOutput records that output was read, so that a crash of the endpoint is not attributed to
+// the messages of the request once the answer has gone on for long enough.
+func (a *attempt) observeOutput(now time.Time) {
+	if a.progress.Output(now, a.run.gateway.running.Elapsed) {
+		a.reportContinued(now, a.decision.Endpoint)
+	}
+}
+
+func (a *attempt) reportContinued(now time.Time, endpoint string) {
+	g := a.run.gateway
+	if g.Quarantine == nil {
+		return
+	}
+	if cleared := g.Quarantine.AnswerContinued(now, endpoint, a.id); len(cleared) > 0 {
+		g.background(announceTimeout, func(ctx context.Context) { g.announce(ctx, cleared) })
+	}
+}
+
 // endCrashTracking records the end of the attempt on the endpoint. Success clears the
 // fingerprint, also of crashes counted for the competing attempt. After a refused
 // connection nothing ran, and the refusal is evidence that the endpoint crashed.
--- a/mcgateway/gateway.go
+++ b/mcgateway/gateway.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"marigoldcroft"
+	"marigoldcroft/mcclock"
 	"marigoldcroft/mcledger"
 	"marigoldcroft/mclimit"
 	"marigoldcroft/mcmessage"
@@ -97,6 +98,7 @@
 	retries mclimit.RetryBudget
 	// refusedAt holds, by endpoint name, the time.Time at which its host last refused a connection.
 	refusedAt sync.Map
+	running   mcclock.RunningTime
 }
 
 // Handler returns the HTTP handler of the callers' API.
--- a/mcgateway/stream.go
+++ b/mcgateway/stream.go
@@ -79,6 +79,7 @@
 		if err := a.claimFirstToken(startedAt); err != nil {
 			return err
 		}
+		a.observeOutput(time.Now())
 		a.recordUsage(event)
 		if err := a.run.deliver(event.Text); err != nil {
 			return err
--- a/mcquarantine/crash.go
+++ b/mcquarantine/crash.go
@@ -24,8 +24,8 @@
 		startedAt   time.Time
 		// firstOutputAt is when the answer began, or zero.
 		firstOutputAt time.Time
-		// proved is true once the answer was taken for proof of its parts.
-		proved bool
+		// continued is true once the answer went on for longer than BlameWindow.
+		continued bool
 		// brokenAt is when the stream broke, or zero.
 		brokenAt time.Time
 		// crashCounted is true after the crash was counted against the fingerprint. The
@@ -102,7 +102,6 @@
 // stream broke, and against the shared parts of these requests.
 func (g *Guard) countCrash(now time.Time, state *endpointState) []*mcmessage.QuarantineEntry {
 	fingerprints := make(map[Fingerprint]bool)
-	messages := g.proveByStreams(now)
 	var attempts []inFlightAttempt
 	for id, attempt := range state.inFlight {
 		if attempt.crashCounted || attempt.startedAt.After(state.firstBroken) {
@@ -116,7 +115,7 @@
 			delete(state.inFlight, id)
 		}
 	}
-	messages = append(messages, g.blameParts(now, state.firstBroken, attempts)...)
+	messages := g.blameParts(now, state.firstBroken, attempts)
 	state.firstBroken = time.Time{}
 	for f := range fingerprints {
 		e := g.ensureEntry(now, f)
--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -26,8 +26,8 @@
 	// proofSweepInterval is the time between two searches for expired proofs while there are
 	// too many, as each reads all of them under the lock.
 	proofSweepInterval = time.Second
-	// BlameWindow is the time after the first output of an answer in which a crash of the
-	// endpoint is attributed to it. A part that crashes endpoints does so when its answer begins.
+	// BlameWindow is how long an answer has to go on until a crash of the endpoint is no longer
+	// attributed to it. A part that crashes endpoints does so when its answer begins.
 	BlameWindow = time.Second
 	// crashSpacing is the time between two crashes from which both count, although the
 	// second attempt began before the first crash was known.
@@ -62,6 +62,22 @@
 	}
 }
 
+// AnswerContinued records that an answer went on for longer than BlameWindow, as Progress tells from
+// its output; the time since the first output includes pauses of the instance. The parts of the
+// prompt are harmless. It returns the entries that this clears, for the peers.
+func (g *Guard) AnswerContinued(now time.Time, endpointName string, id marigoldcroft.StreamID) []*mcmessage.QuarantineEntry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state := g.endpoint(endpointName)
+	attempt, known := state.inFlight[id]
+	if !known || attempt.continued {
+		return nil
+	}
+	attempt.continued = true
+	state.inFlight[id] = attempt
+	return g.proveParts(now, attempt)
+}
+
 // QuarantinedPart returns the first of the shared parts of a prompt that is quarantined.
 func (g *Guard) QuarantinedPart(now time.Time, parts []Fingerprint) (Fingerprint, bool) {
 	g.mu.Lock()
@@ -93,7 +109,7 @@
 func (g *Guard) ClearProvenParts(now time.Time) []*mcmessage.QuarantineEntry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	cleared := g.proveByStreams(now)
+	var cleared []*mcmessage.QuarantineEntry
 	for f, e := range g.entries {
 		if e.part && e.crashes > 0 && e.version == firstPartVersion && now.Before(e.expires) && g.provenHere(now, f) {
 			e.clearPart(now)
@@ -134,7 +150,7 @@
 	var blamed []Fingerprint
 	highest := uint32(0)
 	for _, attempt := range attempts {
-		if !attempt.firstOutputAt.IsZero() && crashedAt.Sub(attempt.firstOutputAt) > BlameWindow {
+		if attempt.continued {
 			continue
 		}
 		for _, part := range g.mostSuspect(now, attempt.parts) {
@@ -191,24 +207,6 @@
 	return []Fingerprint{last}
 }
 
-// proveByStreams takes the answers in progress that began more than BlameWindow ago for proof of
-// their parts. It returns the entries that this clears.
-func (g *Guard) proveByStreams(now time.Time) []*mcmessage.QuarantineEntry {
-	var cleared []*mcmessage.QuarantineEntry
-	for _, state := range g.endpoints {
-		for id, attempt := range state.inFlight {
-			if attempt.firstOutputAt.IsZero() || attempt.proved || now.Sub(attempt.firstOutputAt) <= BlameWindow ||
-				!attempt.brokenAt.IsZero() && attempt.brokenAt.Sub(attempt.firstOutputAt) <= BlameWindow {
-				continue
-			}
-			cleared = append(cleared, g.proveParts(now, attempt)...)
-			attempt.proved = true
-			state.inFlight[id] = attempt
-		}
-	}
-	return cleared
-}
-
 // proveParts records that a request with the parts was answered. An answer proves nothing about
 // crashes after the time by which its beginning had shown that its parts are harmless. It returns
 // the entries that this clears, for the peers.
--- a/mcquarantine/part_blame_test.go
+++ b/mcquarantine/part_blame_test.go
@@ -47,6 +47,17 @@
 	return b.guard.End(start.Add(at), endpoint, stream(b.requests), true)
 }
 
+// stream reads output of the latest request every 50 ms from at until end, without a pause.
+func (b *partBed) stream(at, end time.Duration, endpoint string) {
+	b.guard.FirstOutput(start.Add(at), endpoint, stream(b.requests))
+	var progress mcquarantine.Progress
+	for ; at <= end; at += 50 * time.Millisecond {
+		if progress.Output(start.Add(at), func() time.Duration { return at }) {
+			b.guard.AnswerContinued(start.Add(at), endpoint, stream(b.requests))
+		}
+	}
+}
+
 func (b *partBed) quarantined(at time.Duration, parts ...string) bool {
 	_, quarantined := b.guard.QuarantinedPart(start.Add(at), fingerprintsOf(parts))
 	return quarantined
@@ -148,7 +159,7 @@
 func TestStreamingAnswerProvesItsParts(t *testing.T) {
 	b := &partBed{guard: &mcquarantine.Guard{}}
 	b.begin(0, "sound", "system")
-	b.guard.FirstOutput(start.Add(100*time.Millisecond), "sound", stream(1))
+	b.stream(100*time.Millisecond, 1300*time.Millisecond, "sound")
 	for i := range 3 {
 		at, endpoint := time.Duration(10+5*i)*time.Second, fmt.Sprint("e", i)
 		b.begin(at, endpoint, "system")
--- a/mcquarantine/part_test.go
+++ b/mcquarantine/part_test.go
@@ -64,6 +64,7 @@
 	stormDownTime   = 3300 * time.Millisecond
 	stormProbeDelay = 60 * time.Millisecond
 	stormStreamTime = 1700 * time.Millisecond
+	stormOutputGap  = 30 * time.Millisecond
 )
 
 func newStorm(seed uint64, instances, endpoints int, gossip time.Duration) *storm {
@@ -141,6 +142,7 @@
 		return
 	}
 	s.after(firstOutput, whileUp(func() { s.guards[at].FirstOutput(s.now, name, id) }))
+	s.after(firstOutput+mcquarantine.BlameWindow+stormOutputGap, whileUp(func() { s.announce(at, s.guards[at].AnswerContinued(s.now, name, id)) }))
 	s.after(firstOutput+s.draw(s.streamTime), whileUp(func() {
 		delete(e.inFlight, id)
 		s.announce(at, s.guards[at].End(s.now, name, id, true))
