Attribute crashes of segments to the message that was split

What callers saw: a deadly document in an oversized request crashed engines with each new question, and the requests in flight there suffered.

Cause: a crash was attributed to the text of a segment. The boundaries of segments depend on the length of the rest of the prompt, so each question made another fingerprint. Class of fault: a limit keyed too narrowly.

Change: segments have the shared parts of the whole request, with which it is also refused when it arrives. The guard knows which of them an attempt has only a piece of (PartIsSplit): a crash is attributed to it, an answer is no proof for it. When all segments were answered, the message is cleared of crashes that were known before the first segment was sent (PartAnswered).

Alternative considered: blaming the text of the segment as well. It identifies nothing that the message does not, and its answers would prove nothing for other requests.

What remains: three crashes in a row with another cause, while segments of one sound message are at the engines and none of its requests is completed, quarantine that message.

--- a/mcgateway/chat.go
+++ b/mcgateway/chat.go
@@ -62,6 +62,8 @@
 	fingerprint mcquarantine.Fingerprint
 	// parts are the fingerprints of the messages that other prompts may share.
 	parts []mcquarantine.Fingerprint
+	// splitPart is the one of parts of which a segment has only a piece, or 0.
+	splitPart mcquarantine.Fingerprint
 	// key is the caller's idempotency key, or empty.
 	key string
 	// peerJoinKey is the join key that the forwarding peer sent, or empty.
--- a/mcgateway/crash.go
+++ b/mcgateway/crash.go
@@ -29,6 +29,9 @@
 		return
 	}
 	quarantine.Begin(time.Now(), endpoint.Name(), a.id, a.run.request.fingerprint, a.run.request.parts)
+	if part := a.run.request.splitPart; part != 0 {
+		quarantine.PartIsSplit(endpoint.Name(), a.id, part)
+	}
 	a.startedAt, a.nearQuarantine = time.Now(), a.run.nearQuarantine()
 	if !a.firstOutputAt.IsZero() {
 		// The stream was resumed after its answer had begun.
--- a/mcgateway/part.go
+++ b/mcgateway/part.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -32,11 +33,25 @@
 	shared := messages[:min(max(0, len(messages)-1), maxSharedParts)]
 	parts := make([]mcquarantine.Fingerprint, len(shared))
 	for i, m := range shared {
-		parts[i] = mcquarantine.PartFingerprint(model, m.Role+"\x00"+strconv.FormatUint(xxhash.Sum64String(m.Content), 16))
+		parts[i] = messagePart(model, m)
 	}
 	return parts
 }
 
+func messagePart(model string, m marigoldcroft.Message) mcquarantine.Fingerprint {
+	return mcquarantine.PartFingerprint(model, m.Role+"\x00"+strconv.FormatUint(xxhash.Sum64String(m.Content), 16))
+}
+
+// longestPart returns the fingerprint of the message that is split if the request is oversized, or 0
+// if it is not one of the shared parts.
+func (r *modelRequest) longestPart() mcquarantine.Fingerprint {
+	part := messagePart(r.template.Model(), r.messages[r.longestMessage()])
+	if !slices.Contains(r.parts, part) {
+		return 0
+	}
+	return part
+}
+
 // checkQuarantine returns the problem of a request that is quarantined as a whole or contains a
 // quarantined message.
 func (g *Gateway) checkQuarantine(request *modelRequest) *Problem {
--- a/mcgateway/segments.go
+++ b/mcgateway/segments.go
@@ -52,12 +52,7 @@
 	if r.template.Oversize() != marigoldcroft.OversizeSplit {
 		return nil, notRun(CodeTooLarge, fmt.Sprintf("messages: about %d tokens and %d of output, the largest engine holds %d", r.promptTokens, r.outputTokens, capacity))
 	}
-	longest := 0
-	for i, m := range r.messages {
-		if len(m.Content) > len(r.messages[longest].Content) {
-			longest = i
-		}
-	}
+	longest := r.longestMessage()
 	bytesPerToken := g.tokens.bytesPerToken(r.template.Model())
 	text := r.messages[longest].Content
 	segmentTokens := float64(capacity)/estimateMargin - float64(r.outputTokens) - float64(promptBytes(r.messages)-len(text))/bytesPerToken
@@ -76,6 +71,17 @@
 	return segments, nil
 }
 
+// longestMessage returns the index of the message that is split if the request is oversized.
+func (r *modelRequest) longestMessage() int {
+	longest := 0
+	for i, m := range r.messages {
+		if len(m.Content) > len(r.messages[longest].Content) {
+			longest = i
+		}
+	}
+	return longest
+}
+
 // splitText returns overlapping parts of nearly equal size, none larger than limit bytes,
 // that begin and end at rune boundaries.
 func splitText(text string, limit int) []string {
--- a/mcgateway/split.go
+++ b/mcgateway/split.go
@@ -26,7 +26,10 @@
 type (
 	// splitRun is the state that the segments of one request share.
 	splitRun struct {
-		run *run
+		run       *run
+		startedAt time.Time
+		// splitPart is the fingerprint of the message that is split if other prompts may share it, or 0.
+		splitPart mcquarantine.Fingerprint
 		// exclusive is locked for writing by a segment that runs while the request is a
 		// crash suspect, and for reading by all others.
 		exclusive sync.RWMutex
@@ -55,7 +58,7 @@
 	if problem != nil {
 		return problem
 	}
-	s := &splitRun{run: r, ends: make([]answerEnd, len(parts))}
+	s := &splitRun{run: r, startedAt: time.Now(), splitPart: r.request.longestPart(), ends: make([]answerEnd, len(parts))}
 	answers := make([]string, len(parts))
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.SetLimit(maxRunningSegments)
@@ -71,9 +74,21 @@
 	if err := group.Wait(); err != nil {
 		return r.splitProblem(ctx, s, err)
 	}
+	s.proveSplitPart()
 	return s.combine(ctx, answers)
 }
 
+// proveSplitPart records that all segments of the message that was split were answered.
+func (s *splitRun) proveSplitPart() {
+	g := s.run.gateway
+	if g.Quarantine == nil || s.splitPart == 0 {
+		return
+	}
+	if cleared := g.Quarantine.PartAnswered(time.Now(), s.startedAt, s.splitPart); len(cleared) > 0 {
+		g.background(announceTimeout, func(ctx context.Context) { g.announce(ctx, cleared) })
+	}
+}
+
 // splitProblem returns the problem of the segment that failed first, or a problem of the
 // deadline once the request's context has ended.
 func (r *run) splitProblem(ctx context.Context, s *splitRun, err error) *Problem {
@@ -94,6 +109,9 @@
 		}
 		out := &segmentOutput{parent: s.run.out}
 		r := s.newSegmentRun(fmt.Sprintf("s%d.%d", i+1, try), messages, out)
+		// The boundaries of segments depend on the rest of the prompt, so that the text of a segment
+		// is not shared by other requests with the message.
+		r.request.parts, r.request.splitPart = s.run.request.parts, s.splitPart
 		r.discard = func() bool { out.text.Reset(); return true }
 		problem := s.generateSegment(ctx, r)
 		s.recordEnd(r, i)
--- a/mcquarantine/crash.go
+++ b/mcquarantine/crash.go
@@ -21,7 +21,10 @@
 	inFlightAttempt struct {
 		fingerprint Fingerprint
 		parts       []Fingerprint
-		startedAt   time.Time
+		// splitPart is the one of parts of which the prompt has only a piece, or 0. Its answer is no
+		// proof for the whole part.
+		splitPart Fingerprint
+		startedAt time.Time
 		// firstOutputAt is when the answer began, or zero.
 		firstOutputAt time.Time
 		// continued is true once the answer went on for longer than BlameWindow.
--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -78,6 +78,27 @@
 	return g.proveParts(now, attempt)
 }
 
+// PartIsSplit records that the prompt of an attempt has only a piece of one of its parts. A crash is
+// attributed to the whole part, but the answer is no proof for it.
+func (g *Guard) PartIsSplit(endpointName string, id marigoldcroft.StreamID, part Fingerprint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state := g.endpoint(endpointName)
+	if attempt, known := state.inFlight[id]; known {
+		attempt.splitPart = part
+		state.inFlight[id] = attempt
+	}
+}
+
+// PartAnswered records that requests which together had the whole part were answered. The first of
+// them was sent after startedAt, so that they prove nothing about crashes known later. It returns
+// the entries that this clears, for the peers.
+func (g *Guard) PartAnswered(now, startedAt time.Time, part Fingerprint) []*mcmessage.QuarantineEntry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.provePart(now, startedAt, part)
+}
+
 // QuarantinedPart returns the first of the shared parts of a prompt that is quarantined.
 func (g *Guard) QuarantinedPart(now time.Time, parts []Fingerprint) (Fingerprint, bool) {
 	g.mu.Lock()
@@ -217,15 +238,23 @@
 	}
 	var cleared []*mcmessage.QuarantineEntry
 	for _, part := range attempt.parts {
-		if e := g.entries[part]; e != nil && e.crashes > 0 && now.Before(e.expires) && provedAt.After(e.changedAt) {
-			e.clearPart(now)
-			cleared = append(cleared, e.toMessage(part))
+		if part != attempt.splitPart {
+			cleared = append(cleared, g.provePart(now, provedAt, part)...)
 		}
-		g.recordProof(provedAt, part)
 	}
 	return cleared
 }
 
+func (g *Guard) provePart(now, provedAt time.Time, part Fingerprint) []*mcmessage.QuarantineEntry {
+	var cleared []*mcmessage.QuarantineEntry
+	if e := g.entries[part]; e != nil && e.crashes > 0 && now.Before(e.expires) && provedAt.After(e.changedAt) {
+		e.clearPart(now)
+		cleared = append(cleared, e.toMessage(part))
+	}
+	g.recordProof(provedAt, part)
+	return cleared
+}
+
 func (g *Guard) recordProof(at time.Time, part Fingerprint) {
 	if g.provenParts == nil {
 		g.provenParts = make(map[Fingerprint]time.Time)
