Count running calls of plain services in a planned stop

What callers would see: a call that a stopping instance accepted and cut off, because its service had become slow, or was slow and had not ended a call yet. Found by a review.

Cause: the prediction knew only calls that have ended. A call that lasts is unknown until its end, so that a service that becomes slow looks as fast as before, and an unknown time was taken for none.

Change: the age of running calls is a lower bound of the time of a call. The prediction is at least the age of the second oldest; where the service has several endpoints, the second largest age of the oldest call of each. One hung call or endpoint thus does not make an instance refuse all calls.

--- a/mcscheduler/cost.go
+++ b/mcscheduler/cost.go
@@ -94,7 +94,7 @@
 	if p.plainService {
 		p.observeCallSlowdown(now, it, done)
 		if done.Succeeded {
-			p.longCallSeconds = max(done.Total.Seconds(), p.longCallSeconds*longCallDecay)
+			p.calls.Observe(done.Total)
 		}
 		return
 	}
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -62,9 +62,8 @@
 	nextDispatchAt time.Duration
 	// residence is the mean time in seconds for which requests hold their memory.
 	residence ewma
-	// longCallSeconds is the time of the longest recent call of a plain service; it falls with
-	// each shorter one.
-	longCallSeconds float64
+	// calls holds the times of the calls of a plain service.
+	calls CallTimes
 	// rotation is the next position of the round robin.
 	rotation int
 	// scores and nearBest are buffers for choosing an endpoint: scores is parallel to
--- a/mcscheduler/scheduler.go
+++ b/mcscheduler/scheduler.go
@@ -274,6 +274,9 @@
 	tokens := float64(it.work.PromptTokens) + float64(it.work.OutputTokens)*p.cost.outputShare.value
 	p.lanes[it.lane].charge(now, it, tokens)
 	at.endpoint.add(now, it)
+	if p.plainService {
+		p.calls.Begin(now, at.endpoint.name)
+	}
 	it.helpers = at.helpers
 	for i, e := range at.helpers {
 		e.addHelperPrefill(now, it)
@@ -326,6 +329,7 @@
 		e.addShardKV(now, -it.kvPerShard)
 	}
 	it.holders = nil
+	it.pool.calls.End(it.dispatchedAt, it.endpoint.name)
 	it.endpoint.drop(now, it)
 	it.pool.dirty = true
 }
--- a/mcscheduler/stop.go
+++ b/mcscheduler/stop.go
@@ -14,8 +14,6 @@
 	// stopRetryAfter is the largest Retry-After of work that is refused because of a planned
 	// stop. Another instance can run it at once; the jitter spreads the callers.
 	stopRetryAfter = 100 * time.Millisecond
-	// longCallDecay is the factor by which the time of a long call falls with each shorter one.
-	longCallDecay = 0.99
 )
 
 // StopBy refuses work, from now on, that is predicted to end after the limit. Such work that
@@ -125,10 +123,10 @@
 
 // serviceSeconds returns the time with as many engines as can prefill the prompt, or for plain
 // services the time of a long call.
-func (m *passModel) serviceSeconds(_ time.Duration, it *item) (prefill, output float64) {
+func (m *passModel) serviceSeconds(now time.Duration, it *item) (prefill, output float64) {
 	p := it.pool
 	if !p.publishesFigures() {
-		return 0, p.longCallSeconds
+		return 0, p.calls.Predict(now, len(p.endpoints)).Seconds()
 	}
 	prefill = it.prefillSeconds
 	if it.class != marigoldcroft.ClassShort {
