Judge calls of plain services in the chat interface in a planned stop

What callers would see: a call of a plain service, or an action, that a stopping instance accepted and ended with an error of unknown outcome at the limit of the stop, though all earlier calls took longer than what was left. Found by a review.

Cause: only the scheduler knows by when work must end, and in the chat interface calls of plain services do not pass it. They were taken until new requests were refused, whatever they take.

Evidence: TestStopJudgesCallsOfPlainServices: 1 s before the end of a stop, a call of a service whose three calls took 10 s was sent and cut off.

The refusal says not run; for an action, whose ledger record is not read for it, the outcome of earlier requests with the key stays unknown, as at other refusals.

--- a/mcgateway/gateway.go
+++ b/mcgateway/gateway.go
@@ -95,6 +95,7 @@
 	tokens  tokenEstimator
 	flights flightTable
 	retries mclimit.RetryBudget
+	calls   callTable
 	// refusedAt holds, by endpoint name, the time.Time at which its host last refused a connection.
 	refusedAt sync.Map
 }
--- a/mcgateway/service.go
+++ b/mcgateway/service.go
@@ -47,6 +47,11 @@
 	ctx, span := g.Tracer.Start(ctx, "service call", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("service", s.template.Service())))
 	defer span.End()
+	if g.cannotEndBeforeStop(s) {
+		x.notRunCoversKey = s.template.Repeat() != marigoldcroft.RepeatAtMostOnce
+		g.Metrics.Refusals.WithLabelValues(string(marigoldcroft.ReasonStopping)).Inc()
+		return stoppingProblem()
+	}
 	if problem := g.admitService(x); problem != nil {
 		return problem
 	}
@@ -105,6 +110,11 @@
 	}
 }
 
+// cannotEndBeforeStop reports whether a planned stop is predicted to cut off the call.
+func (g *Gateway) cannotEndBeforeStop(s *serviceCall) bool {
+	return g.stop.IsOver(time.Now().Add(g.calls.timeForStop(s.template.Service(), len(s.endpoints))))
+}
+
 // admitService applies the team's limits.
 func (g *Gateway) admitService(x *exchange) *Problem {
 	if g.TeamLimits == nil {
@@ -132,7 +142,12 @@
 		if i == maxServiceAttempts || i > 0 && !g.retries.TryConsume(time.Now(), s.template.Service()) {
 			break
 		}
-		answer, err := g.Service.Call(ctx, endpoint, s.call)
+		var answer marigoldcroft.ServiceAnswer
+		var err error
+		g.calls.measure(s.template.Service(), endpoint.Name(), func() bool {
+			answer, err = g.Service.Call(ctx, endpoint, s.call)
+			return err == nil
+		})
 		if err == nil {
 			g.retries.CountSuccess(time.Now(), s.template.Service())
 			writeAnswer(x.w, answer)
@@ -149,9 +164,17 @@
 
 // runAtMostOnce runs the call through the ledger.
 func (g *Gateway) runAtMostOnce(ctx context.Context, x *exchange, s *serviceCall) *Problem {
-	result := g.ActionExecutor.Execute(ctx, mcledger.Call{
-		Key:  marigoldcroft.NewActionKey(x.team.Name(), s.template.Service(), s.key),
-		Call: s.call, Endpoints: s.endpoints,
+	first := ""
+	if len(s.endpoints) > 0 {
+		first = s.endpoints[0].Name()
+	}
+	var result mcledger.Result
+	g.calls.measure(s.template.Service(), first, func() bool {
+		result = g.ActionExecutor.Execute(ctx, mcledger.Call{
+			Key:  marigoldcroft.NewActionKey(x.team.Name(), s.template.Service(), s.key),
+			Call: s.call, Endpoints: s.endpoints,
+		})
+		return result.Kind == mcledger.ResultRan
 	})
 	g.Metrics.Actions.WithLabelValues(string(result.Kind)).Inc()
 	if result.Kind == mcledger.ResultRan || result.Kind == mcledger.ResultRecorded {
