Keep recalled work in a planned stop

What callers would see: a long request that a stopping instance had sent to an engine and that ended with an error, though it would have ended in time.

Cause: work on a lent endpoint is recalled when short work lacks memory, and is queued again. The stop judged it there as new work, by its largest output, and let it expire; the caller is then told that it may have run. A stop also went on recalling, so that work that would have ended in time had to wait again.

Evidence: TestStopKeepsRecalledWork: the recalled request expires when the stop begins. TestStopRecallsNothing: short work takes back the endpoint in the stop.

Change: recalled work counts as begun. Nothing is recalled in a stop: the short work for which it would be done has not run and can run at another instance.

--- a/mcscheduler/lend.go
+++ b/mcscheduler/lend.go
@@ -70,10 +70,12 @@
 }
 
 // recallCandidate returns the most recently dispatched lent item whose memory suffices
-// for the blocked item and which can still meet its own deadline after a recall.
+// for the blocked item and which can still meet its own deadline after a recall. Nothing is
+// recalled in a planned stop: the recalled work would be lost, whereas the blocked item can run
+// at another instance.
 func (l *lengthAware) recallCandidate(now time.Duration, it *item) *item {
 	p := it.pool
-	if p.longSet.lent == 0 {
+	if p.longSet.lent == 0 || l.s.stopping {
 		return nil
 	}
 	var latest *item
--- a/mcscheduler/scheduler_command.go
+++ b/mcscheduler/scheduler_command.go
@@ -228,6 +228,7 @@
 	it.endpoint, it.lent = nil, false
 	it.team.served -= it.chargedService
 	it.recallCount++
+	it.work.Begun = true // the engine may have begun it
 	s.enqueue(now, it)
 	return d
 }
