Go on with the waiting segments of begun work in a planned stop

What callers would see: a long document that a stopping instance answered in segments, one of which ran, ended with an error when the stop began, though all segments would have ended in time. Found by a review, by reading.

Cause: segments that were submitted together count as work that has not begun, each for itself. When the stop begins, those that wait expire, and the first one that does ends the whole request. Only segments submitted after the end of another one counted as begun.

Change: a segment counts as begun from the moment at which another one was sent. A segment that the stop refused as work that has not begun is submitted again as begun, once. If none was sent, the request is refused as not run, as before.

--- a/mcgateway/attempt.go
+++ b/mcgateway/attempt.go
@@ -77,7 +77,7 @@
 		Urgency: request.template.Urgency(), Weight: request.team.Weight(),
 		Deadline: request.deadline, PromptTokens: request.promptTokens,
 		OutputTokens: request.outputTokens, PrefixHash: request.prefixHash, Exclude: a.exclude, IsolateSuspect: a.isolated,
-		Begun: a.run.mayHaveRun,
+		Begun: a.run.mayHaveRun || a.run.siblingSent,
 	}
 }
 
--- a/mcgateway/run.go
+++ b/mcgateway/run.go
@@ -46,6 +46,8 @@
 		// mayHaveRun is true once an attempt may have run in part; problems then no
 		// longer say notRun.
 		mayHaveRun bool
+		// siblingSent is true for a segment if another one of the request was sent before.
+		siblingSent bool
 		// started is true once a token was delivered.
 		started bool
 		// discard drops the answer so far. It keeps the answer and returns false if a
--- a/mcgateway/split.go
+++ b/mcgateway/split.go
@@ -34,18 +34,28 @@
 		mu sync.Mutex
 		// mayHaveRun is true once any segment may have run.
 		mayHaveRun bool
-		ends       []answerEnd
+		// sent is true once any segment was sent to an engine.
+		sent bool
+		ends []answerEnd
 	}
 
 	// segmentOutput collects the answer of one segment.
 	segmentOutput struct {
 		textSink
 
-		parent output
+		split *splitRun
 	}
 )
 
-func (s *segmentOutput) beforeSend() bool { return s.parent.beforeSend() }
+func (o *segmentOutput) beforeSend() bool {
+	if !o.split.run.out.beforeSend() {
+		return false
+	}
+	o.split.mu.Lock()
+	defer o.split.mu.Unlock()
+	o.split.sent = true
+	return true
+}
 
 // split runs the segments of a request that no engine can hold, and combines their
 // answers. The first segment that fails permanently cancels the others.
@@ -92,7 +102,7 @@
 		if ctx.Err() != nil {
 			return notRun(CodeDeadline, "another segment failed")
 		}
-		out := &segmentOutput{parent: s.run.out}
+		out := &segmentOutput{split: s}
 		r := s.newSegmentRun(fmt.Sprintf("s%d.%d", i+1, try), messages, out)
 		r.discard = func() bool { out.text.Reset(); return true }
 		problem := s.generateSegment(ctx, r)
@@ -101,7 +111,7 @@
 			*answer = out.text.String()
 			return nil
 		}
-		if !s.mayRetry(problem) {
+		if !s.mayRetry(r, problem) {
 			return problem
 		}
 		mcclock.Sleep(ctx, max(minSegmentRetry, time.Duration(problem.RetryAfterMs)*time.Millisecond))
@@ -121,7 +131,7 @@
 	request.prefixHash, request.parts = prefixHint(messages), sharedParts(request.template.Model(), messages)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &run{gateway: g, request: &request, out: out, mayHaveRun: s.mayHaveRun}
+	return &run{gateway: g, request: &request, out: out, mayHaveRun: s.mayHaveRun, siblingSent: s.sent}
 }
 
 // recordEnd records what the end of a segment means for the whole request.
@@ -133,10 +143,14 @@
 }
 
 // mayRetry reports whether a refused segment is tried again: once any segment may have
-// run, the request counts as admitted, and admitted work is not shed.
-func (s *splitRun) mayRetry(problem *Problem) bool {
+// run, the request counts as admitted, and admitted work is not shed. A planned stop that took
+// the segment for work that has not begun judges it again.
+func (s *splitRun) mayRetry(r *run, problem *Problem) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if problem.Code == CodeStopping {
+		return s.sent && !r.siblingSent && !r.mayHaveRun
+	}
 	return s.mayHaveRun && problem.Code == CodeOverloaded && problem.RetryAfterMs > 0
 }
 
