Keep what was learned of a model or service that is briefly not listed

What callers would see: a call that a stopping instance accepted and cut off, because its service had not been listed for a moment before. Found by a review, by reading.

Cause: a pool was dropped as soon as it had neither endpoints nor waiting work, and with it the times of calls and the learned rates. When its endpoints were listed again, an unknown time was taken for none.

Change: a pool without endpoints and waiting work is kept for 5 minutes. The published figures of its engines are dropped at once, as the next endpoint may be of another kind.

--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -29,9 +29,11 @@
 	live      []*endpoint
 	// largestCapacity is the KV capacity of the largest endpoint, usable or not.
 	largestCapacity int64
-	lanes           [laneCount]lane
-	parked          []*item
-	cost            costModel
+	// usedAt is the last time at which the pool was seen to have endpoints or waiting work.
+	usedAt time.Duration
+	lanes  [laneCount]lane
+	parked []*item
+	cost   costModel
 	// figures are those published by the endpoints; they are zero when none are.
 	figures marigoldcroft.EnginePerformance
 	// plainService is true for the servers of a plain service.
--- a/mcscheduler/scheduler.go
+++ b/mcscheduler/scheduler.go
@@ -21,6 +21,9 @@
 	retryInterval = 10 * time.Millisecond
 	// cleanupInterval is the time between removals of stale team and endpoint records.
 	cleanupInterval = 10 * time.Second
+	// poolLifetime is the time for which a pool without endpoints is kept for what it has
+	// learned.
+	poolLifetime = 5 * time.Minute
 	// maxFreeItems bounds the free list of items.
 	maxFreeItems = 4096
 )
--- a/mcscheduler/scheduler_command.go
+++ b/mcscheduler/scheduler_command.go
@@ -118,8 +118,8 @@
 	return decisions
 }
 
-// removeStale drops the fairness state of idle teams and the learned rates of idle
-// endpoints.
+// removeStale drops the fairness state of idle teams, the learned rates of idle endpoints
+// and unused pools.
 func (s *scheduler) removeStale(now time.Duration) {
 	for _, p := range s.poolOrder {
 		for i := range p.lanes {
@@ -129,6 +129,7 @@
 			e.expireRates(now)
 		}
 	}
+	s.dropPools(now)
 }
 
 // expire ends a waiting item that can no longer meet its deadline.
@@ -372,7 +373,7 @@
 	for _, e := range kept {
 		e.pool.endpoints = append(e.pool.endpoints, e)
 	}
-	s.dropPools()
+	s.dropPools(now)
 	for _, p := range s.poolOrder {
 		p.sort()
 		s.unpark(p)
@@ -390,13 +391,20 @@
 	return p
 }
 
-// dropPools removes the pools that have neither endpoints nor waiting work.
-func (s *scheduler) dropPools() {
+// dropPools removes the pools that have had neither endpoints nor waiting work for
+// poolLifetime.
+func (s *scheduler) dropPools(now time.Duration) {
 	order := s.poolOrder[:0]
 	for _, p := range s.poolOrder {
-		if len(p.endpoints) == 0 && p.queued() == 0 {
+		switch {
+		case len(p.endpoints) > 0 || p.queued() > 0:
+			p.usedAt = now
+		case now-p.usedAt > poolLifetime:
 			delete(s.pools, p.name)
 			continue
+		default:
+			// The next endpoint may be of another kind.
+			p.figures = marigoldcroft.EnginePerformance{}
 		}
 		order = append(order, p)
 	}
--- a/mcscheduler/stop_estimate_test.go
+++ b/mcscheduler/stop_estimate_test.go
@@ -10,14 +10,19 @@
 	"marigoldcroft/mcscheduler"
 )
 
+// plainServer returns a server of a plain service.
+func plainServer(name string) marigoldcroft.Endpoint {
+	return marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
+		Name: name, Kind: marigoldcroft.EndpointService, Pool: "m", Performance: marigoldcroft.EnginePerformance{Slots: 4},
+	})
+}
+
 // newPlainService returns a scheduler for one server of a plain service.
 func newPlainService(t *testing.T) marigoldcroft.Scheduler {
 	t.Helper()
 	s, err := mcscheduler.New(mcscheduler.PolicyPassModel, mcscheduler.Default())
 	require.NoError(t, err)
-	s.SetEndpoints(at(0), []marigoldcroft.Endpoint{marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
-		Name: "s", Kind: marigoldcroft.EndpointService, Pool: "m", Performance: marigoldcroft.EnginePerformance{Slots: 4},
-	})})
+	s.SetEndpoints(at(0), []marigoldcroft.Endpoint{plainServer("s")})
 	return s
 }
 
--- a/mcscheduler/stop_running_test.go
+++ b/mcscheduler/stop_running_test.go
@@ -42,12 +42,7 @@
 	t.Run("server", func(t *testing.T) {
 		s, err := mcscheduler.New(mcscheduler.PolicyPassModel, mcscheduler.Default())
 		require.NoError(t, err)
-		server := func(name string) marigoldcroft.Endpoint {
-			return marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
-				Name: name, Kind: marigoldcroft.EndpointService, Pool: "m", Performance: marigoldcroft.EnginePerformance{Slots: 4},
-			})
-		}
-		s.SetEndpoints(at(0), []marigoldcroft.Endpoint{server("hung"), server("sound")})
+		s.SetEndpoints(at(0), []marigoldcroft.Endpoint{plainServer("hung"), plainServer("sound")})
 		var sound []int
 		for n := range 4 {
 			if s.Submit(at(1000), serviceCall(n)).Endpoint == "sound" {
