Record the outcomes of actions in an aborted planned stop

What callers would see: an action that ran has no final outcome afterwards, as the instance that ran it did not record it. Found by a review, by reading.

Cause: a stop that ends at its limit, or by a second signal, skipped the wait for the outcomes of actions together with the release of jobs and shards. An action goes on when its request is aborted; the process ended before its record.

Change: after an abort the instance waits for the outcomes of actions, for at most 1 s more, so that a second signal still ends it soon. An action that takes longer is logged as outcomesNotRecorded, as before in a stop that was not aborted.

--- a/mcentry/ledger.go
+++ b/mcentry/ledger.go
@@ -122,6 +122,16 @@
 	})
 }
 
+// recordOutcomes waits until the actions that an aborted stop leaves running have ended and their
+// outcomes are recorded, but not longer than the limit.
+func (e *Entry) recordOutcomes(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := waitFor(ctx, e.actions.Wait); err != nil {
+		e.logger.Warn().Err(err).Msg("outcomesNotRecorded")
+	}
+}
+
 // releaseJobsAndLedger releases jobs and ledger shards, so that other instances can take
 // them over immediately.
 func (e *Entry) releaseJobsAndLedger(ctx context.Context) {
--- a/mcentry/partition_test.go
+++ b/mcentry/partition_test.go
@@ -51,6 +51,11 @@
 	entry          *mcentry.Entry
 	faults         *mcpeer.PartitionInjector
 	store, listing *abortingHandler
+	// stop begins a graceful shutdown of the instance, abort ends it, and served receives its
+	// result.
+	stop   context.CancelFunc
+	abort  chan struct{}
+	served chan error
 }
 
 // testDeployment is a deployment of two data centres on one platform. Each has an
@@ -73,14 +78,14 @@
 			Name: "engine-" + name, Model: "caption", PrefillRate: 500_000, TokenTime: time.Millisecond, KVCapacity: 450_000,
 		}}
 		running.Go(func() { engine.Run(ctx) })
-		c := &dataCentre{name: name, faults: &mcpeer.PartitionInjector{}, store: &abortingHandler{next: w.store}, listing: &abortingHandler{next: w.list.Handler()}}
+		c := &dataCentre{name: name, faults: &mcpeer.PartitionInjector{}, store: &abortingHandler{next: w.store}, listing: &abortingHandler{next: w.list.Handler()}, abort: make(chan struct{}), served: make(chan error, 1)}
 		w.centres[i] = c
 		s := mcsetting.Default()
 		s.Deployment, s.Region, s.DataCentre, s.Instance = "test", "r", name, name+"-1"
 		s.CallerAddress, s.PeerAddress, s.AdminAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 		s.ObjectStore, s.InstanceList = w.serve(c.store), w.serve(c.listing)
 		s.Store.CallTimeout, s.Stop.LameDuck, s.Stop.Limit, s.Log.Level = 500*time.Millisecond, 0, 10*time.Second, "warn"
-		c.entry = &mcentry.Entry{Settings: s, Output: os.Stderr, Faults: c.faults}
+		c.entry = &mcentry.Entry{Settings: s, Output: os.Stderr, Faults: c.faults, Abort: c.abort}
 		require.NoError(t, c.entry.Start(ctx))
 		listing.Instances = append(listing.Instances, marigoldcroft.ListedInstance{Name: s.Instance, DataCentre: name, Region: "r", PeerAddress: c.entry.PeerAddress()})
 		listing.Endpoints = append(listing.Endpoints,
@@ -94,7 +99,17 @@
 		running.Wait()
 	})
 	for _, c := range w.centres {
-		running.Go(func() { assert.NoError(t, c.entry.Serve(ctx), "graceful shutdown of %s", c.name) })
+		served, stop := context.WithCancel(ctx)
+		c.stop = stop
+		running.Go(func() {
+			err := c.entry.Serve(served)
+			c.served <- err
+			select {
+			case <-c.abort:
+			default:
+				assert.NoError(t, err, "graceful shutdown of %s", c.name)
+			}
+		})
 	}
 	w.configure()
 	return w
--- a/mcentry/stop.go
+++ b/mcentry/stop.go
@@ -16,8 +16,9 @@
 	// answerShare is the fraction of the time for a planned stop between the time by which
 	// requests should end and their abort. In it, what still waits is refused.
 	answerShare = 0.05
-	// maxAnswerTime limits the time for the answers to aborted requests. Answering takes
-	// milliseconds; it must not delay an operator's second signal.
+	// maxAnswerTime limits the time for the answers to aborted requests, and that for recording
+	// the outcomes of actions after an abort. Both take milliseconds; they must not delay an
+	// operator's second signal.
 	maxAnswerTime = time.Second
 	// idlePollInterval is how often a stop checks whether requests are left.
 	idlePollInterval = 5 * time.Millisecond
@@ -39,6 +40,9 @@
 	if err == nil {
 		err = e.releaseAndWait(limit, server)
 	}
+	if err != nil {
+		e.recordOutcomes(maxAnswerTime)
+	}
 	if err := finishStop(server, e.logger, e.gateway.InFlight(), err); err != nil {
 		return err
 	}
