--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -29,9 +29,11 @@
 	live      []*endpoint
 	// largestCapacity is the KV capacity of the largest endpoint, usable or not.
 	largestCapacity int64
-	lanes           [laneCount]lane
-	parked          []*item
-	cost            costModel
+	// usedAt is the last time at which the pool was seen to have endpoints or waiting work.
+	usedAt time.Duration
+	lanes  [laneCount]lane
+	parked []*item
+	cost   costModel
 	// figures are those published by the endpoints; they are zero when none are.
 	figures marigoldcroft.EnginePerformance
 	// plainService is true for the servers of a plain service.
@@ -62,9 +64,8 @@
 	nextDispatchAt time.Duration
 	// residence is the mean time in seconds for which requests hold their memory.
 	residence ewma
-	// longCallSeconds is the time of the longest recent call of a plain service; it falls with
-	// each shorter one.
-	longCallSeconds float64
+	// calls holds the times of the calls of a plain service.
+	calls CallTimes
 	// rotation is the next position of the round robin.
 	rotation int
 	// scores and nearBest are buffers for choosing an endpoint: scores is parallel to
