Count crashes of a prompt part at all services together as well

What callers saw: a part of prompts that had been quarantined at one service crashed as many endpoints again at the next one, after a route was split or moved. The same held for a message of the chat interface and the next model.

Cause: PartFingerprint contains the service (the model), so that each service counted the crashes of a part for itself. Class of fault: a limit keyed too narrowly.

Evidence: mcforward TestDeadlyPartIsKnownAtAllServices crashed more than 5 endpoints with two services.

Change: a prompt has two fingerprints for each shared part, one for its service and one for any service, last in the list. A crash of a part that crashed before is attributed to the latter, which quarantines it everywhere; answers at any service clear it. If a part crashes endpoints of one service and is answered at another, these answers clear the common count again and again, but not that of the service, which then has the larger number and is raised to the limit. A key without the service alone would not do: a trial with it let 30 of 30 and 40 of 40 such requests through in TestDeadlyPartOfOneServiceIsServedAtAnother. Counting each crash at the other services from one below the limit was rejected: each further service would lose an endpoint.

--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -45,7 +45,8 @@
 	// countedBytes is the number of body bytes that count against Forwarder.MaxBodyBytes.
 	countedBytes int64
 	fingerprint  mcquarantine.Fingerprint
-	// parts are the fingerprints of the parts that the prompt shares with others.
+	// parts are the fingerprints of the parts that the prompt shares with others, as returned by
+	// mcquarantine.PartFingerprints for request.SharedParts.
 	parts []mcquarantine.Fingerprint
 	class marigoldcroft.Class
 
@@ -129,7 +130,7 @@
 		return nil
 	}
 	c.forwarder.Metrics.Refusals.WithLabelValues(string(KindQuarantined)).Inc()
-	i := slices.Index(c.parts, part)
+	i := slices.Index(c.parts, part) % len(c.request.SharedParts)
 	return failure("quarantine", KindQuarantined, errors.Newf("part %s of the prompt crashed endpoints", c.request.SharedParts[i]))
 }
 
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -169,9 +169,7 @@
 		return c.refuse(*problem)
 	}
 	c.fingerprint = mcquarantine.FingerprintOf(c.team.Name, append([]byte(c.r.Method+" "+c.r.RequestURI+"\n"), c.body...))
-	for _, part := range c.request.SharedParts {
-		c.parts = append(c.parts, mcquarantine.PartFingerprint(c.service, part))
-	}
+	c.parts = mcquarantine.PartFingerprints(c.service, c.request.SharedParts)
 	f.Retries.CountRequest(c.start, c.service)
 	return c.forward()
 }
--- a/mcgateway/part.go
+++ b/mcgateway/part.go
@@ -30,11 +30,11 @@
 // in common with this one: all but the last, up to maxSharedParts.
 func sharedParts(model string, messages []marigoldcroft.Message) []mcquarantine.Fingerprint {
 	shared := messages[:min(max(0, len(messages)-1), maxSharedParts)]
-	parts := make([]mcquarantine.Fingerprint, len(shared))
+	parts := make([]string, len(shared))
 	for i, m := range shared {
-		parts[i] = mcquarantine.PartFingerprint(model, m.Role+"\x00"+strconv.FormatUint(xxhash.Sum64String(m.Content), 16))
+		parts[i] = m.Role + "\x00" + strconv.FormatUint(xxhash.Sum64String(m.Content), 16)
 	}
-	return parts
+	return mcquarantine.PartFingerprints(model, parts)
 }
 
 // checkQuarantine returns the problem of a request that is quarantined as a whole or contains a
--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -39,6 +39,8 @@
 	// clear raises it, so that crashes that several instances count at the same time neither
 	// add up nor replace each other: of equal versions the larger number of crashes is kept.
 	firstPartVersion = 1
+	// anyService stands for all services in the fingerprint of a part.
+	anyService = ""
 )
 
 // PartFingerprint returns the fingerprint of a part that the prompts of several requests to
@@ -51,6 +53,20 @@
 	return Fingerprint(h.Sum64())
 }
 
+// PartFingerprints returns the fingerprints of the shared parts of a prompt for the service: first
+// those of each part at this service, then those of each part at any service. Crashes are counted
+// at all services, so that a part that crashed endpoints of one is known at the others. Answers
+// at one service leave the count of another one, as their models may differ.
+func PartFingerprints(service string, parts []string) []Fingerprint {
+	fingerprints := make([]Fingerprint, 0, 2*len(parts))
+	for _, name := range [...]string{service, anyService} {
+		for _, part := range parts {
+			fingerprints = append(fingerprints, PartFingerprint(name, part))
+		}
+	}
+	return fingerprints
+}
+
 // FirstOutput records that the answer of an attempt began.
 func (g *Guard) FirstOutput(now time.Time, endpointName string, id marigoldcroft.StreamID) {
 	g.mu.Lock()
