Keep the entries of a crash when the table of the quarantine is full

What callers would see: an instance whose quarantine holds 10,000 entries panics at the next crash that is attributed to two prompt parts, and all its requests are lost. Found by a test of long prompts.

Cause: blameParts adds the entries of all parts first and raises them afterwards. Until then they have no expiry, so that adding the next one to a full table removes them as expired.

Change: an entry that was removed is added again when it is raised.

--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -166,7 +166,8 @@
 	}
 	var changed []*mcmessage.QuarantineEntry
 	for _, part := range blamed {
-		e := g.entries[part]
+		// In a full table, adding an entry removes those that were not raised yet.
+		e := g.ensurePart(now, part)
 		if highest >= strongSuspicion && e.crashes < highest {
 			continue
 		}
