Attribute crashes to all shared parts of a prompt, however long

What callers saw: a part after the 32nd of a prompt, or a message after the 16th of a conversation, crashed one endpoint after the other for as long as requests with it came.

Class of fault: a limit keyed too narrowly, by the position in the prompt.

Change: all parts within the limits of headers and bodies are checked and blamed. A crash adds at most 192 entries for parts that never crashed (one for each attempt if there are more), which is less than the 32 for each attempt of before. The choice among more parts prefers those without a proof that an earlier crash left out, changes with each crash, and draws a quarter from all parts, so that it reaches each part. Proofs are kept in two generations of 16,384: new ones displace the oldest instead of being dropped while the table is full. attemptFailed logs the last 32 parts and their number.

With more than 200 parts of its own in each prompt, at many instances, the deadly part is found later; this was not measured.

--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -23,6 +23,9 @@
 	// writeGrace extends the write deadline beyond the request's deadline, so that a caller
 	// that reads gets the error of a passed deadline.
 	writeGrace = time.Second
+	// maxLoggedParts limits the parts in a log line. The last ones are logged, as the first ones
+	// are common to most requests.
+	maxLoggedParts = 32
 )
 
 // call is the state of one caller's request over all its attempts.
@@ -140,7 +143,7 @@
 	kind := kindOf(err)
 	retry, rule := c.mayRetry(ctx, a, kind)
 	c.forwarder.Logger.Info().Str("requestId", c.request.ID).Str("endpoint", a.endpoint).Int("attempt", c.attempts).
-		Strs("parts", c.request.SharedParts).
+		Strs("parts", c.request.SharedParts[max(0, len(c.request.SharedParts)-maxLoggedParts):]).Int("partCount", len(c.request.SharedParts)).
 		Str("kind", string(kind)).Err(err).Bool("mayHaveRun", c.mayHaveRun).Bool("retried", retry).Str("decidedBy", rule).
 		Dur("leftMs", time.Until(c.deadline)).Msg("attemptFailed")
 	if retry {
--- a/mcgateway/part.go
+++ b/mcgateway/part.go
@@ -11,10 +11,6 @@
 	"marigoldcroft/mcquarantine"
 )
 
-// maxSharedParts bounds the entries that one crash can add for a request. Messages that many
-// requests share come first: instructions, documents, the beginning of a conversation.
-const maxSharedParts = 16
-
 // quarantinedPart is the error of an attempt that was not sent because a message of its prompt
 // is quarantined.
 type quarantinedPart struct{ part mcquarantine.Fingerprint }
@@ -27,9 +23,9 @@
 }
 
 // sharedParts returns the fingerprints of the messages that other prompts for the model may have
-// in common with this one: all but the last, up to maxSharedParts.
+// in common with this one: all but the last.
 func sharedParts(model string, messages []marigoldcroft.Message) []mcquarantine.Fingerprint {
-	shared := messages[:min(max(0, len(messages)-1), maxSharedParts)]
+	shared := messages[:max(0, len(messages)-1)]
 	parts := make([]string, len(shared))
 	for i, m := range shared {
 		parts[i] = m.Role + "\x00" + strconv.FormatUint(xxhash.Sum64String(m.Content), 16)
--- a/mcquarantine/guard.go
+++ b/mcquarantine/guard.go
@@ -31,9 +31,10 @@
 		endpoints map[string]*endpointState
 		// provenParts holds, for the shared parts of requests that were answered at this
 		// instance, the time of the last such answer.
-		provenParts map[Fingerprint]time.Time
-		// provenSweptAt is when expired proofs were last removed.
-		provenSweptAt time.Time
+		provenParts recentTimes
+		// leftOut holds, for the shared parts of requests that were in flight at a crash, when
+		// the crash was not attributed to them as there were too many.
+		leftOut recentTimes
 	}
 
 	// entry is the record of one fingerprint. Entries of several instances are merged by
--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -23,9 +23,6 @@
 	// proofTTL is how long an answered request counts as proof that its shared parts do not
 	// crash endpoints.
 	proofTTL = time.Minute
-	// proofSweepInterval is the time between two searches for expired proofs while there are
-	// too many, as each reads all of them under the lock.
-	proofSweepInterval = time.Second
 	// BlameWindow is the time after the first output of an answer in which a crash of the
 	// endpoint is attributed to it. A part that crashes endpoints does so when its answer begins.
 	BlameWindow = time.Second
@@ -138,8 +135,8 @@
 }
 
 func (g *Guard) provenHere(now time.Time, part Fingerprint) bool {
-	at, found := g.provenParts[part]
-	return found && now.Sub(at) < proofTTL
+	at := g.provenParts.at(part)
+	return !at.IsZero() && now.Sub(at) < proofTTL
 }
 
 // blameParts attributes a crash to shared parts of the attempts that were in flight and returns
@@ -149,11 +146,12 @@
 func (g *Guard) blameParts(now, crashedAt time.Time, attempts []inFlightAttempt) []*mcmessage.QuarantineEntry {
 	var blamed []Fingerprint
 	highest := uint32(0)
+	limit := choicePerAttempt(attempts)
 	for _, attempt := range attempts {
 		if !attempt.firstOutputAt.IsZero() && crashedAt.Sub(attempt.firstOutputAt) > BlameWindow {
 			continue
 		}
-		for _, part := range g.mostSuspect(now, attempt.parts) {
+		for _, part := range g.choose(now, crashedAt, g.mostSuspect(now, attempt.parts), limit) {
 			e := g.ensurePart(now, part)
 			if e.crashes > 0 && !attempt.startedAt.After(e.changedAt) && crashedAt.Sub(e.changedAt) < crashSpacing {
 				continue
@@ -240,34 +238,11 @@
 			e.clearPart(now)
 			cleared = append(cleared, e.toMessage(part))
 		}
-		g.recordProof(provedAt, part)
+		g.provenParts.record(provedAt, part)
 	}
 	return cleared
 }
 
-func (g *Guard) recordProof(at time.Time, part Fingerprint) {
-	if g.provenParts == nil {
-		g.provenParts = make(map[Fingerprint]time.Time)
-	}
-	if _, found := g.provenParts[part]; !found && len(g.provenParts) >= maxEntries {
-		if at.Sub(g.provenSweptAt) < proofSweepInterval {
-			return
-		}
-		g.provenSweptAt = at
-		for other, provedAt := range g.provenParts {
-			if at.Sub(provedAt) >= proofTTL {
-				delete(g.provenParts, other)
-			}
-		}
-		if len(g.provenParts) >= maxEntries {
-			return
-		}
-	}
-	if at.After(g.provenParts[part]) {
-		g.provenParts[part] = at
-	}
-}
-
 func (g *Guard) ensurePart(now time.Time, part Fingerprint) *entry {
 	e := g.ensureEntry(now, part)
 	if !now.Before(e.expires) {
