Count the retry budget in the window that is set

What callers would see: with forward.retryWindow above 10 s, services get more retries in a window than ratio and slack allow, several times the slack in a long one.

Cause: retry.go counts requests and retries of 10 s; the window in the settings only delayed the slack of a new process. Class of fault: a limit whose window is fixed.

Change: Limits returns the window with the ratio and the floor, and RetryBudget counts in it. The test bed of mcforward returns the new type with the same bound.

--- a/mcentry/reload.go
+++ b/mcentry/reload.go
@@ -15,10 +15,10 @@
 // reloaded when it changes without a signal.
 const settingsCheckInterval = 2 * time.Second
 
-// retryLimits returns a function that computes the ratio and slack of this instance's retry
+// retryLimits returns a function that computes the limits of this instance's retry
 // budget from the current settings.
-func (e *Forwarding) retryLimits(started time.Time) func(now time.Time) (float64, float64) {
-	return func(now time.Time) (float64, float64) {
+func (e *Forwarding) retryLimits(started time.Time) func(now time.Time) mclimit.RetryLimits {
+	return func(now time.Time) mclimit.RetryLimits {
 		s := e.reloaded.Load()
 		return mclimit.SharedRetryLimits(s.RetryRatio, s.RetrySlack, s.RetryWindow, started, e.instanceCount)(now)
 	}
--- a/mcforward/harness_test.go
+++ b/mcforward/harness_test.go
@@ -100,7 +100,7 @@
 	router := &mcroute.Router{Lease: time.Minute, Logger: zerolog.Nop()}
 	b.forwarder = &mcforward.Forwarder{
 		Codec: platform.Codec{}, Router: router, Fleet: fleet, Dispatcher: &mcgateway.Dispatcher{Scheduler: scheduler},
-		Retries:    &mclimit.RetryBudget{Limits: func(time.Time) (float64, float64) { return 0, 1000 }},
+		Retries:    &mclimit.RetryBudget{Limits: func(time.Time) mclimit.RetryLimits { return mclimit.RetryLimits{Floor: 1000} }},
 		Quarantine: &mcquarantine.Guard{}, Announce: b.announce, OnLoadChange: func() {}, Metrics: mcobserve.NewMetrics(),
 		Logger: zerolog.Nop(), MaxInFlight: 100, MaxBodyBytes: 1 << 20,
 	}
--- a/mclimit/shared_retry_test.go
+++ b/mclimit/shared_retry_test.go
@@ -71,3 +71,48 @@
 	require.False(t, b.TryConsume(start, "s"))
 	require.True(t, b.TryConsume(start.Add(11*time.Second), "s"))
 }
+
+// Guards against a budget that forgets retries: in windows that are no whole number of seconds,
+// and when the settings lengthen the window while instances run.
+func TestRetryBudgetHoldsInOtherWindows(t *testing.T) {
+	const (
+		ratio, slack = 0.2, 100.0
+		step         = 100 * time.Millisecond
+		changeAt     = 200
+	)
+	for name, windows := range map[string][2]time.Duration{
+		"1.5 s":           {1500 * time.Millisecond, 1500 * time.Millisecond},
+		"9.9 s":           {9900 * time.Millisecond, 9900 * time.Millisecond},
+		"from 2 to 15 s":  {2 * time.Second, 15 * time.Second},
+		"from 15 to 2 s":  {15 * time.Second, 2 * time.Second},
+		"from 1 to 2.3 s": {time.Second, 2300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			window := windows[0]
+			budget := &mclimit.RetryBudget{Limits: func(now time.Time) mclimit.RetryLimits {
+				return mclimit.SharedRetryLimits(ratio, slack, window, start.Add(-time.Hour), func() int { return 1 })(now)
+			}}
+			var retries []int
+			for n := range 600 {
+				if n >= changeAt {
+					window = windows[1]
+				}
+				now, used := start.Add(time.Duration(n)*step), 0
+				budget.CountRequest(now, "s")
+				// The first burst comes late in a second.
+				for n >= 9 && n%7 != 0 && budget.TryConsume(now, "s") {
+					used++
+				}
+				retries = append(retries, used)
+				sum, steps := 0, int(window/step)
+				for _, earlier := range retries[max(0, len(retries)-steps):] {
+					sum += earlier
+				}
+				if used > 0 {
+					require.LessOrEqual(t, float64(sum), ratio*float64(steps)+slack, "at step %d", n)
+				}
+			}
+		})
+	}
+}
