Simulate crashes by a prompt part with the fingerprints of requests

The simulation of mcquarantine gave each part one fingerprint, requests have one for their service and one for all. It now uses PartFingerprints, and has a case with four services. All bounds are unchanged.

--- a/mcquarantine/part_test.go
+++ b/mcquarantine/part_test.go
@@ -31,6 +31,8 @@
 	crashes, deadlySends []time.Time
 	sent, refused        map[string]int
 	requests             int
+	// services is the number of services that use the endpoints, if there are several.
+	services int
 	// firstOutput is the least time from sending a request to its first output.
 	firstOutput time.Duration
 	// streamTime is the longest time from the first output of an answer to its end.
@@ -100,10 +102,11 @@
 // request is counted under its first part.
 func (s *storm) arrive(parts []string, deadly bool) {
 	at := s.random.IntN(len(s.guards))
-	var fingerprints []mcquarantine.Fingerprint
-	for _, part := range parts {
-		fingerprints = append(fingerprints, mcquarantine.PartFingerprint("s", part))
+	service := "s"
+	if s.services > 1 {
+		service = fmt.Sprint("s", s.random.IntN(s.services))
 	}
+	fingerprints := mcquarantine.PartFingerprints(service, parts)
 	if !deadly {
 		s.sent[parts[0]]++
 	}
@@ -215,17 +218,20 @@
 		sound, deadly        time.Duration
 		parts                []string
 		seeds                uint64
+		services             int
 	}{
-		{"second part, 9 instances", 9, 21, 400 * time.Millisecond, 25 * time.Millisecond, 500 * time.Millisecond, []string{"subject1", "deadly"}, 20},
-		{"only part, 6 instances", 6, 16, 400 * time.Millisecond, 35 * time.Millisecond, 700 * time.Millisecond, []string{"deadly"}, 20},
-		{"first part, 9 instances", 9, 21, 400 * time.Millisecond, 25 * time.Millisecond, 500 * time.Millisecond, []string{"deadly", "subject2"}, 20},
-		{"between others, 86 instances", 86, 69, time.Second, 10 * time.Millisecond, 200 * time.Millisecond, []string{"subject1", "deadly", "subject2"}, 3},
-		{"one instance", 1, 8, time.Millisecond, 50 * time.Millisecond, time.Second, []string{"subject1", "deadly"}, 20},
-		{"many at once", 9, 21, 400 * time.Millisecond, 25 * time.Millisecond, 100 * time.Millisecond, []string{"subject1", "deadly"}, 20},
+		{"second part, 9 instances", 9, 21, 400 * time.Millisecond, 25 * time.Millisecond, 500 * time.Millisecond, []string{"subject1", "deadly"}, 20, 1},
+		{"only part, 6 instances", 6, 16, 400 * time.Millisecond, 35 * time.Millisecond, 700 * time.Millisecond, []string{"deadly"}, 20, 1},
+		{"first part, 9 instances", 9, 21, 400 * time.Millisecond, 25 * time.Millisecond, 500 * time.Millisecond, []string{"deadly", "subject2"}, 20, 1},
+		{"between others, 86 instances", 86, 69, time.Second, 10 * time.Millisecond, 200 * time.Millisecond, []string{"subject1", "deadly", "subject2"}, 3, 1},
+		{"one instance", 1, 8, time.Millisecond, 50 * time.Millisecond, time.Second, []string{"subject1", "deadly"}, 20, 1},
+		{"second part, 9 instances, 4 services", 9, 21, 400 * time.Millisecond, 25 * time.Millisecond, 500 * time.Millisecond, []string{"subject1", "deadly"}, 20, 4},
+		{"many at once", 9, 21, 400 * time.Millisecond, 25 * time.Millisecond, 100 * time.Millisecond, []string{"subject1", "deadly"}, 20, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range c.seeds {
 				s := newStorm(seed, c.instances, c.endpoints, c.gossip)
+				s.services = c.services
 				s.after(0, func() { s.soundTraffic(c.sound, 60) })
 				s.after(4*time.Second, func() { s.deadlyTraffic(c.deadly, c.parts) })
 				s.runUntil(26 * time.Second)
