--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -23,6 +23,9 @@
 	// writeGrace extends the write deadline beyond the request's deadline, so that a caller
 	// that reads gets the error of a passed deadline.
 	writeGrace = time.Second
+	// maxLoggedParts limits the parts in a log line. The last ones are logged, as the first ones
+	// are common to most requests.
+	maxLoggedParts = 32
 )
 
 // call is the state of one caller's request over all its attempts.
@@ -45,7 +48,8 @@
 	// countedBytes is the number of body bytes that count against Forwarder.MaxBodyBytes.
 	countedBytes int64
 	fingerprint  mcquarantine.Fingerprint
-	// parts are the fingerprints of the parts that the prompt shares with others.
+	// parts are the fingerprints of the parts that the prompt shares with others, as returned by
+	// mcquarantine.PartFingerprints for request.SharedParts.
 	parts []mcquarantine.Fingerprint
 	class marigoldcroft.Class
 
@@ -129,7 +133,7 @@
 		return nil
 	}
 	c.forwarder.Metrics.Refusals.WithLabelValues(string(KindQuarantined)).Inc()
-	i := slices.Index(c.parts, part)
+	i := slices.Index(c.parts, part) % len(c.request.SharedParts)
 	return failure("quarantine", KindQuarantined, errors.Newf("part %s of the prompt crashed endpoints", c.request.SharedParts[i]))
 }
 
@@ -139,7 +143,7 @@
 	kind := kindOf(err)
 	retry, rule := c.mayRetry(ctx, a, kind)
 	c.forwarder.Logger.Info().Str("requestId", c.request.ID).Str("endpoint", a.endpoint).Int("attempt", c.attempts).
-		Strs("parts", c.request.SharedParts).
+		Strs("parts", c.request.SharedParts[max(0, len(c.request.SharedParts)-maxLoggedParts):]).Int("partCount", len(c.request.SharedParts)).
 		Str("kind", string(kind)).Err(err).Bool("mayHaveRun", c.mayHaveRun).Bool("retried", retry).Str("decidedBy", rule).
 		Dur("leftMs", time.Until(c.deadline)).Msg("attemptFailed")
 	if retry {
--- a/mcgateway/part.go
+++ b/mcgateway/part.go
@@ -12,10 +12,6 @@
 	"marigoldcroft/mcquarantine"
 )
 
-// maxSharedParts bounds the entries that one crash can add for a request. Messages that many
-// requests share come first: instructions, documents, the beginning of a conversation.
-const maxSharedParts = 16
-
 // quarantinedPart is the error of an attempt that was not sent because a message of its prompt
 // is quarantined.
 type quarantinedPart struct{ part mcquarantine.Fingerprint }
@@ -28,26 +24,27 @@
 }
 
 // sharedParts returns the fingerprints of the messages that other prompts for the model may have
-// in common with this one: all but the last, up to maxSharedParts.
+// in common with this one: all but the last.
 func sharedParts(model string, messages []marigoldcroft.Message) []mcquarantine.Fingerprint {
-	shared := messages[:min(max(0, len(messages)-1), maxSharedParts)]
-	parts := make([]mcquarantine.Fingerprint, len(shared))
+	shared := messages[:max(0, len(messages)-1)]
+	parts := make([]string, len(shared))
 	for i, m := range shared {
-		parts[i] = messagePart(model, m)
+		parts[i] = messagePart(m)
 	}
-	return parts
+	return mcquarantine.PartFingerprints(model, parts)
 }
 
-func messagePart(model string, m marigoldcroft.Message) mcquarantine.Fingerprint {
-	return mcquarantine.PartFingerprint(model, m.Role+"\x00"+strconv.FormatUint(xxhash.Sum64String(m.Content), 16))
+// messagePart returns what identifies the message as a part of a prompt.
+func messagePart(m marigoldcroft.Message) string {
+	return m.Role + "\x00" + strconv.FormatUint(xxhash.Sum64String(m.Content), 16)
 }
 
-// longestPart returns the fingerprint of the message that is split if the request is oversized, or 0
-// if it is not one of the shared parts.
-func (r *modelRequest) longestPart() mcquarantine.Fingerprint {
-	part := messagePart(r.template.Model(), r.messages[r.longestMessage()])
-	if !slices.Contains(r.parts, part) {
-		return 0
+// longestPart returns the fingerprints of the message that is split if the request is oversized, or
+// none if it is not one of the shared parts.
+func (r *modelRequest) longestPart() []mcquarantine.Fingerprint {
+	part := mcquarantine.PartFingerprints(r.template.Model(), []string{messagePart(r.messages[r.longestMessage()])})
+	if !slices.Contains(r.parts, part[0]) {
+		return nil
 	}
 	return part
 }
--- a/mcgateway/split.go
+++ b/mcgateway/split.go
@@ -28,8 +28,8 @@
 	splitRun struct {
 		run       *run
 		startedAt time.Time
-		// splitPart is the fingerprint of the message that is split if other prompts may share it, or 0.
-		splitPart mcquarantine.Fingerprint
+		// splitPart has the fingerprints of the message that is split if other prompts may share it.
+		splitPart []mcquarantine.Fingerprint
 		// exclusive is locked for writing by a segment that runs while the request is a
 		// crash suspect, and for reading by all others.
 		exclusive sync.RWMutex
@@ -91,10 +91,10 @@
 // proveSplitPart records that all segments of the message that was split were answered.
 func (s *splitRun) proveSplitPart() {
 	g := s.run.gateway
-	if g.Quarantine == nil || s.splitPart == 0 {
+	if g.Quarantine == nil || len(s.splitPart) == 0 {
 		return
 	}
-	if cleared := g.Quarantine.PartAnswered(time.Now(), s.startedAt, s.splitPart); len(cleared) > 0 {
+	if cleared := g.Quarantine.PartAnswered(time.Now(), s.startedAt, s.splitPart...); len(cleared) > 0 {
 		g.background(announceTimeout, func(ctx context.Context) { g.announce(ctx, cleared) })
 	}
 }
--- a/mcquarantine/crash.go
+++ b/mcquarantine/crash.go
@@ -21,9 +21,9 @@
 	inFlightAttempt struct {
 		fingerprint Fingerprint
 		parts       []Fingerprint
-		// splitPart is the one of parts of which the prompt has only a piece, or 0. Its answer is no
-		// proof for the whole part.
-		splitPart Fingerprint
+		// splitPart has the fingerprints of the part of which the prompt has only a piece, if any. Its
+		// answer is no proof for the whole part.
+		splitPart []Fingerprint
 		startedAt time.Time
 		// firstOutputAt is when the answer began, or zero.
 		firstOutputAt time.Time
--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -23,9 +23,6 @@
 	// proofTTL is how long an answered request counts as proof that its shared parts do not
 	// crash endpoints.
 	proofTTL = time.Minute
-	// proofSweepInterval is the time between two searches for expired proofs while there are
-	// too many, as each reads all of them under the lock.
-	proofSweepInterval = time.Second
 	// BlameWindow is how long an answer has to go on until a crash of the endpoint is no longer
 	// attributed to it. A part that crashes endpoints does so when its answer begins.
 	BlameWindow = time.Second
@@ -39,6 +36,8 @@
 	// clear raises it, so that crashes that several instances count at the same time neither
 	// add up nor replace each other: of equal versions the larger number of crashes is kept.
 	firstPartVersion = 1
+	// anyService stands for all services in the fingerprint of a part.
+	anyService = ""
 )
 
 // PartFingerprint returns the fingerprint of a part that the prompts of several requests to
@@ -51,6 +50,20 @@
 	return Fingerprint(h.Sum64())
 }
 
+// PartFingerprints returns the fingerprints of the shared parts of a prompt for the service: first
+// those of each part at this service, then those of each part at any service. Crashes are counted
+// at all services, so that a part that crashed endpoints of one is known at the others. Answers
+// at one service leave the count of another one, as their models may differ.
+func PartFingerprints(service string, parts []string) []Fingerprint {
+	fingerprints := make([]Fingerprint, 0, 2*len(parts))
+	for _, name := range [...]string{service, anyService} {
+		for _, part := range parts {
+			fingerprints = append(fingerprints, PartFingerprint(name, part))
+		}
+	}
+	return fingerprints
+}
+
 // FirstOutput records that the answer of an attempt began.
 func (g *Guard) FirstOutput(now time.Time, endpointName string, id marigoldcroft.StreamID) {
 	g.mu.Lock()
@@ -78,9 +91,9 @@
 	return g.proveParts(now, attempt)
 }
 
-// PartIsSplit records that the prompt of an attempt has only a piece of one of its parts. A crash is
-// attributed to the whole part, but the answer is no proof for it.
-func (g *Guard) PartIsSplit(endpointName string, id marigoldcroft.StreamID, part Fingerprint) {
+// PartIsSplit records that the prompt of an attempt has only a piece of one of its parts, with these
+// fingerprints. A crash is attributed to the whole part, but the answer is no proof for it.
+func (g *Guard) PartIsSplit(endpointName string, id marigoldcroft.StreamID, part ...Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	state := g.endpoint(endpointName)
@@ -90,13 +103,17 @@
 	}
 }
 
-// PartAnswered records that requests which together had the whole part were answered. The first of
-// them was sent after startedAt, so that they prove nothing about crashes known later. It returns
-// the entries that this clears, for the peers.
-func (g *Guard) PartAnswered(now, startedAt time.Time, part Fingerprint) []*mcmessage.QuarantineEntry {
+// PartAnswered records that requests which together had the whole part, with these fingerprints,
+// were answered. The first of them was sent after startedAt, so that they prove nothing about
+// crashes known later. It returns the entries that this clears, for the peers.
+func (g *Guard) PartAnswered(now, startedAt time.Time, part ...Fingerprint) []*mcmessage.QuarantineEntry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.provePart(now, startedAt, part)
+	var cleared []*mcmessage.QuarantineEntry
+	for _, f := range part {
+		cleared = append(cleared, g.provePart(now, startedAt, f)...)
+	}
+	return cleared
 }
 
 // QuarantinedPart returns the first of the shared parts of a prompt that is quarantined.
@@ -159,8 +176,8 @@
 }
 
 func (g *Guard) provenHere(now time.Time, part Fingerprint) bool {
-	at, found := g.provenParts[part]
-	return found && now.Sub(at) < proofTTL
+	at := g.provenParts.at(part)
+	return !at.IsZero() && now.Sub(at) < proofTTL
 }
 
 // blameParts attributes a crash to shared parts of the attempts that were in flight and returns
@@ -170,11 +187,12 @@
 func (g *Guard) blameParts(now, crashedAt time.Time, attempts []inFlightAttempt) []*mcmessage.QuarantineEntry {
 	var blamed []Fingerprint
 	highest := uint32(0)
+	limit := choicePerAttempt(attempts)
 	for _, attempt := range attempts {
 		if attempt.continued {
 			continue
 		}
-		for _, part := range g.mostSuspect(now, attempt.parts) {
+		for _, part := range g.choose(now, crashedAt, g.mostSuspect(now, attempt.parts), limit) {
 			e := g.ensurePart(now, part)
 			if e.crashes > 0 && !attempt.startedAt.After(e.changedAt) && crashedAt.Sub(e.changedAt) < crashSpacing {
 				continue
@@ -187,7 +205,8 @@
 	}
 	var changed []*mcmessage.QuarantineEntry
 	for _, part := range blamed {
-		e := g.entries[part]
+		// In a full table, adding an entry removes those that were not raised yet.
+		e := g.ensurePart(now, part)
 		if highest >= strongSuspicion && e.crashes < highest {
 			continue
 		}
@@ -238,7 +257,7 @@
 	}
 	var cleared []*mcmessage.QuarantineEntry
 	for _, part := range attempt.parts {
-		if part != attempt.splitPart {
+		if !slices.Contains(attempt.splitPart, part) {
 			cleared = append(cleared, g.provePart(now, provedAt, part)...)
 		}
 	}
@@ -251,33 +270,10 @@
 		e.clearPart(now)
 		cleared = append(cleared, e.toMessage(part))
 	}
-	g.recordProof(provedAt, part)
+	g.provenParts.record(provedAt, part)
 	return cleared
 }
 
-func (g *Guard) recordProof(at time.Time, part Fingerprint) {
-	if g.provenParts == nil {
-		g.provenParts = make(map[Fingerprint]time.Time)
-	}
-	if _, found := g.provenParts[part]; !found && len(g.provenParts) >= maxEntries {
-		if at.Sub(g.provenSweptAt) < proofSweepInterval {
-			return
-		}
-		g.provenSweptAt = at
-		for other, provedAt := range g.provenParts {
-			if at.Sub(provedAt) >= proofTTL {
-				delete(g.provenParts, other)
-			}
-		}
-		if len(g.provenParts) >= maxEntries {
-			return
-		}
-	}
-	if at.After(g.provenParts[part]) {
-		g.provenParts[part] = at
-	}
-}
-
 func (g *Guard) ensurePart(now time.Time, part Fingerprint) *entry {
 	e := g.ensureEntry(now, part)
 	if !now.Before(e.expires) {
