--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -216,20 +216,14 @@
 	return changed
 }
 
-// mostSuspect returns the parts of a prompt to which a crash is attributed. Proven parts are left
-// out if there are others; of those that remain, the ones with the most crashes are blamed. Of
-// several that crashed before, only the last one is: in the order of a prompt, the fewest
-// requests contain it.
+// mostSuspect returns the parts of a prompt to which a crash is attributed: those with the most
+// crashes. Of several that crashed before, proven ones are left out if there are others, and of
+// those that remain only the last one is blamed: in the order of a prompt, the fewest requests
+// contain it.
 func (g *Guard) mostSuspect(now time.Time, parts []Fingerprint) []Fingerprint {
 	var blamed []Fingerprint
-	crashes, onlyUnproven := uint32(0), false
+	crashes := uint32(0)
 	for _, part := range parts {
-		onlyUnproven = onlyUnproven || !g.proven(now, part)
-	}
-	for _, part := range parts {
-		if onlyUnproven && g.proven(now, part) {
-			continue
-		}
 		n := uint32(0)
 		if e := g.entries[part]; e != nil && now.Before(e.expires) {
 			n = e.crashes
@@ -241,10 +235,16 @@
 			blamed = append(blamed, part)
 		}
 	}
-	if len(blamed) > 1 && crashes > 0 {
-		blamed = blamed[len(blamed)-1:]
+	if crashes == 0 {
+		return blamed
+	}
+	last := blamed[len(blamed)-1]
+	for _, part := range blamed {
+		if !g.proven(now, part) {
+			last = part
+		}
 	}
-	return blamed
+	return []Fingerprint{last}
 }
 
 // proveParts records that a request with the parts was answered. An answer proves nothing about
