Do not hedge a request that has become a crash suspect

Cause, one of two: a request was checked for suspicion before its first attempt only. If that attempt had waited for its first token when the crash of its engine became known, the hedge was sent all the same: not isolated, not at the home instance, and beside an isolated suspect, to which its crash was attributed as well.

Evidence: a trace of all calls of the quarantine (race detector, one processor, two processes beside each other). 10.0366: the crash of c counts against request a051, the crashing one, and d950. 10.0437: a051 begins at d as its second attempt, without a call of Acquire. 10.0554: d950 begins at d, isolated, at its home instance. 10.0764: d is gone, both are quarantined.

Change: a hedge is sent only if the request is no suspect.

Result: TestSuspectIsNotHedged failed before (2 calls of engines instead of 1) and passes. It does not end the failures of TestCrashingPromptIsQuarantined: 9 of 1,117 runs, by the other cause.

--- a/mcgateway/attempt_test.go
+++ b/mcgateway/attempt_test.go
@@ -154,6 +154,21 @@
 	}
 }
 
+// Guards against a request that crashed an engine and takes down one more by a hedge. A hedge does
+// not run isolated, so that the crash is attributed to the requests beside it as well.
+func TestSuspectIsNotHedged(t *testing.T) {
+	for name, crashAfter := range map[string]time.Duration{"before the hedge": 100 * time.Millisecond, "after its answer": 2 * time.Second} {
+		bubble(t, func(t *testing.T, run func(*testGateway) *testGateway) {
+			g := run(newTestGateway(map[string][]string{"a": {"~ x"}, "b": {"~ x"}}))
+			g.scheduler.predictedFirstToken = 100 * time.Millisecond
+			time.AfterFunc(crashAfter, func() { makeSuspect(g, g.engine.sent[0]) })
+			require.Equal(t, "x", text(g.chat(t.Context(), body("caption", ""))), name)
+			g.Wait()
+			require.Equal(t, map[string]int{"before the hedge": 1, "after its answer": 2}[name], g.engine.count(), name)
+		})
+	}
+}
+
 // Work that the scheduler recalls before its first token must run when it is dispatched
 // again. If it expires instead, the problem must not say notRun, as an engine may have
 // begun the work before the recall.
--- a/mcgateway/race.go
+++ b/mcgateway/race.go
@@ -82,10 +82,10 @@
 }
 
 // hedge returns a second attempt on another endpoint, or nil if the first one has
-// produced a token, a message of the request is a crash suspect, no endpoint is free now or
-// the retry budget is used up.
+// produced a token, the request or a message of it is a crash suspect, no endpoint is free now
+// or the retry budget is used up.
 func (r *run) hedge(first *attempt, endpoint string) *attempt {
-	if r.won(first) || r.nearQuarantine() {
+	if r.won(first) || r.isSuspect() || r.nearQuarantine() {
 		return nil
 	}
 	second := r.newAttempt(false)
