Quarantine a request for crashes without isolation only at the third

Cause: two crashes quarantined every request that was in flight at both, also if both attempts had been sent before the first crash was known. A sound request and the crashing one that are hedged at the same two endpoints look alike then.

Evidence: a trace of all calls of the quarantine (race detector, one processor, two processes beside each other). Sound request 2dba (instance 0) begins at c at 12.6690 and at d, hedged, at 12.7329; the crashing a051 (instance 1) at c at 12.6760 and at d at 12.7331. c is gone at 12.7523, d at 12.8600: 2dba has two crashes at instance 0, a051 two at instance 1, and both are quarantined.

Change: a crash quarantines a request if it ran isolated, as before, or else if it is the third, those included that its attempts without output may still cause. After two crashes of a hedge the request runs isolated; that attempt clears the sound one and quarantines the crashing one, at three endpoints in all.

Result: TestRequestHedgedBesideCrashingOneIsNotQuarantined and TestThreeAttemptsAtOnceLoseNoFourthEndpoint; the first one failed before.

--- a/mcgateway/attempt_test.go
+++ b/mcgateway/attempt_test.go
@@ -161,7 +161,11 @@
 		bubble(t, func(t *testing.T, run func(*testGateway) *testGateway) {
 			g := run(newTestGateway(map[string][]string{"a": {"~ x"}, "b": {"~ x"}}))
 			g.scheduler.predictedFirstToken = 100 * time.Millisecond
-			time.AfterFunc(crashAfter, func() { makeSuspect(g, g.engine.sent[0]) })
+			time.AfterFunc(crashAfter, func() {
+				g.engine.mu.Lock()
+				defer g.engine.mu.Unlock()
+				makeSuspect(g, g.engine.sent[0])
+			})
 			require.Equal(t, "x", text(g.chat(t.Context(), body("caption", ""))), name)
 			g.Wait()
 			require.Equal(t, map[string]int{"before the hedge": 1, "after its answer": 2}[name], g.engine.count(), name)
--- a/mcquarantine/crash.go
+++ b/mcquarantine/crash.go
@@ -21,7 +21,10 @@
 	inFlightAttempt struct {
 		fingerprint Fingerprint
 		parts       []Fingerprint
-		startedAt   time.Time
+		// suspect is true if the fingerprint was a suspect when the attempt began, so that it
+		// ran isolated.
+		suspect   bool
+		startedAt time.Time
 		// firstOutputAt is when the answer began, or zero.
 		firstOutputAt time.Time
 		// proved is true once the answer was taken for proof of its parts.
@@ -34,6 +37,15 @@
 		// before the crash and its entry is cleared.
 		crashCounted bool
 	}
+
+	// requestInFlight is what is known at a crash about a request that was in flight there.
+	requestInFlight struct {
+		// isolated is true if an attempt of it ran isolated.
+		isolated bool
+		// unanswered is the number of its other attempts, at all endpoints, that are in flight
+		// without output and may still crash them.
+		unanswered uint32
+	}
 )
 
 // crashEvidenceWindow is the time after a broken stream within which a refused connection
@@ -98,17 +110,15 @@
 	return nil
 }
 
-// countCrash counts one crash against each fingerprint that was in flight when the first
-// stream broke, and against the shared parts of these requests.
+// countCrash counts one crash against each request that was in flight when the first stream
+// broke, and against the shared parts of these requests.
 func (g *Guard) countCrash(now time.Time, state *endpointState) []*mcmessage.QuarantineEntry {
-	fingerprints := make(map[Fingerprint]bool)
 	messages := g.proveByStreams(now)
 	var attempts []inFlightAttempt
 	for id, attempt := range state.inFlight {
 		if attempt.crashCounted || attempt.startedAt.After(state.firstBroken) {
 			continue
 		}
-		fingerprints[attempt.fingerprint] = true
 		attempts = append(attempts, attempt)
 		if attempt.crashCounted = true; attempt.brokenAt.IsZero() {
 			state.inFlight[id] = attempt
@@ -118,15 +128,38 @@
 	}
 	messages = append(messages, g.blameParts(now, state.firstBroken, attempts)...)
 	state.firstBroken = time.Time{}
-	for f := range fingerprints {
-		e := g.ensureEntry(now, f)
-		e.addCrash(now)
-		messages = append(messages, e.toMessage(f))
-	}
+	messages = append(messages, g.blameRequests(now, attempts)...)
 	sortEntries(messages)
 	return messages
 }
 
+// blameRequests attributes a crash to each of the requests that were in flight and returns their
+// entries.
+func (g *Guard) blameRequests(now time.Time, attempts []inFlightAttempt) []*mcmessage.QuarantineEntry {
+	requests := make(map[Fingerprint]requestInFlight)
+	for _, attempt := range attempts {
+		r := requests[attempt.fingerprint]
+		r.isolated = r.isolated || attempt.suspect
+		requests[attempt.fingerprint] = r
+	}
+	for _, state := range g.endpoints {
+		state.dropUnexplained(now)
+		for _, attempt := range state.inFlight {
+			if r, found := requests[attempt.fingerprint]; found && !attempt.crashCounted && attempt.firstOutputAt.IsZero() {
+				r.unanswered++
+				requests[attempt.fingerprint] = r
+			}
+		}
+	}
+	changed := make([]*mcmessage.QuarantineEntry, 0, len(requests))
+	for f, r := range requests {
+		e := g.ensureEntry(now, f)
+		e.addCrash(now, r)
+		changed = append(changed, e.toMessage(f))
+	}
+	return changed
+}
+
 // dropUnexplained removes broken streams for which no evidence of a crash was found within
 // crashEvidenceWindow.
 func (s *endpointState) dropUnexplained(now time.Time) {
--- a/mcquarantine/guard.go
+++ b/mcquarantine/guard.go
@@ -71,9 +71,14 @@
 )
 
 const (
-	// crashLimit is the number of crashes attributed to a fingerprint at which it is
-	// quarantined.
-	crashLimit = 2
+	// isolatedCrashLimit is the number of crashes attributed to a fingerprint at which it is
+	// quarantined if it ran isolated in the last one. Without isolation, the crashes may be
+	// those of another request that was sent to the same endpoints, as both attempts of a hedge
+	// are before the first crash is known.
+	isolatedCrashLimit = 2
+	// crashLimit is the number of crashes, those that attempts in flight may still cause
+	// included, at which it is quarantined in any case.
+	crashLimit = 3
 	// suspectTTL and quarantineTTL are how long an entry of a suspect and of a quarantined
 	// fingerprint lasts after its last change.
 	suspectTTL    = 10 * time.Minute
@@ -127,7 +132,9 @@
 func (g *Guard) Begin(now time.Time, endpointName string, id marigoldcroft.StreamID, f Fingerprint, parts []Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.endpoint(endpointName).inFlight[id] = inFlightAttempt{fingerprint: f, parts: parts, startedAt: now}
+	g.endpoint(endpointName).inFlight[id] = inFlightAttempt{
+		fingerprint: f, parts: parts, suspect: g.verdict(now, f) == VerdictExclusive, startedAt: now,
+	}
 }
 
 // End records that an attempt ended. One that finished with a complete response clears a
@@ -218,11 +225,11 @@
 	}
 }
 
-// addCrash counts a crash against the entry and quarantines it at crashLimit.
-func (e *entry) addCrash(now time.Time) {
+// addCrash counts a crash against the entry and quarantines it at its limit.
+func (e *entry) addCrash(now time.Time, r requestInFlight) {
 	e.crashes++
 	e.cleared = false
-	e.quarantined = e.crashes >= crashLimit
+	e.quarantined = e.crashes >= isolatedCrashLimit && (r.isolated || e.crashes+r.unanswered >= crashLimit)
 	e.markChanged(now)
 }
 
--- /dev/null
+++ b/mcquarantine/request_blame_test.go
@@ -0,0 +1,112 @@
+package mcquarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft"
+	"marigoldcroft/mcmessage"
+	"marigoldcroft/mcquarantine"
+)
+
+// requestBed runs attempts at guards that receive each other's entries at once. Its time advances
+// by 10 ms with each step.
+type requestBed struct {
+	guards []*mcquarantine.Guard
+	now    time.Time
+	sent   []sentAttempt
+}
+
+type sentAttempt struct {
+	endpoint string
+	guard    *mcquarantine.Guard
+	id       marigoldcroft.StreamID
+}
+
+func newRequestBed(instances int) *requestBed {
+	b := &requestBed{now: start}
+	for range instances {
+		b.guards = append(b.guards, &mcquarantine.Guard{})
+	}
+	return b
+}
+
+// begin sends an attempt of the request to the endpoint.
+func (b *requestBed) begin(instance int, endpoint string, f mcquarantine.Fingerprint, parts ...string) {
+	b.now = b.now.Add(10 * time.Millisecond)
+	a := sentAttempt{endpoint, b.guards[instance], stream(len(b.sent))}
+	b.sent = append(b.sent, a)
+	a.guard.Begin(b.now, endpoint, a.id, f, fingerprintsOf(parts))
+}
+
+// crash breaks the streams of the endpoint, whose port is closed. Each instance finds that out.
+func (b *requestBed) crash(endpoint string) {
+	for _, a := range b.sent {
+		if a.endpoint == endpoint {
+			a.guard.StreamBroken(b.now, endpoint, a.id)
+		}
+	}
+	for _, g := range b.guards {
+		b.now = b.now.Add(10 * time.Millisecond)
+		b.exchange(g.ConnectionRefused(b.now, endpoint))
+	}
+}
+
+// answer ends the latest attempt with a complete response.
+func (b *requestBed) answer() {
+	b.now = b.now.Add(10 * time.Millisecond)
+	a := b.sent[len(b.sent)-1]
+	b.exchange(a.guard.End(b.now, a.endpoint, a.id, true))
+}
+
+func (b *requestBed) exchange(entries []*mcmessage.QuarantineEntry) {
+	for _, g := range b.guards {
+		g.Merge(b.now, entries)
+	}
+}
+
+// requireVerdict checks the verdict on the request at all instances.
+func (b *requestBed) requireVerdict(t *testing.T, expected mcquarantine.Verdict, f mcquarantine.Fingerprint) {
+	t.Helper()
+	for i, g := range b.guards {
+		require.Equal(t, expected, g.Check(b.now, f), "instance %d", i)
+	}
+}
+
+// A sound request must not be quarantined because it and a crashing one, at another instance, were
+// both hedged at the same two endpoints. Neither ran isolated, so nothing tells which crashed them;
+// the next attempt does, and the crashing request loses three endpoints in all.
+func TestRequestHedgedBesideCrashingOneIsNotQuarantined(t *testing.T) {
+	b := newRequestBed(2)
+	for _, endpoint := range []string{"c", "d"} {
+		b.begin(0, endpoint, good)
+		b.begin(1, endpoint, bad)
+	}
+	b.crash("c")
+	b.crash("d")
+	b.requireVerdict(t, mcquarantine.VerdictExclusive, good)
+	b.requireVerdict(t, mcquarantine.VerdictExclusive, bad)
+	b.begin(0, "e", good)
+	b.answer()
+	b.requireVerdict(t, mcquarantine.VerdictRun, good)
+	b.begin(0, "f", bad)
+	b.crash("f")
+	b.requireVerdict(t, mcquarantine.VerdictQuarantined, bad)
+}
+
+// Attempts of one request that were sent before any of their crashes was known, as the segments of
+// a split are, must not cost more than three endpoints. The third one may crash its endpoint after
+// it was cancelled, which is not noticed, so that the request must not run again.
+func TestThreeAttemptsAtOnceLoseNoFourthEndpoint(t *testing.T) {
+	b := newRequestBed(1)
+	for i := range 3 {
+		b.begin(0, fmt.Sprint("e", i), bad)
+	}
+	b.crash("e0")
+	b.requireVerdict(t, mcquarantine.VerdictExclusive, bad)
+	b.crash("e1")
+	b.requireVerdict(t, mcquarantine.VerdictQuarantined, bad)
+}
