Ask for unexpired quarantine entries in one place

Six functions of mcquarantine tested whether an entry exists and has not expired. unexpired and crashes do so now. No change of behaviour: go test ./mcquarantine passes unchanged.

--- a/mcquarantine/guard.go
+++ b/mcquarantine/guard.go
@@ -174,9 +174,9 @@
 // verdict returns the verdict from the entry of the fingerprint alone, whether or not
 // another request with it is running. The caller holds mu.
 func (g *Guard) verdict(now time.Time, f Fingerprint) Verdict {
-	e := g.entries[f]
+	e := g.unexpired(now, f)
 	switch {
-	case e == nil || !now.Before(e.expires):
+	case e == nil:
 		return VerdictRun
 	case e.quarantined:
 		return VerdictQuarantined
--- a/mcquarantine/guard_query.go
+++ b/mcquarantine/guard_query.go
@@ -35,3 +35,20 @@
 	defer g.mu.Unlock()
 	return g.proven(now, part)
 }
+
+// unexpired returns the entry of the fingerprint, or nil if there is none or it has expired. The
+// caller holds mu.
+func (g *Guard) unexpired(now time.Time, f Fingerprint) *entry {
+	if e := g.entries[f]; e != nil && now.Before(e.expires) {
+		return e
+	}
+	return nil
+}
+
+// crashes returns the number of crashes attributed to the fingerprint. The caller holds mu.
+func (g *Guard) crashes(now time.Time, f Fingerprint) uint32 {
+	if e := g.unexpired(now, f); e != nil {
+		return e.crashes
+	}
+	return 0
+}
--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -67,7 +67,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, part := range parts {
-		if e := g.entries[part]; e != nil && now.Before(e.expires) && e.crashes >= g.partLimit(now, part) {
+		if g.crashes(now, part) >= g.partLimit(now, part) {
 			return part, true
 		}
 	}
@@ -80,7 +80,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, part := range parts {
-		if e := g.entries[part]; e != nil && now.Before(e.expires) && e.crashes > 0 && e.crashes+2 >= g.partLimit(now, part) {
+		if n := g.crashes(now, part); n > 0 && n+2 >= g.partLimit(now, part) {
 			return true
 		}
 	}
@@ -115,7 +115,7 @@
 // proven reports whether a request with the part is known to have been answered recently, at
 // this instance or at the one that cleared the entry.
 func (g *Guard) proven(now time.Time, part Fingerprint) bool {
-	if e := g.entries[part]; e != nil && e.version > firstPartVersion && now.Before(e.expires) {
+	if e := g.unexpired(now, part); e != nil && e.version > firstPartVersion {
 		return true
 	}
 	return g.provenHere(now, part)
@@ -174,10 +174,7 @@
 		if onlyUnproven && g.proven(now, part) {
 			continue
 		}
-		n := uint32(0)
-		if e := g.entries[part]; e != nil && now.Before(e.expires) {
-			n = e.crashes
-		}
+		n := g.crashes(now, part)
 		if n > crashes {
 			blamed, crashes = blamed[:0], n
 		}
@@ -219,7 +216,7 @@
 	}
 	var cleared []*mcmessage.QuarantineEntry
 	for _, part := range attempt.parts {
-		if e := g.entries[part]; e != nil && e.crashes > 0 && now.Before(e.expires) && provedAt.After(e.changedAt) {
+		if e := g.unexpired(now, part); e != nil && e.crashes > 0 && provedAt.After(e.changedAt) {
 			e.clearPart(now)
 			cleared = append(cleared, e.toMessage(part))
 		}
