Weigh a suspect against what else was in flight at its crash

What callers saw: a sound request that ran beside requests with the same crashing part of their prompts at two crashes was refused for an hour (TestRequestBesideDeadlyPartIsNotQuarantined).

Cause: a crash of an endpoint where a suspect ran isolated quarantined the suspect, whatever else ran there. Isolation keeps other suspected requests away, not requests that contain a suspected part.

Change: the crash quarantines the suspect only if no other request in flight and no part that may have caused the crash, and that the suspect does not contain, had as many crashes before. The suspect otherwise runs isolated once more: a complete answer clears it, the third crash quarantines it in any case.

Why it holds: the limit of three crashes does not depend on what runs beside (TestCrashingRequestBesideSuspectedPartIsQuarantined); the request's own parts and answers that began long before do not count (TestCrashingRequestWithPartIsQuarantined).

--- a/mcquarantine/crash.go
+++ b/mcquarantine/crash.go
@@ -1,6 +1,7 @@
 package mcquarantine
 
 import (
+	"slices"
 	"time"
 
 	"marigoldcroft"
@@ -42,6 +43,7 @@
 	requestInFlight struct {
 		// isolated is true if an attempt of it ran isolated.
 		isolated bool
+		parts    []Fingerprint
 		// unanswered is the number of its other attempts, at all endpoints, that are in flight
 		// without output and may still crash them.
 		unanswered uint32
@@ -126,22 +128,26 @@
 			delete(state.inFlight, id)
 		}
 	}
-	messages = append(messages, g.blameParts(now, state.firstBroken, attempts)...)
+	crashedAt := state.firstBroken
 	state.firstBroken = time.Time{}
-	messages = append(messages, g.blameRequests(now, attempts)...)
+	// Requests come first, as they are weighed against the crashes of parts before this one.
+	messages = append(messages, g.blameRequests(now, crashedAt, attempts)...)
+	messages = append(messages, g.blameParts(now, crashedAt, attempts)...)
 	sortEntries(messages)
 	return messages
 }
 
 // blameRequests attributes a crash to each of the requests that were in flight and returns their
 // entries.
-func (g *Guard) blameRequests(now time.Time, attempts []inFlightAttempt) []*mcmessage.QuarantineEntry {
+func (g *Guard) blameRequests(now, crashedAt time.Time, attempts []inFlightAttempt) []*mcmessage.QuarantineEntry {
 	requests := make(map[Fingerprint]requestInFlight)
 	for _, attempt := range attempts {
 		r := requests[attempt.fingerprint]
 		r.isolated = r.isolated || attempt.suspect
+		r.parts = append(r.parts, attempt.parts...)
 		requests[attempt.fingerprint] = r
 	}
+	suspects := g.suspects(now, crashedAt, attempts)
 	for _, state := range g.endpoints {
 		state.dropUnexplained(now)
 		for _, attempt := range state.inFlight {
@@ -154,12 +160,45 @@
 	changed := make([]*mcmessage.QuarantineEntry, 0, len(requests))
 	for f, r := range requests {
 		e := g.ensureEntry(now, f)
+		r.isolated = r.isolated && !r.hasRival(f, suspects)
 		e.addCrash(now, r)
 		changed = append(changed, e.toMessage(f))
 	}
 	return changed
 }
 
+// suspects returns the earlier crashes of the requests that were in flight, and of their parts if
+// the crash may be attributed to these. Fingerprints without any are left out.
+func (g *Guard) suspects(now, crashedAt time.Time, attempts []inFlightAttempt) map[Fingerprint]uint32 {
+	suspects := make(map[Fingerprint]uint32)
+	add := func(f Fingerprint) {
+		if n := g.crashes(now, f); n > 0 {
+			suspects[f] = n
+		}
+	}
+	for _, attempt := range attempts {
+		add(attempt.fingerprint)
+		if !attempt.answerBegins(crashedAt) {
+			continue
+		}
+		for _, part := range attempt.parts {
+			add(part)
+		}
+	}
+	return suspects
+}
+
+// hasRival reports whether another request, or a part that this one does not contain, is suspected
+// at least as much.
+func (r requestInFlight) hasRival(f Fingerprint, suspects map[Fingerprint]uint32) bool {
+	for other, crashes := range suspects {
+		if other != f && crashes >= suspects[f] && !slices.Contains(r.parts, other) {
+			return true
+		}
+	}
+	return false
+}
+
 // dropUnexplained removes broken streams for which no evidence of a crash was found within
 // crashEvidenceWindow.
 func (s *endpointState) dropUnexplained(now time.Time) {
--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -134,7 +134,7 @@
 	var blamed []Fingerprint
 	highest := uint32(0)
 	for _, attempt := range attempts {
-		if !attempt.firstOutputAt.IsZero() && crashedAt.Sub(attempt.firstOutputAt) > BlameWindow {
+		if !attempt.answerBegins(crashedAt) {
 			continue
 		}
 		for _, part := range g.mostSuspect(now, attempt.parts) {
@@ -160,6 +160,12 @@
 	return changed
 }
 
+// answerBegins reports whether the answer had not begun when the endpoint crashed, or so recently
+// that the crash is attributed to the parts of the prompt.
+func (a inFlightAttempt) answerBegins(crashedAt time.Time) bool {
+	return a.firstOutputAt.IsZero() || crashedAt.Sub(a.firstOutputAt) <= BlameWindow
+}
+
 // mostSuspect returns the parts of a prompt to which a crash is attributed. Proven parts are left
 // out if there are others; of those that remain, the ones with the most crashes are blamed. Of
 // several that crashed before, only the last one is: in the order of a prompt, the fewest
--- a/mcquarantine/part_test.go
+++ b/mcquarantine/part_test.go
@@ -35,6 +35,8 @@
 	firstOutput time.Duration
 	// streamTime is the longest time from the first output of an answer to its end.
 	streamTime time.Duration
+	// sameRequest makes the requests with the deadly part repeats of one request.
+	sameRequest bool
 }
 
 type stormEndpoint struct {
@@ -113,9 +115,15 @@
 		}
 		return
 	}
+	fingerprint := mcquarantine.FingerprintOf("team", []byte(fmt.Sprint(s.requests)))
+	if deadly && s.sameRequest {
+		fingerprint = bad
+	}
 	i := s.random.IntN(len(s.endpoints))
 	e := &s.endpoints[i]
-	if s.now.Before(e.downUntil) {
+	verdict := s.guards[at].Acquire(s.now, fingerprint, fmt.Sprint(s.requests))
+	if s.now.Before(e.downUntil) || verdict == mcquarantine.VerdictQuarantined || verdict == mcquarantine.VerdictWait {
+		s.guards[at].Release(fingerprint, fmt.Sprint(s.requests))
 		return
 	}
 	if deadly {
@@ -124,7 +132,9 @@
 	s.requests++
 	id, name, incarnation := stream(s.requests), s.name(i), e.incarnation
 	e.inFlight[id] = at
-	s.guards[at].Begin(s.now, name, id, mcquarantine.FingerprintOf("team", []byte(fmt.Sprint(s.requests))), fingerprints)
+	s.guards[at].Begin(s.now, name, id, fingerprint, fingerprints)
+	holder := fmt.Sprint(s.requests - 1)
+	release := func() { s.guards[at].Release(fingerprint, holder) }
 	whileUp := func(run func()) func() {
 		return func() {
 			if e.incarnation == incarnation {
@@ -137,11 +147,13 @@
 		s.after(firstOutput+s.draw(80*time.Millisecond), whileUp(func() {
 			s.crashes = append(s.crashes, s.now)
 			s.crash(i)
+			s.after(stormProbeDelay, release)
 		}))
 		return
 	}
 	s.after(firstOutput, whileUp(func() { s.guards[at].FirstOutput(s.now, name, id) }))
 	s.after(firstOutput+s.draw(s.streamTime), whileUp(func() {
+		release()
 		delete(e.inFlight, id)
 		s.announce(at, s.guards[at].End(s.now, name, id, true))
 	}))
@@ -194,10 +206,14 @@
 
 // lateSends counts the requests with the deadly part that were sent later than the delay after
 // the fifth crash.
-func (s *storm) lateSends(delay time.Duration) int {
+func (s *storm) lateSends(delay time.Duration) int { return s.sendsAfter(5, delay) }
+
+// sendsAfter counts the requests with the deadly part that were sent later than the delay after the
+// nth crash.
+func (s *storm) sendsAfter(crash int, delay time.Duration) int {
 	n := 0
 	for _, at := range s.deadlySends {
-		if len(s.crashes) >= 5 && at.After(s.crashes[4].Add(delay)) {
+		if len(s.crashes) >= crash && at.After(s.crashes[crash-1].Add(delay)) {
 			n++
 		}
 	}
--- a/mcquarantine/request_blame_test.go
+++ b/mcquarantine/request_blame_test.go
@@ -110,3 +110,48 @@
 	b.crash("e1")
 	b.requireVerdict(t, mcquarantine.VerdictQuarantined, bad)
 }
+
+// A request that crashes endpoints must not cost more than three of them because requests with a
+// part that is suspected as well run beside it.
+func TestCrashingRequestBesideSuspectedPartIsQuarantined(t *testing.T) {
+	b := newRequestBed(1)
+	for i, verdict := range []mcquarantine.Verdict{mcquarantine.VerdictExclusive, mcquarantine.VerdictExclusive, mcquarantine.VerdictQuarantined} {
+		endpoint := fmt.Sprint("e", i)
+		b.begin(0, endpoint, bad)
+		b.begin(0, endpoint, mcquarantine.FingerprintOf("team", []byte(endpoint)), "suspected")
+		b.crash(endpoint)
+		b.requireVerdict(t, verdict, bad)
+	}
+}
+
+// A request that crashes endpoints must be quarantined by the first crash in isolation, although
+// its own part is suspected as much, and so are requests that had begun to answer long before.
+func TestCrashingRequestWithPartIsQuarantined(t *testing.T) {
+	b := newRequestBed(1)
+	b.begin(0, "c", bad, "own")
+	b.begin(0, "c", good, "other")
+	b.crash("c")
+	b.begin(0, "d", mcquarantine.FingerprintOf("team", []byte("streaming")), "other")
+	streaming := b.sent[len(b.sent)-1]
+	b.guards[0].FirstOutput(b.now, "d", streaming.id)
+	b.now = b.now.Add(mcquarantine.BlameWindow)
+	b.begin(0, "d", bad, "own")
+	b.crash("d")
+	b.requireVerdict(t, mcquarantine.VerdictQuarantined, bad)
+}
+
+// One request that crashes endpoints and comes again and again, at any instance, must stop to reach
+// endpoints although others run beside it whose parts are suspected since its first crash.
+func TestRepeatedCrashingRequestReachesFewEndpoints(t *testing.T) {
+	for _, interval := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond} {
+		for seed := range uint64(6) {
+			s := newStorm(seed, 9, 21, 400*time.Millisecond)
+			s.sameRequest = true
+			s.after(0, func() { s.soundTraffic(10*time.Millisecond, 60) })
+			s.after(4*time.Second, func() { s.deadlyTraffic(interval, []string{"subject1", "own"}) })
+			s.runUntil(26 * time.Second)
+			require.GreaterOrEqual(t, len(s.crashes), 2)
+			require.LessOrEqual(t, s.sendsAfter(3, 3*time.Second), 3, "seed %d: %d crashes", seed, len(s.crashes))
+		}
+	}
+}
