Create the entry of a prompt part only when its crash is counted

What callers would see: a panic when an engine crashes while the quarantine holds as many entries as it may; in the forwarding interface, where a timer probes endpoints, the instance ends. Found by reading, not seen in a run of the program.

Cause: an entry was created, empty and expired, for each part that a crash may be attributed to. Creating the next one in a full table removed it as expired, and raising it then dereferenced nil.

Change: entries are looked up without being created; the entry of a part is created when its crash is counted.

Result: TestCrashIsCountedAtFullTable panicked before and passes.

--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -138,22 +138,21 @@
 			continue
 		}
 		for _, part := range g.mostSuspect(now, attempt.parts) {
-			e := g.ensurePart(now, part)
-			if e.crashes > 0 && !attempt.startedAt.After(e.changedAt) && crashedAt.Sub(e.changedAt) < crashSpacing {
+			if e := g.unexpired(now, part); e != nil && e.crashes > 0 && !attempt.startedAt.After(e.changedAt) && crashedAt.Sub(e.changedAt) < crashSpacing {
 				continue
 			}
 			if !slices.Contains(blamed, part) {
 				blamed = append(blamed, part)
-				highest = max(highest, e.crashes)
+				highest = max(highest, g.crashes(now, part))
 			}
 		}
 	}
 	var changed []*mcmessage.QuarantineEntry
 	for _, part := range blamed {
-		e := g.entries[part]
-		if highest >= strongSuspicion && e.crashes < highest {
+		if highest >= strongSuspicion && g.crashes(now, part) < highest {
 			continue
 		}
+		e := g.ensurePart(now, part)
 		e.raisePart(now, g.partLimit(now, part))
 		changed = append(changed, e.toMessage(part))
 	}
--- a/mcquarantine/part_blame_test.go
+++ b/mcquarantine/part_blame_test.go
@@ -260,3 +260,19 @@
 	other.Merge(start, entry(true))
 	require.Equal(t, fmt.Sprint(one.Entries(start)), fmt.Sprint(other.Entries(start)))
 }
+
+// A crash of a request with several parts, none of which crashed before, must be counted against
+// each of them when the guard holds as many entries as it may: room for one must not be made by
+// removing another, which panicked.
+func TestCrashIsCountedAtFullTable(t *testing.T) {
+	b := &partBed{guard: &mcquarantine.Guard{}}
+	entries := make([]*mcmessage.QuarantineEntry, 10_000)
+	for i := range entries {
+		entries[i] = &mcmessage.QuarantineEntry{
+			Fingerprint: uint64(i), Crashes: 1, Version: 1, Part: true, ExpiresUnixMs: start.Add(time.Minute).UnixMilli(),
+		}
+	}
+	b.guard.Merge(start, entries)
+	b.begin(0, "e", "one", "two", "three")
+	require.Len(t, partsOf(b.crash(100*time.Millisecond, "e")), 3)
+}
