Do not send a request that became a crash suspect while it waited

What callers would see: a request whose copies crash endpoints while it waits for one takes down one more when its turn comes, beside whatever runs there, even if it is quarantined by then.

Cause: whole requests were checked before they were submitted to the scheduler; only their parts were checked again before the send.

Change: in both interfaces an attempt is not sent if its request became a suspect, and the attempt does not run isolated, or was quarantined. The request asks the quarantine again: it is queued to run isolated, or refused as not run.

Result: TestRequestSuspectedDuringTheWait of mcgateway (0 isolated submissions instead of 1) and of mcforward (200 instead of 503) failed before and pass.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -94,6 +94,9 @@
 		// The part was quarantined while the request waited.
 		return nil, err
 	}
+	if c.mustIsolate(a) {
+		return nil, failure("quarantine", KindSuspected, errors.New("the request became a crash suspect while it waited"))
+	}
 	a.endpoint = a.decision.Endpoint
 	endpoint, ok := f.Fleet.Endpoint(a.endpoint)
 	if !ok {
--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -122,6 +122,13 @@
 	return false, &problem{status: http.StatusServiceUnavailable, reason: "the request's time ended while its twin ran under suspicion of a crash"}
 }
 
+// mustIsolate reports whether the request became a crash suspect, which the attempt does not allow
+// for, or was quarantined.
+func (c *call) mustIsolate(a *attempt) bool {
+	verdict := c.forwarder.Quarantine.Check(time.Now(), c.fingerprint)
+	return verdict == mcquarantine.VerdictQuarantined || verdict == mcquarantine.VerdictExclusive && !a.isolate
+}
+
 // quarantinedPart returns an error if the prompt contains a quarantined part.
 func (c *call) quarantinedPart() error {
 	part, quarantined := c.forwarder.Quarantine.QuarantinedPart(time.Now(), c.parts)
--- a/mcforward/doc.go
+++ b/mcforward/doc.go
@@ -54,6 +54,9 @@
 	KindRefused Kind = "refused"
 	// KindQuarantined means that the prompt contains a part that crashed endpoints.
 	KindQuarantined Kind = "quarantined"
+	// KindSuspected means that the request became a crash suspect, or was quarantined, while it
+	// waited for an endpoint. It was not sent.
+	KindSuspected Kind = "suspected"
 	// KindStreamGap means that a stream skipped an event after the last one that was relayed.
 	KindStreamGap Kind = "gap in the stream"
 )
--- a/mcforward/part_test.go
+++ b/mcforward/part_test.go
@@ -106,3 +106,29 @@
 	b.forwarder.EndpointEnded("i-0", b.forwarder.Fleet.Incarnation("i-0")+1)
 	require.NotEmpty(t, b.suspects)
 }
+
+// A request whose copies crash endpoints while it waits for one must not take down one more: it is
+// refused as not run if it was quarantined, and served if it is a suspect.
+func TestRequestSuspectedDuringTheWait(t *testing.T) {
+	for crashes, status := range map[uint32]int{1: http.StatusOK, 2: http.StatusServiceUnavailable} {
+		b := newTestBed(t, 1)
+		b.servers[0].CallTime = 300 * time.Millisecond
+		running := b.occupy("/once/x")
+		waiting := b.sendInBackground("/again/suspect")
+		require.Eventually(t, func() bool { return b.forwarder.Dispatcher.Scheduler.Queued() == 1 }, 5*time.Second, time.Millisecond)
+		now := time.Now()
+		b.forwarder.Quarantine.Merge(now, []*mcmessage.QuarantineEntry{{
+			Fingerprint: uint64(mcquarantine.FingerprintOf("team", []byte("GET /again/suspect\n"))),
+			Crashes:     crashes, Quarantined: crashes == 2, Version: 1, ExpiresUnixMs: now.Add(time.Minute).UnixMilli(),
+		}})
+		got := <-waiting
+		require.Equal(t, status, got.status, got.body)
+		if status != http.StatusOK {
+			require.Contains(t, got.body, `"notRun":true`)
+			require.Len(t, b.runs(), serverSlots)
+		}
+		for _, response := range running {
+			require.Equal(t, http.StatusOK, (<-response).status)
+		}
+	}
+}
--- a/mcgateway/attempt.go
+++ b/mcgateway/attempt.go
@@ -141,7 +141,7 @@
 	if !ok {
 		return marigoldcroft.NewFailure("dispatch to "+a.decision.Endpoint, mcengine.KindUnreachable, nil)
 	}
-	if err := a.checkParts(); err != nil {
+	if err := a.checkQuarantine(); err != nil {
 		return err
 	}
 	if !a.run.out.beforeSend() {
--- a/mcgateway/part.go
+++ b/mcgateway/part.go
@@ -52,9 +52,9 @@
 	return nil
 }
 
-// checkParts returns an error if a message of the request was quarantined while the attempt
-// waited.
-func (a *attempt) checkParts() error {
+// checkQuarantine returns an error if a message of the request was quarantined while the attempt
+// waited, or errSuspected.
+func (a *attempt) checkQuarantine() error {
 	quarantine := a.run.gateway.Quarantine
 	if quarantine == nil {
 		return nil
@@ -62,6 +62,14 @@
 	if part, quarantined := quarantine.QuarantinedPart(time.Now(), a.run.request.parts); quarantined {
 		return quarantinedPart{part}
 	}
+	switch quarantine.Check(time.Now(), a.run.request.fingerprint) {
+	case mcquarantine.VerdictQuarantined:
+		return errSuspected
+	case mcquarantine.VerdictExclusive:
+		if !a.isolated {
+			return errSuspected
+		}
+	}
 	return nil
 }
 
--- a/mcgateway/part_test.go
+++ b/mcgateway/part_test.go
@@ -216,3 +216,33 @@
 		g.Wait()
 	}
 }
+
+// Guards against a request that waited in the queue while its copies crashed engines, and then
+// takes one more down: a suspect must be queued again to run isolated, a quarantined request must
+// be refused as not run.
+func TestRequestSuspectedDuringTheWait(t *testing.T) {
+	for crashes, code := range map[int]int{1: http.StatusOK, 2: http.StatusUnprocessableEntity} {
+		bubble(t, func(t *testing.T, run func(*testGateway) *testGateway) {
+			g := run(newTestGateway(map[string][]string{"a": {"x"}}))
+			g.chat(t.Context(), body("caption", ""))
+			g.scheduler.queue = true
+			time.AfterFunc(time.Second, func() {
+				for range crashes {
+					makeSuspect(g, g.engine.sent[0])
+				}
+				g.scheduler.decide(marigoldcroft.ActionDispatch, "a")
+			})
+			second := time.AfterFunc(2*time.Second, func() { g.scheduler.decide(marigoldcroft.ActionDispatch, "a") })
+			defer second.Stop()
+			w := g.chat(t.Context(), body("caption", ""))
+			require.Equal(t, code, w.Code, w.Body)
+			g.Wait()
+			if code == http.StatusOK {
+				require.Equal(t, 1, g.scheduler.isolated)
+				return
+			}
+			require.True(t, decodeProblem(t, w.Body.String()).NotRun)
+			require.Equal(t, 1, g.engine.count())
+		})
+	}
+}
--- a/mcgateway/run.go
+++ b/mcgateway/run.go
@@ -79,6 +79,9 @@
 	errDiverged = errors.New("the restarted answer differs from the part already sent")
 	// errNotSent means that an attempt ended before anything was sent to an engine.
 	errNotSent = errors.New("ended before anything was sent")
+	// errSuspected means that the request became a crash suspect while the attempt waited, which
+	// does not run isolated, or was quarantined. Nothing was sent.
+	errSuspected = errors.New("the request became a crash suspect while it waited")
 )
 
 // Error names the scheduler's reason.
@@ -197,7 +200,7 @@
 	switch {
 	case errors.Is(err, errDiverged):
 		return false
-	case kind == mcengine.KindUnreachable && !r.started:
+	case kind == mcengine.KindUnreachable && !r.started, errors.Is(err, errSuspected) && !r.mayHaveRun:
 		return true
 	case kind != mcengine.KindRefused && !r.request.idempotent():
 		return false
@@ -229,7 +232,7 @@
 	var refused refusal
 	r.mayHaveRun = r.mayHaveRun || e.attempt.everRecalled
 	var quarantined quarantinedPart
-	if e.err == nil || errors.As(e.err, &refused) || errors.As(e.err, &quarantined) || errors.Is(e.err, errNotSent) {
+	if e.err == nil || errors.As(e.err, &refused) || errors.As(e.err, &quarantined) || errors.Is(e.err, errNotSent) || errors.Is(e.err, errSuspected) {
 		return
 	}
 	r.exclude = append(r.exclude, e.attempt.decision.Endpoint)
