Do not hedge a request whose stream broke

Cause: a hedge is sent when the first token is late, also if the first attempt's stream has broken and it is being checked whether its engine crashed. The request may be what crashed it; the hedge takes down a second engine, beside an isolated suspect of another instance, to which that crash is attributed.

Change: an attempt whose stream broke and is not resumed is not hedged.

Result: TestBrokenStreamIsNotHedged failed before (3 calls instead of 2 within 0.5 s) and passes.

Open: a hedge that was sent before the stream broke can still crash an engine at which another instance runs a suspect; isolation is per instance.

--- a/mcgateway/attempt.go
+++ b/mcgateway/attempt.go
@@ -43,6 +43,8 @@
 	recalled bool
 	// sentTo is the endpoint of the last dispatch, or empty; run.mu guards it.
 	sentTo string
+	// streamBroken is true from the break of the stream until it is resumed; run.mu guards it.
+	streamBroken bool
 	// everRecalled is true once any dispatch was recalled; an engine may then have begun
 	// the work.
 	everRecalled bool
--- a/mcgateway/attempt_test.go
+++ b/mcgateway/attempt_test.go
@@ -173,6 +173,21 @@
 	}
 }
 
+// Guards against a request that takes down a second engine by a hedge while it is being checked
+// whether the first one crashed. Once it is known that it did not, the request is tried again.
+func TestBrokenStreamIsNotHedged(t *testing.T) {
+	bubble(t, func(t *testing.T, run func(*testGateway) *testGateway) {
+		g := run(newTestGateway(map[string][]string{"a": {"!stream_broken", "!!stream_not_found"}, "b": {"x"}}))
+		g.scheduler.predictedFirstToken = 100 * time.Millisecond
+		g.engine.load = context.DeadlineExceeded
+		during := make(chan int, 1)
+		time.AfterFunc(500*time.Millisecond, func() { during <- g.engine.count() })
+		require.Equal(t, "x", text(g.chat(t.Context(), body("caption", ""))))
+		require.Equal(t, 2, <-during)
+		require.Equal(t, "generate a resume0 a generate b", strings.Join(g.engine.calls, " "))
+	})
+}
+
 // Work that the scheduler recalls before its first token must run when it is dispatched
 // again. If it expires instead, the problem must not say notRun, as an engine may have
 // begun the work before the recall.
--- a/mcgateway/race.go
+++ b/mcgateway/race.go
@@ -82,10 +82,10 @@
 }
 
 // hedge returns a second attempt on another endpoint, or nil if the first one has
-// produced a token, the request or a message of it is a crash suspect, no endpoint is free now
-// or the retry budget is used up.
+// produced a token, its endpoint may have crashed, the request or a message of it is a crash
+// suspect, no endpoint is free now or the retry budget is used up.
 func (r *run) hedge(first *attempt, endpoint string) *attempt {
-	if r.won(first) || r.isSuspect() || r.nearQuarantine() {
+	if r.won(first) || r.isBroken(first) || r.isSuspect() || r.nearQuarantine() {
 		return nil
 	}
 	second := r.newAttempt(false)
@@ -138,6 +138,13 @@
 	return r.winner == a
 }
 
+// isBroken reports whether the stream of the attempt broke and is not resumed.
+func (r *run) isBroken(a *attempt) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return a.streamBroken
+}
+
 // reset starts a new race, whose answer must first repeat the text kept in delivered.
 // Attempts of the previous race can no longer claim delivery.
 func (r *run) reset() {
--- a/mcgateway/stream.go
+++ b/mcgateway/stream.go
@@ -48,12 +48,14 @@
 func (a *attempt) resume(ctx context.Context, endpoint marigoldcroft.Endpoint, allowed bool) marigoldcroft.TokenStream {
 	g := a.run.gateway
 	a.checkRepeat(endpoint)
+	a.setStreamBroken(true)
 	g.recordBrokenStream(endpoint, a.id)
 	var err error
 	if allowed {
 		requestedAt := time.Now()
 		var tokens marigoldcroft.TokenStream
 		if tokens, err = g.Engine.Resume(ctx, endpoint, a.id, a.nextSequence); err == nil {
+			a.setStreamBroken(false)
 			g.recordResumedStream(requestedAt, endpoint)
 			a.beginCrashTracking(endpoint)
 			return tokens
@@ -63,6 +65,12 @@
 	return nil
 }
 
+func (a *attempt) setStreamBroken(broken bool) {
+	a.run.mu.Lock()
+	defer a.run.mu.Unlock()
+	a.streamBroken = broken
+}
+
 // copyEvents delivers the stream's events until its end.
 func (a *attempt) copyEvents(tokens marigoldcroft.TokenStream, startedAt time.Time) error {
 	// The stream is only read, so an error of Close loses no data.
