List a suspect that runs beside that of a peer as known red

Found while checking whether isolation identifies the request that crashes endpoints: it is per instance, so two instances may run a suspect each at one endpoint, and a crash quarantines both. TestSuspectBesideThatOfPeerIsNotQuarantined fails; its entry names what would be needed.

--- a/mcquarantine/request_blame_test.go
+++ b/mcquarantine/request_blame_test.go
@@ -97,6 +97,20 @@
 	b.requireVerdict(t, mcquarantine.VerdictQuarantined, bad)
 }
 
+// A sound suspect must not be quarantined because a crashing one ran at the same endpoint. Both ran
+// isolated, but at two instances, each of which knows only of its own suspects there.
+func TestSuspectBesideThatOfPeerIsNotQuarantined(t *testing.T) {
+	b := newRequestBed(2)
+	for _, endpoint := range []string{"c", "d"} {
+		b.begin(0, endpoint, good)
+		b.begin(1, endpoint, bad)
+		b.crash(endpoint)
+	}
+	for i, g := range b.guards {
+		require.NotEqual(t, mcquarantine.VerdictQuarantined, g.Check(b.now, good), "instance %d", i)
+	}
+}
+
 // Attempts of one request that were sent before any of their crashes was known, as the segments of
 // a split are, must not cost more than three endpoints. The third one may crash its endpoint after
 // it was cancelled, which is not noticed, so that the request must not run again.
