--- a/mcquarantine/crash.go
+++ b/mcquarantine/crash.go
@@ -1,6 +1,7 @@
 package mcquarantine
 
 import (
+	"slices"
 	"time"
 
 	"marigoldcroft"
@@ -24,6 +25,9 @@
 		// splitPart has the fingerprints of the part of which the prompt has only a piece, if any. Its
 		// answer is no proof for the whole part.
 		splitPart []Fingerprint
+		// suspect is true if the fingerprint was a suspect when the attempt began, so that it
+		// ran isolated.
+		suspect   bool
 		startedAt time.Time
 		// firstOutputAt is when the answer began, or zero.
 		firstOutputAt time.Time
@@ -37,6 +41,16 @@
 		// before the crash and its entry is cleared.
 		crashCounted bool
 	}
+
+	// requestInFlight is what is known at a crash about a request that was in flight there.
+	requestInFlight struct {
+		// isolated is true if an attempt of it ran isolated.
+		isolated bool
+		parts    []Fingerprint
+		// unanswered is the number of its other attempts, at all endpoints, that are in flight
+		// without output and may still crash them.
+		unanswered uint32
+	}
 )
 
 // crashEvidenceWindow is the time after a broken stream within which a refused connection
@@ -101,16 +115,14 @@
 	return nil
 }
 
-// countCrash counts one crash against each fingerprint that was in flight when the first
-// stream broke, and against the shared parts of these requests.
+// countCrash counts one crash against each request that was in flight when the first stream
+// broke, and against the shared parts of these requests.
 func (g *Guard) countCrash(now time.Time, state *endpointState) []*mcmessage.QuarantineEntry {
-	fingerprints := make(map[Fingerprint]bool)
 	var attempts []inFlightAttempt
 	for id, attempt := range state.inFlight {
 		if attempt.crashCounted || attempt.startedAt.After(state.firstBroken) {
 			continue
 		}
-		fingerprints[attempt.fingerprint] = true
 		attempts = append(attempts, attempt)
 		if attempt.crashCounted = true; attempt.brokenAt.IsZero() {
 			state.inFlight[id] = attempt
@@ -118,17 +130,77 @@
 			delete(state.inFlight, id)
 		}
 	}
-	messages := g.blameParts(now, state.firstBroken, attempts)
+	crashedAt := state.firstBroken
 	state.firstBroken = time.Time{}
-	for f := range fingerprints {
-		e := g.ensureEntry(now, f)
-		e.addCrash(now)
-		messages = append(messages, e.toMessage(f))
-	}
+	// Requests come first, as they are weighed against the crashes of parts before this one.
+	messages := g.blameRequests(now, attempts)
+	messages = append(messages, g.blameParts(now, crashedAt, attempts)...)
 	sortEntries(messages)
 	return messages
 }
 
+// blameRequests attributes a crash to each of the requests that were in flight and returns their
+// entries.
+func (g *Guard) blameRequests(now time.Time, attempts []inFlightAttempt) []*mcmessage.QuarantineEntry {
+	requests := make(map[Fingerprint]requestInFlight)
+	for _, attempt := range attempts {
+		r := requests[attempt.fingerprint]
+		r.isolated = r.isolated || attempt.suspect
+		r.parts = append(r.parts, attempt.parts...)
+		requests[attempt.fingerprint] = r
+	}
+	suspects := g.suspects(now, attempts)
+	for _, state := range g.endpoints {
+		state.dropUnexplained(now)
+		for _, attempt := range state.inFlight {
+			if r, found := requests[attempt.fingerprint]; found && !attempt.crashCounted && attempt.firstOutputAt.IsZero() {
+				r.unanswered++
+				requests[attempt.fingerprint] = r
+			}
+		}
+	}
+	changed := make([]*mcmessage.QuarantineEntry, 0, len(requests))
+	for f, r := range requests {
+		e := g.ensureEntry(now, f)
+		r.isolated = r.isolated && !r.hasRival(f, suspects)
+		e.addCrash(now, r)
+		changed = append(changed, e.toMessage(f))
+	}
+	return changed
+}
+
+// suspects returns the earlier crashes of the requests that were in flight, and of their parts if
+// the crash may be attributed to these. Fingerprints without any are left out.
+func (g *Guard) suspects(now time.Time, attempts []inFlightAttempt) map[Fingerprint]uint32 {
+	suspects := make(map[Fingerprint]uint32)
+	add := func(f Fingerprint) {
+		if n := g.crashes(now, f); n > 0 {
+			suspects[f] = n
+		}
+	}
+	for _, attempt := range attempts {
+		add(attempt.fingerprint)
+		if attempt.continued {
+			continue
+		}
+		for _, part := range attempt.parts {
+			add(part)
+		}
+	}
+	return suspects
+}
+
+// hasRival reports whether another request, or a part that this one does not contain, is suspected
+// at least as much.
+func (r requestInFlight) hasRival(f Fingerprint, suspects map[Fingerprint]uint32) bool {
+	for other, crashes := range suspects {
+		if other != f && crashes >= suspects[f] && !slices.Contains(r.parts, other) {
+			return true
+		}
+	}
+	return false
+}
+
 // dropUnexplained removes broken streams for which no evidence of a crash was found within
 // crashEvidenceWindow.
 func (s *endpointState) dropUnexplained(now time.Time) {
--- a/mcquarantine/part.go
+++ b/mcquarantine/part.go
@@ -121,7 +121,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, part := range parts {
-		if e := g.entries[part]; e != nil && now.Before(e.expires) && e.crashes >= g.partLimit(now, part) {
+		if g.crashes(now, part) >= g.partLimit(now, part) {
 			return part, true
 		}
 	}
@@ -134,7 +134,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, part := range parts {
-		if e := g.entries[part]; e != nil && now.Before(e.expires) && e.crashes > 0 && e.crashes+2 >= g.partLimit(now, part) {
+		if n := g.crashes(now, part); n > 0 && n+2 >= g.partLimit(now, part) {
 			return true
 		}
 	}
@@ -169,7 +169,7 @@
 // proven reports whether a request with the part is known to have been answered recently, at
 // this instance or at the one that cleared the entry.
 func (g *Guard) proven(now time.Time, part Fingerprint) bool {
-	if e := g.entries[part]; e != nil && e.version > firstPartVersion && now.Before(e.expires) {
+	if e := g.unexpired(now, part); e != nil && e.version > firstPartVersion {
 		return true
 	}
 	return g.provenHere(now, part)
@@ -193,23 +193,21 @@
 			continue
 		}
 		for _, part := range g.choose(now, crashedAt, g.mostSuspect(now, attempt.parts), limit) {
-			e := g.ensurePart(now, part)
-			if e.crashes > 0 && !attempt.startedAt.After(e.changedAt) && crashedAt.Sub(e.changedAt) < crashSpacing {
+			if e := g.unexpired(now, part); e != nil && e.crashes > 0 && !attempt.startedAt.After(e.changedAt) && crashedAt.Sub(e.changedAt) < crashSpacing {
 				continue
 			}
 			if !slices.Contains(blamed, part) {
 				blamed = append(blamed, part)
-				highest = max(highest, e.crashes)
+				highest = max(highest, g.crashes(now, part))
 			}
 		}
 	}
 	var changed []*mcmessage.QuarantineEntry
 	for _, part := range blamed {
-		// In a full table, adding an entry removes those that were not raised yet.
-		e := g.ensurePart(now, part)
-		if highest >= strongSuspicion && e.crashes < highest {
+		if highest >= strongSuspicion && g.crashes(now, part) < highest {
 			continue
 		}
+		e := g.ensurePart(now, part)
 		e.raisePart(now, g.partLimit(now, part))
 		changed = append(changed, e.toMessage(part))
 	}
@@ -224,10 +222,7 @@
 	var blamed []Fingerprint
 	crashes := uint32(0)
 	for _, part := range parts {
-		n := uint32(0)
-		if e := g.entries[part]; e != nil && now.Before(e.expires) {
-			n = e.crashes
-		}
+		n := g.crashes(now, part)
 		if n > crashes {
 			blamed, crashes = blamed[:0], n
 		}
@@ -266,7 +261,7 @@
 
 func (g *Guard) provePart(now, provedAt time.Time, part Fingerprint) []*mcmessage.QuarantineEntry {
 	var cleared []*mcmessage.QuarantineEntry
-	if e := g.entries[part]; e != nil && e.crashes > 0 && now.Before(e.expires) && provedAt.After(e.changedAt) {
+	if e := g.unexpired(now, part); e != nil && e.crashes > 0 && provedAt.After(e.changedAt) {
 		e.clearPart(now)
 		cleared = append(cleared, e.toMessage(part))
 	}
