Log what a refused request of a forwarding instance was refused on

The line of a refusal said neither how old the routing table and the listing of endpoints were nor whether any endpoint was listed, so that "noEndpoint" had the same line for an empty listing, for endpoints out of rotation and for a scheduler that does not know the listed ones; keys that were never confirmed read "not confirmed for 0s".

Change: the requestEnded line of a refusal has routingAgeMs and listingAgeMs, and for noEndpoint the number of listed endpoints. New lines: readinessChanged, and endpointsScheduled for each set of endpoints that the scheduler is given. The tests of mcentry print the log of an instance when they fail.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -126,6 +126,8 @@
 	instances *mcfollow.Follower[marigoldcroft.ListedInstance]
 	roster    *roster
 	tasks     sync.WaitGroup
+	// reportedReady is the readiness that the balancer was told last.
+	reportedReady atomic.Bool
 }
 
 // Run starts the instance and serves until ctx is cancelled, which begins a graceful
@@ -191,7 +193,7 @@
 	e.forwarder = &mcforward.Forwarder{
 		Codec: platform.Codec{}, Reservations: platform.NewReservationClient(), Router: e.router, Fleet: e.fleet, Dispatcher: dispatcher,
 		Retries:    &mclimit.RetryBudget{Limits: e.retryLimits(time.Now())},
-		Quarantine: &mcquarantine.Guard{}, Announce: e.announceSuspects, Isolated: e.isolated, OnLoadChange: e.member.PushInFlight,
+		Quarantine: &mcquarantine.Guard{}, Announce: e.announceSuspects, Isolated: e.isolated, ListingAge: e.listingAge, OnLoadChange: e.member.PushInFlight,
 		Metrics: e.metrics, Logger: e.logger, MaxInFlight: e.Settings.Limits.MaxInFlight,
 		MaxBodyBytes: int64(bodyShare * float64(max(s.MemoryMB, 64)) * (1 << 20)),
 	}
@@ -281,8 +283,15 @@
 	}
 }
 
+// listingAge returns the time since the copy of the endpoints' records was last confirmed.
+func (e *Forwarding) listingAge() (time.Duration, bool) {
+	_, complete, known := e.endpoints.CopyStatus()
+	return mcclock.Now() - complete, known
+}
+
 func (e *Forwarding) endpointsChanged(endpoints []marigoldcroft.Endpoint) {
 	e.scheduler.SetEndpoints(time.Now(), endpoints)
+	e.logger.Info().Int("endpoints", len(endpoints)).Msg("endpointsScheduled")
 	e.roster.setEndpoints(endpoints)
 }
 
@@ -349,7 +358,11 @@
 }
 
 func (e *Forwarding) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !e.forwarder.Ready() {
+	ready := e.forwarder.Ready()
+	if e.reportedReady.Swap(ready) != ready {
+		e.forwarder.LogReadiness(ready)
+	}
+	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/mcentry/forwarding_test.go
+++ b/mcentry/forwarding_test.go
@@ -81,11 +81,15 @@
 	require.NoError(s.t, mcsetting.Check(&settings))
 	ctx, stop := context.WithCancel(context.Background())
 	in := &instance{callers: a[2], ready: a[3], stop: stop, ended: make(chan error, 1)}
-	entry := &mcentry.Forwarding{Settings: settings, Output: io.Discard}
+	var output lockedBuffer
+	entry := &mcentry.Forwarding{Settings: settings, Output: &output}
 	go func() { in.ended <- entry.Run(ctx) }()
 	s.t.Cleanup(func() {
 		stop()
 		<-in.ended
+		if s.t.Failed() {
+			s.t.Logf("log of %s:\n%s", settings.Instance, output.String())
+		}
 	})
 	s.instances = append(s.instances, in)
 	require.Eventually(s.t, func() bool { return in.isReady() }, 10*time.Second, 10*time.Millisecond)
--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -89,6 +89,19 @@
 	return f.endpointsLocked()
 }
 
+// Count returns the number of endpoints of the service that may get new work.
+func (f *Fleet) Count(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, entry := range f.entries {
+		if entry.record.Service == service && !entry.endpoint.Leaving() {
+			n++
+		}
+	}
+	return n
+}
+
 // Incarnation returns the incarnation of the endpoint, or 0 if it is unknown.
 func (f *Fleet) Incarnation(name string) uint64 {
 	f.mu.Lock()
--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -128,6 +128,7 @@
 
 func (a *attempt) refusedError() error {
 	a.retryAfter = a.decision.RetryAfter
+	a.call.unplaced = a.decision.Reason == marigoldcroft.ReasonNoEndpoint
 	a.call.forwarder.Metrics.Refusals.WithLabelValues(string(a.decision.Reason)).Inc()
 	return failure("admission", KindRefused, errors.New(string(a.decision.Reason)))
 }
--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -54,6 +54,8 @@
 	attempts, placements int
 	triedEndpoints       []string
 	excluded             []string
+	// unplaced is true if the scheduler refused the last placement for want of an endpoint.
+	unplaced bool
 	// mayHaveRun is true once an endpoint may have started to run the request.
 	mayHaveRun bool
 	// mayHaveRunBefore is the value of mayHaveRun before the current attempt.
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -56,6 +56,9 @@
 	// Isolated reports whether this instance can reach neither the platform's store nor most
 	// of its peers, so that callers are better served by other instances. Nil means never.
 	Isolated func() bool
+	// ListingAge returns the time since the endpoints were last known to be complete, and false
+	// before that. It is logged with refusals; nil means unknown.
+	ListingAge func() (time.Duration, bool)
 	// OnLoadChange is called when work on an engine starts, delivers its first output or
 	// ends; it must not block.
 	OnLoadChange func()
@@ -245,11 +248,11 @@
 		return &problem{status: http.StatusUnauthorized, reason: "the key is not known"}
 	}
 	if !f.Router.KeysTrusted() {
-		age, _ := f.Router.Age()
-		return &problem{
-			status: http.StatusServiceUnavailable, retryAfter: untrustedRetryAfter,
-			reason: "the keys were not confirmed for " + age.Round(time.Millisecond).String(),
+		reason := "the keys were never confirmed"
+		if age, known := f.Router.Age(); known {
+			reason = "the keys were not confirmed for " + age.Round(time.Millisecond).String()
 		}
+		return &problem{status: http.StatusServiceUnavailable, retryAfter: untrustedRetryAfter, reason: reason}
 	}
 	c.team = team
 	if team.HasRank {
@@ -283,5 +286,30 @@
 	if result.retryAfter > 0 {
 		event = event.Dur("retryAfterMs", result.retryAfter)
 	}
+	if result.outcome == outcomeRefused {
+		event = f.addAges(event)
+	}
+	if c.unplaced {
+		event = event.Int("listed", f.Fleet.Count(c.service))
+	}
 	event.Msg("requestEnded")
 }
+
+// LogReadiness writes the log line of a changed readiness.
+func (f *Forwarder) LogReadiness(ready bool) {
+	f.addAges(f.Logger.Info().Bool("ready", ready).Bool("stopping", f.stop.HasBegun())).Msg("readinessChanged")
+}
+
+// addAges adds the ages of the routing table and of the listing. An age is missing if it is
+// unknown.
+func (f *Forwarder) addAges(event *zerolog.Event) *zerolog.Event {
+	if age, known := f.Router.Age(); known {
+		event = event.Dur("routingAgeMs", age)
+	}
+	if f.ListingAge != nil {
+		if age, known := f.ListingAge(); known {
+			event = event.Dur("listingAgeMs", age)
+		}
+	}
+	return event
+}
