Announce the endpoints in the order of their changes

What callers saw: after some starts, an instance reported ready and refused every request of a service with status 503 (noEndpoint), until the next change of any endpoint.

Cause: each change of the fleet took its listing under the lock and passed it to OnChange after releasing it. The followers of the routing table and of the endpoints answer at the same moment after a start. When the goroutine of the routing table was suspended between the two steps, it passed its empty listing to the scheduler after the first listing of endpoints. The same order lets any endpoint that appears beside a new configuration, a moved endpoint or the end of an outage get lost in the scheduler.

Change: one goroutine at a time announces, and reads the listing when its turn comes, so that the last call has the newest listing. HasListing is still true only after the announcement of the first listing, which no older one can follow now.

--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -26,15 +26,18 @@
 	// for concurrent use.
 	Fleet struct {
 		Logger zerolog.Logger
-		// OnChange is called after each change with all endpoints; no lock is held.
+		// OnChange is called after each change with all endpoints, by one goroutine at a time, so that
+		// no listing follows a newer one. It must not change the fleet.
 		OnChange func(endpoints []marigoldcroft.Endpoint)
 		// OnProcessEnded is called when an endpoint's process has ended without announcing that it was
 		// leaving. Either its record expired and incarnation is 0, or a newer process took its
 		// name and incarnation is that of the newer one. It may be nil.
 		OnProcessEnded func(name string, incarnation uint64)
 
-		mu      sync.Mutex
-		entries map[string]*fleetEntry
+		// announceMu is locked before mu.
+		announceMu sync.Mutex
+		mu         sync.Mutex
+		entries    map[string]*fleetEntry
 		// performance holds the engine performance figures by service name.
 		performance map[string]marigoldcroft.EnginePerformance
 		// known is true once a full listing has been applied, and announced once OnChange has
@@ -86,7 +89,11 @@
 func (f *Fleet) Endpoints() []marigoldcroft.Endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.endpointsLocked()
+	endpoints := make([]marigoldcroft.Endpoint, 0, len(f.entries))
+	for _, entry := range f.entries {
+		endpoints = append(endpoints, entry.endpoint)
+	}
+	return endpoints
 }
 
 // Count returns the number of endpoints of the service that may get new work.
@@ -124,9 +131,8 @@
 	entry.moved = true
 	entry.endpoint = f.buildEndpoint(entry)
 	f.Logger.Info().Str("endpoint", name).Str("address", entry.record.Address).Msg("endpointMoved")
-	all := f.endpointsLocked()
 	f.mu.Unlock()
-	f.OnChange(all)
+	f.announce()
 }
 
 // SetRoutingTable updates all endpoints with the engine performance figures of their services
@@ -140,9 +146,8 @@
 	for _, entry := range f.entries {
 		entry.endpoint = f.buildEndpoint(entry)
 	}
-	all := f.endpointsLocked()
 	f.mu.Unlock()
-	f.OnChange(all)
+	f.announce()
 }
 
 // Apply updates the endpoints with changed records. After an outage of the store, endpoints
@@ -177,15 +182,22 @@
 			}
 		}
 	}
-	all := f.endpointsLocked()
 	f.mu.Unlock()
 	if changed {
-		f.OnChange(all)
+		f.announce()
 	}
 	f.markAnnounced()
 	f.notifyEnded(ended)
 }
 
+// announce passes the endpoints to OnChange. The listing is read while announceMu is held, so that
+// the last call has the newest one. mu must not be held.
+func (f *Fleet) announce() {
+	f.announceMu.Lock()
+	defer f.announceMu.Unlock()
+	f.OnChange(f.Endpoints())
+}
+
 func (f *Fleet) markAnnounced() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -206,10 +218,9 @@
 func (f *Fleet) removeOverdue() {
 	f.mu.Lock()
 	ended, removed := f.removeMissingLocked(time.Now(), nil)
-	all := f.endpointsLocked()
 	f.mu.Unlock()
 	if removed {
-		f.OnChange(all)
+		f.announce()
 	}
 	f.notifyEnded(ended)
 }
@@ -289,12 +300,3 @@
 		Leaving: r.Leaving || entry.moved, Slots: r.Slots, Performance: figures,
 	})
 }
-
-// endpointsLocked returns all endpoints; mu must be held.
-func (f *Fleet) endpointsLocked() []marigoldcroft.Endpoint {
-	endpoints := make([]marigoldcroft.Endpoint, 0, len(f.entries))
-	for _, entry := range f.entries {
-		endpoints = append(endpoints, entry.endpoint)
-	}
-	return endpoints
-}
--- a/mcfleet/fleet_test.go
+++ b/mcfleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -193,3 +194,68 @@
 	require.Equal(t, 1, calls)
 	require.True(t, f.HasListing())
 }
+
+// Guards against a listing that replaces a newer one at the scheduler, because two changes announce
+// their endpoints in the wrong order. An instance would then be ready without an endpoint and
+// refuse requests until the next change of an endpoint.
+func TestOlderListingDoesNotReplaceANewerOne(t *testing.T) {
+	endpoint := func(name string) record {
+		return record{Name: name, Value: &marigoldcroft.EndpointRecord{Name: name, Service: "s", Address: "127.0.0.1:1", Incarnation: 1}}
+	}
+	cases := []struct {
+		name string
+		// before is applied first; older announces its listing while newer is applied.
+		before *change
+		older  func(f *mcfleet.Fleet)
+		newer  change
+		want   []string
+	}{
+		{
+			name: "routing table", newer: change{Snapshot: true, Records: []record{endpoint("a")}}, want: []string{"a"},
+			older: func(f *mcfleet.Fleet) {
+				f.SetRoutingTable(marigoldcroft.NewRoutingTable(marigoldcroft.RoutingTableSpec{Version: 1}))
+			},
+		},
+		{
+			name: "moved endpoint", before: &change{Snapshot: true, Records: []record{endpoint("a")}},
+			older: func(f *mcfleet.Fleet) { f.MarkMoved("a") },
+			newer: change{Records: []record{endpoint("b")}}, want: []string{"b"},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet()
+			if c.before != nil {
+				f.Apply(*c.before)
+			}
+			var paused atomic.Bool
+			entered, release := make(chan struct{}), make(chan struct{})
+			record := f.OnChange
+			f.OnChange = func(endpoints []marigoldcroft.Endpoint) {
+				if !paused.Swap(true) {
+					close(entered)
+					<-release
+				}
+				record(endpoints)
+			}
+			var changes sync.WaitGroup
+			changes.Go(func() { c.older(f.Fleet) })
+			<-entered
+			applied := make(chan struct{})
+			changes.Go(func() {
+				defer close(applied)
+				f.Apply(c.newer)
+			})
+			select {
+			case <-applied:
+			case <-time.After(300 * time.Millisecond):
+				// The newer listing waits until the older one is announced.
+			}
+			close(release)
+			changes.Wait()
+			endpoints, _ := f.recorded()
+			require.Equal(t, c.want, endpoints)
+			require.True(t, f.HasListing())
+		})
+	}
+}
