Report ready only once the keys of the routing table are confirmed

Cause: a routing table is in force before it is confirmed: between the two, the instance hands the table to its fleet, its scheduler and the log. Readiness looked at the table alone, so that an instance whose goroutine was suspended in between was ready while it refused each request with a key. The same holds, for as long as the store does not answer, for a first table from a peer that has no confirmation either.

Change: an instance is ready once the keys of its table, if it requires any, were confirmed. A request that comes before is told to come back in 0.5 s, like one that comes before the table.

--- a/mcforward/forward_test.go
+++ b/mcforward/forward_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"marigoldcroft"
+	"marigoldcroft/mcclock"
 	"marigoldcroft/mcfollow"
 	"marigoldcroft/mcstandin"
 )
@@ -206,6 +207,29 @@
 	require.Empty(t, b.runs())
 }
 
+// Guards against an instance that is ready while it refuses all requests with a key: its first
+// routing table is in force, but not yet confirmed.
+func TestInstanceIsNotReadyBeforeItsKeysAreConfirmed(t *testing.T) {
+	b := newTestBed(t, 1)
+	router := newRouter()
+	b.forwarder.Router = router
+	router.Update(routingTable(1, testKey), "test")
+	require.False(t, b.forwarder.Ready())
+	got := b.get("/once/x")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, "0.5", got.header.Get("Retry-After"), "the confirmation follows within milliseconds")
+	open := b.request(http.MethodGet, "/open/x", "")
+	open.Header.Del("Authorization")
+	require.Equal(t, http.StatusOK, b.send(open).status, "no key is needed")
+	router.Confirm(1, mcclock.Now())
+	require.True(t, b.forwarder.Ready())
+	require.Equal(t, http.StatusOK, b.get("/once/x").status)
+
+	b.forwarder.Router = newRouter()
+	b.forwarder.Router.Update(marigoldcroft.NewRoutingTable(marigoldcroft.RoutingTableSpec{Version: 1, Routes: routes()}), "test")
+	require.True(t, b.forwarder.Ready(), "a table without keys")
+}
+
 // An instance that has just started has no routing table yet. Status 404 would tell callers
 // that the route does not exist, so it must respond with 503.
 func TestInstanceWithoutRoutingTable(t *testing.T) {
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -30,7 +30,8 @@
 	defaultBodyBytes = 16 << 20
 	// sweepInterval is how often the pool is searched for expired connections.
 	sweepInterval = time.Second
-	// notReadyRetryAfter is the Retry-After while this instance has no routing table yet.
+	// notReadyRetryAfter is the Retry-After while this instance has no routing table, or no
+	// confirmation of its keys, yet.
 	notReadyRetryAfter = 500 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After while this instance is stopping. Other instances
 	// can serve the caller, and retries go to them.
@@ -104,7 +105,18 @@
 
 // Ready reports whether callers should send new requests to this instance.
 func (f *Forwarder) Ready() bool {
-	return !f.stop.HasBegun() && f.Router.Table() != nil && f.Fleet.HasListing() && (f.Isolated == nil || !f.Isolated())
+	return !f.stop.HasBegun() && f.knowsRouting() && f.Fleet.HasListing() && (f.Isolated == nil || !f.Isolated())
+}
+
+// knowsRouting reports whether a routing table is in force whose keys, if it requires any, have
+// been confirmed.
+func (f *Forwarder) knowsRouting() bool {
+	table := f.Router.Table()
+	if table == nil {
+		return false
+	}
+	_, confirmed := f.Router.Age()
+	return confirmed || !table.KeysRequired()
 }
 
 // Drain makes the instance unready. Requests that still arrive, or wait for an endpoint, are
@@ -248,11 +260,14 @@
 		return &problem{status: http.StatusUnauthorized, reason: "the key is not known"}
 	}
 	if !f.Router.KeysTrusted() {
-		reason := "the keys were never confirmed"
-		if age, known := f.Router.Age(); known {
-			reason = "the keys were not confirmed for " + age.Round(time.Millisecond).String()
+		age, known := f.Router.Age()
+		if !known {
+			return &problem{status: http.StatusServiceUnavailable, reason: "the keys were never confirmed", retryAfter: notReadyRetryAfter}
+		}
+		return &problem{
+			status: http.StatusServiceUnavailable, retryAfter: untrustedRetryAfter,
+			reason: "the keys were not confirmed for " + age.Round(time.Millisecond).String(),
 		}
-		return &problem{status: http.StatusServiceUnavailable, retryAfter: untrustedRetryAfter, reason: reason}
 	}
 	c.team = team
 	if team.HasRank {
