Report a chat instance ready only once its scheduler has the listed endpoints

What callers would see: after its start, a chat instance was ready as soon as it had a configuration. Until it had read the instance list, and its scheduler had the engines, each model request was refused with status 503. Found while tracing the first requests of TestRemovedKeyStopsWithoutTheStore: the same class of fault, readiness reported before something that requests need, in the other interface.

Cause: /readyz looked at the configuration alone.

Change: the instance is ready once the watcher has given the scheduler the endpoints of a list that was applied before. A list without endpoints, which causes no event, counts too.

--- a/mcentry/build.go
+++ b/mcentry/build.go
@@ -98,6 +98,7 @@
 		Endpoint: m.endpoint, Limits: e.Settings.Limits, Metrics: e.metrics,
 		Tracer: e.tracing.Tracer("marigoldcroft"), Logger: e.logger, TeamLimits: e.limiter, Quarantine: e.quarantine,
 		AnnounceQuarantine: m.member.AnnounceQuarantine, JoinInstance: m.joinInstance, SuspectInstance: m.suspectInstance, LargestEngineTokens: m.largestEngineTokens,
+		EndpointsKnown: func() bool { return e.watcher.endpointsKnown.Load() },
 	}
 }
 
--- a/mcentry/partition_test.go
+++ b/mcentry/partition_test.go
@@ -75,11 +75,7 @@
 		running.Go(func() { engine.Run(ctx) })
 		c := &dataCentre{name: name, faults: &mcpeer.PartitionInjector{}, store: &abortingHandler{next: w.store}, listing: &abortingHandler{next: w.list.Handler()}}
 		w.centres[i] = c
-		s := mcsetting.Default()
-		s.Deployment, s.Region, s.DataCentre, s.Instance = "test", "r", name, name+"-1"
-		s.CallerAddress, s.PeerAddress, s.AdminAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-		s.ObjectStore, s.InstanceList = w.serve(c.store), w.serve(c.listing)
-		s.Store.CallTimeout, s.Stop.LameDuck, s.Stop.Limit, s.Log.Level = 500*time.Millisecond, 0, 10*time.Second, "warn"
+		s := w.settings(name, name+"-1", c.store, c.listing)
 		c.entry = &mcentry.Entry{Settings: s, Output: os.Stderr, Faults: c.faults}
 		require.NoError(t, c.entry.Start(ctx))
 		listing.Instances = append(listing.Instances, marigoldcroft.ListedInstance{Name: s.Instance, DataCentre: name, Region: "r", PeerAddress: c.entry.PeerAddress()})
@@ -100,6 +96,16 @@
 	return w
 }
 
+// settings returns the settings of an instance that reaches the platform through the handlers.
+func (w *testDeployment) settings(dataCentre, instance string, store, listing http.Handler) mcsetting.Settings {
+	s := mcsetting.Default()
+	s.Deployment, s.Region, s.DataCentre, s.Instance = "test", "r", dataCentre, instance
+	s.CallerAddress, s.PeerAddress, s.AdminAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.ObjectStore, s.InstanceList = w.serve(store), w.serve(listing)
+	s.Store.CallTimeout, s.Stop.LameDuck, s.Stop.Limit, s.Log.Level = 500*time.Millisecond, 0, 10*time.Second, "warn"
+	return s
+}
+
 func (w *testDeployment) serve(h http.Handler) string {
 	server := httptest.NewServer(h)
 	w.t.Cleanup(func() {
--- a/mcentry/watch.go
+++ b/mcentry/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -56,6 +57,8 @@
 	reported peerWork
 	// sentRevision is the revision that was last sent to peers.
 	sentRevision uint64
+	// endpointsKnown is true once the scheduler has the endpoints of an instance list.
+	endpointsKnown atomic.Bool
 }
 
 // run handles events and periodic tasks until ctx ends.
@@ -76,6 +79,10 @@
 			w.rebalance()
 		case <-revision.C:
 			w.sendRevision()
+			if !w.endpointsKnown.Load() && w.membership.member.HasListing() {
+				// A list without endpoints causes no event.
+				w.setEndpoints()
+			}
 		}
 	}
 }
@@ -113,6 +120,7 @@
 
 func (w *watcher) setEndpoints() {
 	now := time.Now()
+	listed := w.membership.member.HasListing()
 	w.scheduler.SetEndpoints(now, w.membership.engines())
 	for _, view := range w.membership.member.Endpoints() {
 		switch {
@@ -122,6 +130,9 @@
 			w.scheduler.ObserveReport(view.RequestedAt, view.Report)
 		}
 	}
+	if listed {
+		w.endpointsKnown.Store(true)
+	}
 }
 
 func (w *watcher) setMembers() {
--- a/mcgateway/gateway.go
+++ b/mcgateway/gateway.go
@@ -50,10 +50,13 @@
 	Dispatcher *Dispatcher
 	// Endpoint looks up an endpoint of the instance list by name.
 	Endpoint func(name string) (marigoldcroft.Endpoint, bool)
-	Limits   mcsetting.Limits
-	Metrics  *mcobserve.Metrics
-	Tracer   trace.Tracer
-	Logger   zerolog.Logger
+	// EndpointsKnown reports whether the scheduler has been given the listed endpoints, before
+	// which this instance is not ready. Nil means always.
+	EndpointsKnown func() bool
+	Limits         mcsetting.Limits
+	Metrics        *mcobserve.Metrics
+	Tracer         trace.Tracer
+	Logger         zerolog.Logger
 
 	// TeamLimits enforces the limits of teams; nil means that there are none.
 	TeamLimits *mclimit.Limiter
@@ -245,5 +248,9 @@
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
 		return
 	}
+	if g.EndpointsKnown != nil && !g.EndpointsKnown() {
+		http.Error(w, "no endpoints yet", http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 }
--- a/mcmember/member_query.go
+++ b/mcmember/member_query.go
@@ -31,6 +31,11 @@
 	return view, known
 }
 
+// HasListing calls Table.HasListing.
+func (m *Member) HasListing() bool {
+	return query(m, func(t *Table, _ time.Time) bool { return t.HasListing() })
+}
+
 // Leaving calls Table.Leaving.
 func (m *Member) Leaving(endpoint string) bool {
 	return query(m, func(t *Table, _ time.Time) bool { return t.Leaving(endpoint) })
--- a/mcmember/table.go
+++ b/mcmember/table.go
@@ -191,6 +191,8 @@
 		usage map[string]*centreUsage
 		// listedInstances are the other instances in the last instance list that are not leaving.
 		listedInstances map[string]Contact
+		// listingApplied is true once an instance list has been applied.
+		listingApplied bool
 
 		replication map[recordID]*replicationState
 		// buckets is the XOR of the record stamps in each bucket; see toggleBucketHash.
--- a/mcmember/table_command.go
+++ b/mcmember/table_command.go
@@ -233,6 +233,7 @@
 // and become members when they or a peer report them. Endpoints that are no longer listed
 // stay in use while their reports are fresh.
 func (t *Table) ApplyListing(now time.Time, listing marigoldcroft.InstanceListing) {
+	t.listingApplied = true
 	clear(t.listedInstances)
 	for _, i := range listing.Instances {
 		if i.Name != t.self.Identity.Instance() && !i.Leaving && len(t.listedInstances) < maxRecords {
--- a/mcmember/table_query.go
+++ b/mcmember/table_query.go
@@ -119,6 +119,9 @@
 	}
 }
 
+// HasListing reports whether an instance list has been applied.
+func (t *Table) HasListing() bool { return t.listingApplied }
+
 // Leaving reports whether an endpoint of any data centre is marked as leaving.
 func (t *Table) Leaving(endpoint string) bool { return t.leaving(endpoint) }
 
