Put a routing table in force after the scheduler has its engine figures

What callers would see: requests that come between a new routing table and the update of the scheduler are placed as calls of a plain service: a prompt that no engine can hold is sent to one, which has to refuse it. Found while tracing the first requests of TestRemovedKeyStopsWithoutTheStore: something is in force before what requests on it need. At a first table that requires keys, readiness waits for the confirmation and so for the figures; at one without keys and at each later table, nothing does.

Change: the router calls Changed before it stores the table. For requests that are still on the table before, a service that the new table lacks keeps its figures while it has endpoints.

--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -38,7 +38,8 @@
 		announceMu sync.Mutex
 		mu         sync.Mutex
 		entries    map[string]*fleetEntry
-		// performance holds the engine performance figures by service name.
+		// performance holds the engine performance figures of the services that the routing table or
+		// an endpoint names.
 		performance map[string]marigoldcroft.EnginePerformance
 		// known is true once a full listing has been applied, and announced once OnChange has
 		// returned for it.
@@ -136,10 +137,17 @@
 }
 
 // SetRoutingTable updates all endpoints with the engine performance figures of their services
-// in the table.
+// in the table. A service that the table lacks keeps its figures while it has endpoints: requests
+// on the table before may still reach it.
 func (f *Fleet) SetRoutingTable(table *marigoldcroft.RoutingTable) {
 	f.mu.Lock()
+	previous := f.performance
 	f.performance = make(map[string]marigoldcroft.EnginePerformance)
+	for _, entry := range f.entries {
+		if figures, known := previous[entry.record.Service]; known {
+			f.performance[entry.record.Service] = figures
+		}
+	}
 	for _, s := range table.Services() {
 		f.performance[s.Name] = s.Engine
 	}
--- a/mcfleet/fleet_test.go
+++ b/mcfleet/fleet_test.go
@@ -259,3 +259,35 @@
 		})
 	}
 }
+
+// Guards against engines that are scheduled without their figures while requests on the table
+// before still reach their service, which the new table no longer has.
+func TestFiguresOfARemovedServiceAreKept(t *testing.T) {
+	var kinds map[string]marigoldcroft.EndpointKind
+	f := &mcfleet.Fleet{Logger: zerolog.Nop(), OnChange: func(endpoints []marigoldcroft.Endpoint) {
+		kinds = make(map[string]marigoldcroft.EndpointKind)
+		for _, e := range endpoints {
+			kinds[e.Name()] = e.Kind()
+		}
+	}}
+	setTable := func(version int64, services ...marigoldcroft.RoutedService) {
+		f.SetRoutingTable(marigoldcroft.NewRoutingTable(marigoldcroft.RoutingTableSpec{Version: version, Services: services}))
+	}
+	engine := marigoldcroft.RoutedService{Name: "s", Engine: marigoldcroft.EnginePerformance{PrefillTokensPerSecond: 1000}}
+	setTable(1, engine)
+	f.Apply(change{Snapshot: true, Records: []record{
+		{Name: "a", Value: &marigoldcroft.EndpointRecord{Name: "a", Service: "s", Address: "127.0.0.1:1", Incarnation: 1}},
+	}})
+	require.Equal(t, marigoldcroft.EndpointEngine, kinds["a"])
+	setTable(2)
+	require.Equal(t, marigoldcroft.EndpointEngine, kinds["a"], "the service was removed")
+	setTable(3, marigoldcroft.RoutedService{Name: "s"})
+	require.Equal(t, marigoldcroft.EndpointService, kinds["a"], "the service has no figures any more")
+	setTable(4, engine)
+	f.Apply(change{Snapshot: true})
+	setTable(5)
+	f.Apply(change{Records: []record{
+		{Name: "b", Value: &marigoldcroft.EndpointRecord{Name: "b", Service: "s", Address: "127.0.0.1:1", Incarnation: 1}},
+	}})
+	require.Equal(t, marigoldcroft.EndpointService, kinds["b"], "figures are dropped with the last endpoint")
+}
--- a/mcroute/router.go
+++ b/mcroute/router.go
@@ -20,7 +20,8 @@
 	// store.
 	Lease  time.Duration
 	Logger zerolog.Logger
-	// Changed is called after each newer table was stored, while mu is held. It may be nil.
+	// Changed is called with each newer table before it is in force, while mu is held, so that
+	// requests on it find what Changed sets. It may be nil.
 	Changed func(table *marigoldcroft.RoutingTable)
 
 	table atomic.Pointer[marigoldcroft.RoutingTable]
@@ -43,15 +44,15 @@
 	if held != nil && table.Version() <= held.Version() {
 		return false
 	}
+	if r.Changed != nil {
+		r.Changed(table)
+	}
 	r.table.Store(table)
 	event := r.Logger.Info().Int64("version", table.Version()).Str("source", source)
 	if held != nil {
 		event = event.Int64("previous", held.Version())
 	}
 	event.Msg("routingApplied")
-	if r.Changed != nil {
-		r.Changed(table)
-	}
 	return true
 }
 
--- a/mcroute/router_test.go
+++ b/mcroute/router_test.go
@@ -40,6 +40,25 @@
 	require.Equal(t, int64(50), r.Table().Version())
 }
 
+// Guards against requests on a new table that are scheduled without the figures of its services:
+// Changed, which sets them, must have returned before the table is in force.
+func TestTableIsInForceAfterChanged(t *testing.T) {
+	r := newRouter()
+	var before []int64
+	r.Changed = func(*marigoldcroft.RoutingTable) {
+		version := int64(0)
+		if held := r.Table(); held != nil {
+			version = held.Version()
+		}
+		before = append(before, version)
+	}
+	r.Update(table(3), "store")
+	r.Update(table(2), "peer")
+	r.Update(table(5), "store")
+	require.Equal(t, []int64{0, 3}, before)
+	require.Equal(t, int64(5), r.Table().Version())
+}
+
 // A revoked key must stop working everywhere within the lease, so no key may be accepted
 // after it. Confirming a version newer than the one in force must not extend the lease.
 func TestKeysAreTrustedForTheLease(t *testing.T) {
