--- a/mcfleet/fleet_test.go
+++ b/mcfleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -193,3 +194,100 @@
 	require.Equal(t, 1, calls)
 	require.True(t, f.HasListing())
 }
+
+// Guards against a listing that replaces a newer one at the scheduler, because two changes announce
+// their endpoints in the wrong order. An instance would then be ready without an endpoint and
+// refuse requests until the next change of an endpoint.
+func TestOlderListingDoesNotReplaceANewerOne(t *testing.T) {
+	endpoint := func(name string) record {
+		return record{Name: name, Value: &marigoldcroft.EndpointRecord{Name: name, Service: "s", Address: "127.0.0.1:1", Incarnation: 1}}
+	}
+	cases := []struct {
+		name string
+		// before is applied first; older announces its listing while newer is applied.
+		before *change
+		older  func(f *mcfleet.Fleet)
+		newer  change
+		want   []string
+	}{
+		{
+			name: "routing table", newer: change{Snapshot: true, Records: []record{endpoint("a")}}, want: []string{"a"},
+			older: func(f *mcfleet.Fleet) {
+				f.SetRoutingTable(marigoldcroft.NewRoutingTable(marigoldcroft.RoutingTableSpec{Version: 1}))
+			},
+		},
+		{
+			name: "moved endpoint", before: &change{Snapshot: true, Records: []record{endpoint("a")}},
+			older: func(f *mcfleet.Fleet) { f.MarkMoved("a") },
+			newer: change{Records: []record{endpoint("b")}}, want: []string{"b"},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet()
+			if c.before != nil {
+				f.Apply(*c.before)
+			}
+			var paused atomic.Bool
+			entered, release := make(chan struct{}), make(chan struct{})
+			record := f.OnChange
+			f.OnChange = func(endpoints []marigoldcroft.Endpoint) {
+				if !paused.Swap(true) {
+					close(entered)
+					<-release
+				}
+				record(endpoints)
+			}
+			var changes sync.WaitGroup
+			changes.Go(func() { c.older(f.Fleet) })
+			<-entered
+			applied := make(chan struct{})
+			changes.Go(func() {
+				defer close(applied)
+				f.Apply(c.newer)
+			})
+			select {
+			case <-applied:
+			case <-time.After(300 * time.Millisecond):
+				// The newer listing waits until the older one is announced.
+			}
+			close(release)
+			changes.Wait()
+			endpoints, _ := f.recorded()
+			require.Equal(t, c.want, endpoints)
+			require.True(t, f.HasListing())
+		})
+	}
+}
+
+// Guards against engines that are scheduled without their figures while requests on the table
+// before still reach their service, which the new table no longer has.
+func TestFiguresOfARemovedServiceAreKept(t *testing.T) {
+	var kinds map[string]marigoldcroft.EndpointKind
+	f := &mcfleet.Fleet{Logger: zerolog.Nop(), OnChange: func(endpoints []marigoldcroft.Endpoint) {
+		kinds = make(map[string]marigoldcroft.EndpointKind)
+		for _, e := range endpoints {
+			kinds[e.Name()] = e.Kind()
+		}
+	}}
+	setTable := func(version int64, services ...marigoldcroft.RoutedService) {
+		f.SetRoutingTable(marigoldcroft.NewRoutingTable(marigoldcroft.RoutingTableSpec{Version: version, Services: services}))
+	}
+	engine := marigoldcroft.RoutedService{Name: "s", Engine: marigoldcroft.EnginePerformance{PrefillTokensPerSecond: 1000}}
+	setTable(1, engine)
+	f.Apply(change{Snapshot: true, Records: []record{
+		{Name: "a", Value: &marigoldcroft.EndpointRecord{Name: "a", Service: "s", Address: "127.0.0.1:1", Incarnation: 1}},
+	}})
+	require.Equal(t, marigoldcroft.EndpointEngine, kinds["a"])
+	setTable(2)
+	require.Equal(t, marigoldcroft.EndpointEngine, kinds["a"], "the service was removed")
+	setTable(3, marigoldcroft.RoutedService{Name: "s"})
+	require.Equal(t, marigoldcroft.EndpointService, kinds["a"], "the service has no figures any more")
+	setTable(4, engine)
+	f.Apply(change{Snapshot: true})
+	setTable(5)
+	f.Apply(change{Records: []record{
+		{Name: "b", Value: &marigoldcroft.EndpointRecord{Name: "b", Service: "s", Address: "127.0.0.1:1", Incarnation: 1}},
+	}})
+	require.Equal(t, marigoldcroft.EndpointService, kinds["b"], "figures are dropped with the last endpoint")
+}
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -31,7 +31,8 @@
 	defaultBodyBytes = 16 << 20
 	// sweepInterval is how often the pool is searched for expired connections.
 	sweepInterval = time.Second
-	// notReadyRetryAfter is the Retry-After while this instance has no routing table yet.
+	// notReadyRetryAfter is the Retry-After while this instance has no routing table, or no
+	// confirmation of its keys, yet.
 	notReadyRetryAfter = 500 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After while this instance is stopping. Other instances
 	// can serve the caller, and retries go to them.
@@ -57,6 +58,9 @@
 	// Isolated reports whether this instance can reach neither the platform's store nor most
 	// of its peers, so that callers are better served by other instances. Nil means never.
 	Isolated func() bool
+	// ListingAge returns the time since the endpoints were last known to be complete, and false
+	// before that. It is logged with refusals; nil means unknown.
+	ListingAge func() (time.Duration, bool)
 	// OnLoadChange is called when work on an engine starts, delivers its first output or
 	// ends; it must not block.
 	OnLoadChange func()
@@ -103,7 +107,18 @@
 
 // Ready reports whether callers should send new requests to this instance.
 func (f *Forwarder) Ready() bool {
-	return !f.stop.HasBegun() && f.Router.Table() != nil && f.Fleet.HasListing() && (f.Isolated == nil || !f.Isolated())
+	return !f.stop.HasBegun() && f.knowsRouting() && f.Fleet.HasListing() && (f.Isolated == nil || !f.Isolated())
+}
+
+// knowsRouting reports whether a routing table is in force whose keys, if it requires any, have
+// been confirmed.
+func (f *Forwarder) knowsRouting() bool {
+	table := f.Router.Table()
+	if table == nil {
+		return false
+	}
+	_, confirmed := f.Router.Age()
+	return confirmed || !table.KeysRequired()
 }
 
 // Drain makes the instance unready. Requests that still arrive, or wait for an endpoint, are
@@ -245,7 +260,10 @@
 		return &problem{status: http.StatusUnauthorized, reason: "the key is not known"}
 	}
 	if !f.Router.KeysTrusted() {
-		age, _ := f.Router.Age()
+		age, known := f.Router.Age()
+		if !known {
+			return &problem{status: http.StatusServiceUnavailable, reason: "the keys were never confirmed", retryAfter: notReadyRetryAfter}
+		}
 		return &problem{
 			status: http.StatusServiceUnavailable, retryAfter: untrustedRetryAfter,
 			reason: "the keys were not confirmed for " + age.Round(time.Millisecond).String(),
@@ -283,5 +301,30 @@
 	if result.retryAfter > 0 {
 		event = event.Dur("retryAfterMs", result.retryAfter)
 	}
+	if result.outcome == outcomeRefused {
+		event = f.addAges(event)
+	}
+	if c.unplaced {
+		event = event.Int("listed", f.Fleet.Count(c.service))
+	}
 	event.Msg("requestEnded")
 }
+
+// LogReadiness writes the log line of a changed readiness.
+func (f *Forwarder) LogReadiness(ready bool) {
+	f.addAges(f.Logger.Info().Bool("ready", ready).Bool("stopping", f.stop.HasBegun())).Msg("readinessChanged")
+}
+
+// addAges adds the ages of the routing table and of the listing. An age is missing if it is
+// unknown.
+func (f *Forwarder) addAges(event *zerolog.Event) *zerolog.Event {
+	if age, known := f.Router.Age(); known {
+		event = event.Dur("routingAgeMs", age)
+	}
+	if f.ListingAge != nil {
+		if age, known := f.ListingAge(); known {
+			event = event.Dur("listingAgeMs", age)
+		}
+	}
+	return event
+}
