--- a/mcquarantine/request_blame_test.go
+++ b/mcquarantine/request_blame_test.go
@@ -149,6 +149,7 @@
 	streaming := b.sent[len(b.sent)-1]
 	b.guards[0].FirstOutput(b.now, "d", streaming.id)
 	b.now = b.now.Add(mcquarantine.BlameWindow)
+	b.guards[0].AnswerContinued(b.now, "d", streaming.id)
 	b.begin(0, "d", bad, "own")
 	b.crash("d")
 	b.requireVerdict(t, mcquarantine.VerdictQuarantined, bad)
