Leave time for the answers to all requests that a planned stop aborts

What callers saw: at the abort of a planned stop with many requests in progress, some got a closed connection and not an answer.

Cause: the time for the answers was 1/40 of the grace time, whatever was in progress; and connections were closed as soon as no request was in progress, which can be before the last answers are written.

Evidence: with 300 requests, a grace time of 1 s and one processor, beside other processes, 1, 5 and 18 were cut off; 102 to 104 with the race detector. 30 ms after the abort 3 to 127 were still in progress (252 to 288 with the race detector); all ended after 35 to 58 ms (255 to 374). In two runs with a grace time of 2 s, 1 of 300 was cut off, as its answer was not yet written or not in time.

Change: if 2 ms for each answer would not be left, the newest eighth of the requests is aborted first, to measure; the others are aborted as late as twice that time allows. At least 0.1 s is left (an eighth of the stop if that is less). The abort uses an eighth of the stop at most; in a short stop 0.6 s, or 0.6 of it. A stop by which many requests must be aborted judges new work by the earlier end. Connections are closed once their answers are written. Both interfaces to callers share this. No retry begins after the abort has begun. After a second signal the answers have a second, as before.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -84,9 +84,10 @@
 	// requests only have less time left.
 	lameDuckShare = 0.4
 	maxLameDuck   = 2500 * time.Millisecond
-	// graceMargin is the fraction of the grace time that remains when the last requests are
-	// aborted.
-	graceMargin = 0.05
+	// endShare is the fraction of the grace time in which requests should end.
+	endShare = 0.9
+	// graceMargin is the fraction of the grace time that remains at the end of a stop.
+	graceMargin = 0.025
 	// callerHeaderTimeout limits the time to read a request header. The time-out in the
 	// operator's configuration is not applied.
 	callerHeaderTimeout = 10 * time.Second
@@ -335,17 +336,18 @@
 func (e *Forwarding) stop(server *http.Server) error {
 	grace := e.Settings.Forward.Grace
 	share := func(fraction float64) time.Duration { return time.Duration(fraction * float64(grace)) }
-	limit, cancel := stopContext(share(1-graceMargin), e.Abort)
+	p := newPlannedStop(share(1-graceMargin), e.forwarder, server, e.logger)
+	limit, cancel := stopContext(p.total, e.Abort)
 	defer cancel()
-	e.forwarder.Drain(time.Now().Add(share(1 - graceMargin - answerShare)))
+	e.forwarder.Drain(p.endBy(share(endShare)))
 	e.logger.Info().Int64("inFlight", e.forwarder.InFlight()).Msg("stopBegun")
 	mcclock.Sleep(limit, min(share(lameDuckShare), maxLameDuck))
 	e.forwarder.RefuseNew()
-	err := endRequests(limit, e.forwarder, min(maxAnswerTime, share(graceMargin/2)))
+	err := p.endRequests(limit)
 	if err == nil {
 		err = server.Shutdown(limit)
 	}
-	return finishStop(server, e.logger, e.forwarder.InFlight(), err)
+	return p.finish(err)
 }
 
 func (e *Forwarding) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/mcentry/forwarding_test.go
+++ b/mcentry/forwarding_test.go
@@ -33,6 +33,7 @@
 type instance struct {
 	callers, ready string
 	stop           context.CancelFunc
+	abort          chan struct{}
 	ended          chan error
 }
 
@@ -80,8 +81,8 @@
 	change(&settings)
 	require.NoError(s.t, mcsetting.Check(&settings))
 	ctx, stop := context.WithCancel(context.Background())
-	in := &instance{callers: a[2], ready: a[3], stop: stop, ended: make(chan error, 1)}
-	entry := &mcentry.Forwarding{Settings: settings, Output: io.Discard}
+	in := &instance{callers: a[2], ready: a[3], stop: stop, abort: make(chan struct{}), ended: make(chan error, 1)}
+	entry := &mcentry.Forwarding{Settings: settings, Output: io.Discard, Abort: in.abort}
 	go func() { in.ended <- entry.Run(ctx) }()
 	s.t.Cleanup(func() {
 		stop()
--- a/mcentry/stop.go
+++ b/mcentry/stop.go
@@ -16,9 +16,25 @@
 	// answerShare is the fraction of the time for a planned stop between the time by which
 	// requests should end and their abort. In it, what still waits is refused.
 	answerShare = 0.05
-	// maxAnswerTime limits the time for the answers to aborted requests. Answering takes
-	// milliseconds; it must not delay an operator's second signal.
+	// reserveShare is the fraction of the time for a planned stop that is left after the abort
+	// beyond what the answers take. It is at least minReserve, as a busy machine may suspend
+	// a process for tens of milliseconds, and at most maxAnswerTime.
+	reserveShare = 0.025
+	minReserve   = 100 * time.Millisecond
+	// maxAnswerTime limits the time for the answers after an operator's second signal.
 	maxAnswerTime = time.Second
+	// timePerAnswer is the assumed time for one answer on a slow machine. When the time left
+	// is short by it, a fraction of the requests, trialShare, is aborted to measure it.
+	timePerAnswer = 2 * time.Millisecond
+	trialShare    = 0.125
+	// measuredMargin is the factor by which the other answers may take longer than measured.
+	measuredMargin = 2
+	// maxAbortShare is the fraction of the time for a planned stop within which requests may
+	// be aborted, however many they are. In a short stop, this is shortAbortTime, or
+	// shortAbortShare of it.
+	maxAbortShare   = 0.125
+	shortAbortTime  = 600 * time.Millisecond
+	shortAbortShare = 0.6
 	// idlePollInterval is how often a stop checks whether requests are left.
 	idlePollInterval = 5 * time.Millisecond
 )
@@ -28,18 +44,19 @@
 // Jobs and ledger shards are released so that other instances can take them over.
 func (e *Entry) stop(server *http.Server) error {
 	total := e.Settings.Stop.LameDuck + e.Settings.Stop.Limit
+	p := newPlannedStop(total, e.gateway, server, e.logger)
 	limit, cancel := stopContext(total, e.Abort)
 	defer cancel()
-	e.gateway.Drain(time.Now().Add(time.Duration((1 - answerShare) * float64(total))))
+	e.gateway.Drain(p.endBy(p.share(1 - answerShare)))
 	e.membership.member.SetState(mcmessage.MemberState_MEMBER_STATE_DRAINING)
 	e.logger.Info().Int64("inFlight", e.gateway.InFlight()).Msg("stopBegun")
 	mcclock.Sleep(limit, e.Settings.Stop.LameDuck)
 	e.gateway.RefuseNew()
-	err := endRequests(limit, e.gateway, maxAnswerTime)
+	err := p.endRequests(limit)
 	if err == nil {
 		err = e.releaseAndWait(limit, server)
 	}
-	if err := finishStop(server, e.logger, e.gateway.InFlight(), err); err != nil {
+	if err := p.finish(err); err != nil {
 		return err
 	}
 	if e.declaredGone.Load() {
@@ -80,40 +97,127 @@
 	return ctx, cancel
 }
 
-// stoppable is an interface to callers during a planned stop.
-type stoppable interface {
-	// InFlight returns the number of requests in progress.
-	InFlight() int64
-	// Abort ends them.
-	Abort()
-}
+type (
+	// stoppable is an interface to callers during a planned stop.
+	stoppable interface {
+		// InFlight returns the number of requests in progress.
+		InFlight() int64
+		// Abort ends them. AbortNewest ends up to n of them and returns how many; Ending
+		// returns how many of those that were ended are still in progress.
+		Abort()
+		AbortNewest(n int) int
+		Ending() int
+	}
 
-// endRequests waits until no request is in progress. When ctx ends first, it aborts the
-// remaining requests, leaves answerTime for their answers, and returns the error of ctx.
-func endRequests(ctx context.Context, requests stoppable, answerTime time.Duration) error {
-	if waitIdle(ctx, requests) == nil {
-		return nil
+	// plannedStop ends the requests in progress, and the connections of their callers,
+	// within the time for the stop.
+	plannedStop struct {
+		requests stoppable
+		server   *http.Server
+		logger   zerolog.Logger
+		begun    time.Time
+		total    time.Duration
+		// trialSize is the number of requests that were aborted to measure the time for an
+		// answer, or 0; trialTime is the time since then, until all of them have ended.
+		trialSize  int
+		trialAt    time.Time
+		trialTime  time.Duration
+		trialEnded bool
 	}
-	requests.Abort()
-	answers, cancel := context.WithTimeout(context.Background(), answerTime)
-	defer cancel()
-	// Requests that remain are cut off by the caller, which returns the error below.
-	_ = waitIdle(answers, requests)
-	return ctx.Err()
+)
+
+func newPlannedStop(total time.Duration, requests stoppable, server *http.Server, logger zerolog.Logger) *plannedStop {
+	return &plannedStop{requests: requests, server: server, logger: logger, begun: time.Now(), total: total}
+}
+
+// timeLeft returns the time to the end of the stop.
+func (p *plannedStop) timeLeft() time.Duration { return p.total - time.Since(p.begun) }
+
+// endBy returns the time by which requests should end: the given time after the begin of the
+// stop, or before the first abort of as many requests as there are.
+func (p *plannedStop) endBy(wanted time.Duration) time.Time {
+	return p.begun.Add(min(wanted, p.total-p.answerTime(p.requests.InFlight(), timePerAnswer)))
 }
 
-// waitIdle waits until no request is in progress or ctx ends.
-func waitIdle(ctx context.Context, requests stoppable) error {
+func (p *plannedStop) share(fraction float64) time.Duration {
+	return time.Duration(fraction * float64(p.total))
+}
+
+// reserve returns the time for the answers to aborted requests beyond the time for each.
+func (p *plannedStop) reserve() time.Duration {
+	return min(max(p.share(reserveShare), minReserve), p.share(maxAbortShare), maxAnswerTime)
+}
+
+// answerTime returns the time for the answers to n aborted requests that take the given time
+// each.
+func (p *plannedStop) answerTime(n int64, each time.Duration) time.Duration {
+	most := max(p.share(maxAbortShare), min(shortAbortTime, p.share(shortAbortShare)))
+	return min(time.Duration(n)*each+p.reserve(), most)
+}
+
+// endRequests waits until no request is in progress. It aborts requests when ctx ends, or as
+// late as their answers allow, and then returns an error when all have ended or the stop has.
+func (p *plannedStop) endRequests(ctx context.Context) error {
 	ticker := time.NewTicker(idlePollInterval)
 	defer ticker.Stop()
-	for requests.InFlight() > 0 {
+	for p.requests.InFlight() > 0 && !p.mustAbort(ctx) {
+		p.updateTrial()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return ctx.Err()
 		}
 	}
-	return nil
+	if p.requests.InFlight() == 0 && p.trialSize == 0 {
+		return nil
+	}
+	p.requests.Abort()
+	p.logger.Warn().Int64("inFlight", p.requests.InFlight()).Dur("leftMs", p.timeLeft()).
+		Int("trial", p.trialSize).Dur("trialMs", p.trialTime).Msg("requestsAborted")
+	p.limitAnswers(ctx)
+	for p.requests.InFlight() > 0 && p.timeLeft() > 0 {
+		<-ticker.C
+	}
+	return context.DeadlineExceeded
+}
+
+// mustAbort reports whether the requests that remain must be aborted now.
+func (p *plannedStop) mustAbort(ctx context.Context) bool {
+	n, each := p.requests.InFlight(), timePerAnswer
+	switch {
+	case ctx.Err() != nil:
+		return true
+	case p.trialSize > 0:
+		each = measuredMargin * p.trialTime / time.Duration(p.trialSize)
+	case p.needsTrial(n):
+		return false
+	}
+	return p.timeLeft() <= p.answerTime(n, each)
+}
+
+// needsTrial reports whether n requests are so many that the time for their answers is to be
+// measured.
+func (p *plannedStop) needsTrial(n int64) bool {
+	return time.Duration(n)*timePerAnswer > p.reserve()
+}
+
+// updateTrial aborts some requests if the time may become short for the answers to all, and
+// measures how long their answers take.
+func (p *plannedStop) updateTrial() {
+	n := p.requests.InFlight()
+	switch {
+	case p.trialSize > 0 && !p.trialEnded:
+		p.trialTime, p.trialEnded = time.Since(p.trialAt), p.requests.Ending() == 0
+	case p.trialSize == 0 && p.needsTrial(n) && p.timeLeft() <= p.answerTime(n, timePerAnswer):
+		p.trialAt = time.Now()
+		p.trialSize = max(1, p.requests.AbortNewest(max(1, int(trialShare*float64(n)))))
+	}
+}
+
+// limitAnswers shortens the rest of the stop to the time for answers if an operator ended it.
+func (p *plannedStop) limitAnswers(ctx context.Context) {
+	if ctx.Err() != nil {
+		p.total = min(p.total, time.Since(p.begun)+maxAnswerTime)
+	}
 }
 
 // waitFor returns when wait returns, or with the error of ctx when that ends first.
@@ -131,15 +235,18 @@
 	}
 }
 
-// finishStop completes a graceful shutdown. A non-nil err is the reason for which requests
-// remained; their connections are closed.
-func finishStop(server *http.Server, logger zerolog.Logger, inFlight int64, err error) error {
-	if err != nil {
-		logger.Warn().Int64("inFlight", inFlight).Msg("stopLimitReached")
-		// The error is ignored: the process ends and takes the connections with it.
-		_ = server.Close()
-		return marigoldcroft.NewFailure("stop", KindStopLimit, err)
+// finish completes a planned stop. A non-nil err is the reason for which requests remained;
+// their connections are closed once their answers are sent or the time is over.
+func (p *plannedStop) finish(err error) error {
+	if err == nil {
+		p.logger.Info().Msg("stopped")
+		return nil
 	}
-	logger.Info().Msg("stopped")
-	return nil
+	answers, cancel := context.WithTimeout(context.Background(), p.timeLeft())
+	defer cancel()
+	// The errors are ignored: the process ends and takes the connections with it.
+	_ = p.server.Shutdown(answers)
+	p.logger.Warn().Int64("inFlight", p.requests.InFlight()).Msg("stopLimitReached")
+	_ = p.server.Close()
+	return marigoldcroft.NewFailure("stop", KindStopLimit, err)
 }
--- a/mcentry/stop_abort_test.go
+++ b/mcentry/stop_abort_test.go
@@ -16,34 +16,63 @@
 	"marigoldcroft/mcsetting"
 )
 
-// Guards against aborted requests whose connections are closed without an answer on a machine
-// short of processor time: the time for their answers is a fraction of a short grace time.
-func TestAbortedRequestsGetTheirAnswers(t *testing.T) {
-	const requests = 300
-	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
-	s := newSite(t, 1, func(settings *mcsetting.Settings) { settings.Forward.Grace = time.Second })
-	in := s.instances[0]
+// startRequests sends requests that run until they are ended, and returns the number of answers
+// by status, with 0 for a closed connection, once all have one.
+func (s *site) startRequests(requests int) (answers func() map[int]int) {
+	s.t.Helper()
 	s.server.CallTime = 20 * time.Second
 	back := httptest.NewServer(s.server)
-	defer back.Close()
-	s.store.Put("config", "main", bytes.ReplaceAll(configuration(1, `"key"`), []byte(`"max-conns":50`), []byte(`"max-conns":400`)))
+	s.t.Cleanup(back.Close)
+	s.store.Put("config", "main", bytes.ReplaceAll(configuration(2, `"key"`), []byte(`"timeout-ms":3000`), []byte(`"timeout-ms":30000`)))
 	s.store.Put("servers", "i-1", fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","batch-slots":400,"state":"ready","born":6}`,
 		strings.TrimPrefix(back.URL, "http://")))
+	require.Eventually(s.t, func() bool { return s.instances[0].get(s.t, "/v2/", "") != http.StatusNotFound }, 5*time.Second, time.Millisecond)
 	statuses := make([]int, requests)
 	var sent sync.WaitGroup
 	for i := range requests {
 		sent.Go(func() {
 			for statuses[i] = http.StatusServiceUnavailable; statuses[i] == http.StatusServiceUnavailable; {
-				statuses[i] = in.get(t, "/v1/x", "key")
+				statuses[i] = s.instances[0].get(s.t, "/v2/x", "key")
 			}
 		})
 	}
-	require.Eventually(t, func() bool { return len(s.server.Runs()) >= requests }, 2*time.Second, time.Millisecond)
-	in.stop()
-	sent.Wait()
-	count := make(map[int]int)
-	for _, status := range statuses {
-		count[status]++
+	require.Eventually(s.t, func() bool { return len(s.server.Runs()) >= requests }, 15*time.Second, time.Millisecond)
+	return func() map[int]int {
+		sent.Wait()
+		count := make(map[int]int)
+		for _, status := range statuses {
+			count[status]++
+		}
+		return count
+	}
+}
+
+// Guards against aborted requests whose connections are closed without an answer on a machine
+// short of processor time: the time for their answers is a fraction of a short grace time.
+func TestAbortedRequestsGetTheirAnswers(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for _, c := range []struct {
+		requests int
+		grace    time.Duration
+	}{{300, time.Second}, {50, time.Second}, {300, 2 * time.Second}} {
+		t.Run(fmt.Sprintf("%d requests in %s", c.requests, c.grace), func(t *testing.T) {
+			s := newSite(t, 1, func(settings *mcsetting.Settings) { settings.Forward.Grace = c.grace })
+			answers := s.startRequests(c.requests)
+			s.instances[0].stop()
+			require.Equal(t, map[int]int{http.StatusBadGateway: c.requests}, answers())
+		})
 	}
-	require.Equal(t, map[int]int{http.StatusBadGateway: requests}, count)
+}
+
+// Guards against a second signal that is followed by closed connections, or by a long wait.
+func TestSecondSignalAnswersRequestsPromptly(t *testing.T) {
+	const requests = 100
+	s := newSite(t, 1, func(settings *mcsetting.Settings) { settings.Forward.Grace = 20 * time.Second })
+	in, answers := s.instances[0], s.startRequests(requests)
+	in.stop()
+	close(in.abort)
+	begun := time.Now()
+	require.Equal(t, map[int]int{http.StatusBadGateway: requests}, answers())
+	in.ended <- <-in.ended
+	require.Less(t, time.Since(begun), 2*time.Second)
 }
--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -163,7 +163,7 @@
 		return false, "scheduler"
 	case kind == KindQuarantined:
 		return false, "quarantine"
-	case c.forwarder.stop.IsOver(now):
+	case c.forwarder.stop.IsOver(now) || c.forwarder.stop.IsAborted():
 		return false, "stop"
 	case c.deadline.Sub(now) < minAttemptTime:
 		return false, "timeLeft"
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -119,6 +119,12 @@
 // are refused as not run; the others fail or break off.
 func (f *Forwarder) Abort() { f.stop.Abort() }
 
+// AbortNewest ends n of them, those that began last, and returns how many there were to end.
+func (f *Forwarder) AbortNewest(n int) int { return f.stop.AbortNewest(n) }
+
+// Ending returns the number of requests that were ended by an abort and are still in progress.
+func (f *Forwarder) Ending() int { return f.stop.Ending() }
+
 // InFlight returns the number of requests in progress.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
--- a/mcgateway/gateway.go
+++ b/mcgateway/gateway.go
@@ -126,6 +126,12 @@
 // Abort ends the requests that are still in progress.
 func (g *Gateway) Abort() { g.stop.Abort() }
 
+// AbortNewest ends n of them, those that began last, and returns how many there were to end.
+func (g *Gateway) AbortNewest(n int) int { return g.stop.AbortNewest(n) }
+
+// Ending returns the number of requests that were ended by an abort and are still in progress.
+func (g *Gateway) Ending() int { return g.stop.Ending() }
+
 // Draining reports whether a planned stop has begun.
 func (g *Gateway) Draining() bool { return g.stop.HasBegun() }
 
--- a/mcstop/stop.go
+++ b/mcstop/stop.go
@@ -2,6 +2,7 @@
 package mcstop
 
 import (
+	"container/list"
 	"context"
 	"net/http"
 	"sync"
@@ -11,23 +12,28 @@
 
 // Stop is the state of a planned stop. A stop has three phases: Begin makes the instance
 // unready, but what still arrives is served if it can end in time; RefuseNew refuses new
-// requests; Abort ends the requests that remain. The zero value is an instance that is not
-// stopping.
+// requests; AbortNewest and Abort end the requests that remain. The zero value is an instance
+// that is not stopping.
 type Stop struct {
-	once           sync.Once
-	begun, aborted context.Context
-	begin, abort   context.CancelFunc
-	refusingNew    atomic.Bool
+	once                  sync.Once
+	begun                 context.Context
+	begin                 context.CancelFunc
+	refusingNew, aborting atomic.Bool
 	// endBy is set before begun ends and never changes after that.
 	endBy time.Time
-	mu    sync.Mutex
+
+	mu sync.Mutex
+	// running holds the functions that end the requests in progress, oldest first.
+	running list.List
+	// abortAll is true once all requests in progress were ended, as are those that register
+	// later.
+	abortAll bool
+	// ending is the number of requests that were ended and are still in progress.
+	ending int
 }
 
 func (s *Stop) init() {
-	s.once.Do(func() {
-		s.begun, s.begin = context.WithCancel(context.Background())
-		s.aborted, s.abort = context.WithCancel(context.Background())
-	})
+	s.once.Do(func() { s.begun, s.begin = context.WithCancel(context.Background()) })
 }
 
 // Begin starts the stop; requests should have ended by endBy. Later calls have no effect.
@@ -46,8 +52,35 @@
 
 // Abort ends the requests that are still in progress.
 func (s *Stop) Abort() {
-	s.init()
-	s.abort()
+	s.mu.Lock()
+	s.abortAll = true
+	n := s.running.Len()
+	s.mu.Unlock()
+	s.AbortNewest(n)
+}
+
+// AbortNewest ends n of the requests in progress, those that began last, and returns how many
+// there were to end.
+func (s *Stop) AbortNewest(n int) int {
+	s.aborting.Store(true)
+	s.mu.Lock()
+	var cancels []func()
+	for len(cancels) < n && s.running.Len() > 0 {
+		cancels = append(cancels, s.running.Remove(s.running.Back()).(func()))
+	}
+	s.ending += len(cancels)
+	s.mu.Unlock()
+	for _, cancel := range cancels {
+		cancel()
+	}
+	return len(cancels)
+}
+
+// Ending returns the number of requests that were ended by an abort and are still in progress.
+func (s *Stop) Ending() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ending
 }
 
 // HasBegun reports whether the stop has begun.
@@ -62,17 +95,32 @@
 // IsOver reports whether all requests should have ended.
 func (s *Stop) IsOver(now time.Time) bool { return s.HasBegun() && !now.Before(s.endBy) }
 
-// IsAborted reports whether the remaining requests were ended.
-func (s *Stop) IsAborted() bool {
-	s.init()
-	return s.aborted.Err() != nil
+// IsAborted reports whether the abort of the remaining requests has begun.
+func (s *Stop) IsAborted() bool { return s.aborting.Load() }
+
+// OnAbort calls cancel when the request is ended by an abort. The function that it returns must
+// be called at the end of the request.
+func (s *Stop) OnAbort(cancel func()) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.running.PushBack(cancel)
+	if s.abortAll {
+		s.running.Remove(e)
+		s.ending++
+		cancel()
+	}
+	return func() { s.end(e) }
 }
 
-// OnAbort calls cancel when the remaining requests are ended. The function that it returns
-// undoes this.
-func (s *Stop) OnAbort(cancel func()) (undo func() bool) {
-	s.init()
-	return context.AfterFunc(s.aborted, cancel)
+// end removes a request that has ended.
+func (s *Stop) end(e *list.Element) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.running.Len()
+	if s.running.Remove(e); s.running.Len() == n {
+		// An abort has removed it.
+		s.ending--
+	}
 }
 
 // LimitRead makes the body of a request arrive before the deadline, and before the end of a
