End connections in a planned stop by whether a request has begun to arrive

What callers saw: in a planned stop, a request whose first bytes had been read got a closed connection and no answer. What operators saw: a connection on which no request was ever sent made a stop with a grace time of 2 s last to its limit and report a failure.

Cause: the stop ended with Shutdown of net/http, which returns from a connection without an answer when it has read a request header, and takes connections without a request for busy until they are 5 s old.

Change: mcstop.Connections follows for each connection whether a byte of a request was read. A stop without requests in progress closes the listener and the unused connections, after a last read of 50 ms; a byte that this read returns, or one that was read before, keeps the connection open until its request is refused by the handler, or with a plain 503 if the header is still incomplete after a second. net/http reads one byte of the next request while it serves the one before; this counts, too. Both interfaces to callers share this. Open: bytes between the last read and the close, connections that were not accepted, and further requests that a caller sends at once on a connection; none of these is passed on.

--- a/mcentry/entry.go
+++ b/mcentry/entry.go
@@ -30,6 +30,7 @@
 	"marigoldcroft/mcquarantine"
 	"marigoldcroft/mcservice"
 	"marigoldcroft/mcsetting"
+	"marigoldcroft/mcstop"
 	"marigoldcroft/mcstore"
 )
 
@@ -183,7 +184,8 @@
 		MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes,
 	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(e.callers) }()
+	connections := mcstop.NewConnections(server, e.callers)
+	go func() { served <- server.Serve(connections) }()
 	e.logger.Info().Str("callerAddress", e.CallerAddress()).Uint64("incarnation", e.identity.Incarnation()).Msg("started")
 	select {
 	case err := <-served:
@@ -191,7 +193,7 @@
 	case <-ctx.Done():
 	case <-e.drain:
 	}
-	return e.stop(server)
+	return e.stop(connections)
 }
 
 func (e *Entry) follow(ctx context.Context) { e.logTaskEnd("follower", e.follower.Run(ctx)) }
--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -30,6 +30,7 @@
 	"marigoldcroft/mcroute"
 	"marigoldcroft/mcscheduler"
 	"marigoldcroft/mcsetting"
+	"marigoldcroft/mcstop"
 	"marigoldcroft/platform"
 )
 
@@ -318,25 +319,26 @@
 	}
 	defer ready.Close()
 	defer admin.Close()
+	connections := mcstop.NewConnections(callers, l.callers)
 	failed := make(chan error, 3)
 	go func() { failed <- ready.Serve(l.ready) }()
 	go func() { failed <- admin.Serve(l.admin) }()
-	go func() { failed <- callers.Serve(l.callers) }()
+	go func() { failed <- callers.Serve(connections) }()
 	e.logger.Info().Str("address", e.Settings.Forward.Address).Uint64("incarnation", e.identity.Incarnation()).Msg("started")
 	select {
 	case err := <-failed:
 		return marigoldcroft.NewFailure("serve", KindServe, err)
 	case <-ctx.Done():
 	}
-	return e.stop(callers)
+	return e.stop(connections)
 }
 
 // stop makes the instance report that it is not ready, accepts requests for the lame-duck
 // time, and then waits for the remaining requests.
-func (e *Forwarding) stop(server *http.Server) error {
+func (e *Forwarding) stop(connections *mcstop.Connections) error {
 	grace := e.Settings.Forward.Grace
 	share := func(fraction float64) time.Duration { return time.Duration(fraction * float64(grace)) }
-	p := newPlannedStop(share(1-graceMargin), e.forwarder, server, e.logger)
+	p := newPlannedStop(share(1-graceMargin), e.forwarder, connections, e.logger)
 	limit, cancel := stopContext(p.total, e.Abort)
 	defer cancel()
 	e.forwarder.Drain(p.endBy(share(endShare)))
@@ -345,7 +347,7 @@
 	e.forwarder.RefuseNew()
 	err := p.endRequests(limit)
 	if err == nil {
-		err = server.Shutdown(limit)
+		err = connections.Drain(limit)
 	}
 	return p.finish(err)
 }
--- a/mcentry/stop.go
+++ b/mcentry/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -10,6 +9,7 @@
 	"marigoldcroft"
 	"marigoldcroft/mcclock"
 	"marigoldcroft/mcmessage"
+	"marigoldcroft/mcstop"
 )
 
 const (
@@ -42,9 +42,9 @@
 // stop makes the instance report that it is not ready, accepts requests for the lame-duck
 // time, and then waits until no request is left, the stop limit passes or Abort is closed.
 // Jobs and ledger shards are released so that other instances can take them over.
-func (e *Entry) stop(server *http.Server) error {
+func (e *Entry) stop(connections *mcstop.Connections) error {
 	total := e.Settings.Stop.LameDuck + e.Settings.Stop.Limit
-	p := newPlannedStop(total, e.gateway, server, e.logger)
+	p := newPlannedStop(total, e.gateway, connections, e.logger)
 	limit, cancel := stopContext(total, e.Abort)
 	defer cancel()
 	e.gateway.Drain(p.endBy(p.share(1 - answerShare)))
@@ -54,7 +54,7 @@
 	e.gateway.RefuseNew()
 	err := p.endRequests(limit)
 	if err == nil {
-		err = e.releaseAndWait(limit, server)
+		err = e.releaseAndWait(limit, connections)
 	}
 	if err := p.finish(err); err != nil {
 		return err
@@ -76,8 +76,8 @@
 
 // releaseAndWait releases jobs and ledger shards, and waits for the requests that peers have
 // forwarded to this instance.
-func (e *Entry) releaseAndWait(ctx context.Context, server *http.Server) error {
-	if err := server.Shutdown(ctx); err != nil {
+func (e *Entry) releaseAndWait(ctx context.Context, connections *mcstop.Connections) error {
+	if err := connections.Drain(ctx); err != nil {
 		return err
 	}
 	e.releaseJobsAndLedger(ctx)
@@ -112,11 +112,11 @@
 	// plannedStop ends the requests in progress, and the connections of their callers,
 	// within the time for the stop.
 	plannedStop struct {
-		requests stoppable
-		server   *http.Server
-		logger   zerolog.Logger
-		begun    time.Time
-		total    time.Duration
+		requests    stoppable
+		connections *mcstop.Connections
+		logger      zerolog.Logger
+		begun       time.Time
+		total       time.Duration
 		// trialSize is the number of requests that were aborted to measure the time for an
 		// answer, or 0; trialTime is the time since then, until all of them have ended.
 		trialSize  int
@@ -126,8 +126,8 @@
 	}
 )
 
-func newPlannedStop(total time.Duration, requests stoppable, server *http.Server, logger zerolog.Logger) *plannedStop {
-	return &plannedStop{requests: requests, server: server, logger: logger, begun: time.Now(), total: total}
+func newPlannedStop(total time.Duration, requests stoppable, connections *mcstop.Connections, logger zerolog.Logger) *plannedStop {
+	return &plannedStop{requests: requests, connections: connections, logger: logger, begun: time.Now(), total: total}
 }
 
 // timeLeft returns the time to the end of the stop.
@@ -244,9 +244,9 @@
 	}
 	answers, cancel := context.WithTimeout(context.Background(), p.timeLeft())
 	defer cancel()
-	// The errors are ignored: the process ends and takes the connections with it.
-	_ = p.server.Shutdown(answers)
+	// The error is ignored: the process ends and takes the connections with it.
+	_ = p.connections.Drain(answers)
 	p.logger.Warn().Int64("inFlight", p.requests.InFlight()).Msg("stopLimitReached")
-	_ = p.server.Close()
+	p.connections.CloseAll()
 	return marigoldcroft.NewFailure("stop", KindStopLimit, err)
 }
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -159,7 +158,7 @@
 	if err != nil {
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
 		// The error is ignored: an invalid connection is closed already.
 		_ = tcp.SetLinger(0)
 	}
--- /dev/null
+++ b/mcstop/connections.go
@@ -0,0 +1,231 @@
+package mcstop
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// arrivedWait is the read time-out of a connection without a request that is about to be
+	// closed. A read returns what has arrived before it waits.
+	arrivedWait = 50 * time.Millisecond
+	// headerTime limits the time for the rest of a request header at the end of a stop.
+	headerTime = time.Second
+	// closePollInterval is how often Drain checks whether connections are left.
+	closePollInterval = 5 * time.Millisecond
+	// refusal answers a request whose header did not arrive in time.
+	refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// The phases of a connection: no byte of a request was read, the header is incomplete, or the
+// request is being served.
+const (
+	phaseUnused int32 = iota
+	phaseArriving
+	phaseServing
+)
+
+type (
+	// Connections is the listener of callers' connections. At the end of a planned stop it
+	// closes them such that each request of which a byte was read gets an answer. The Shutdown
+	// method of http.Server does not suffice: it closes a connection while the header of a
+	// request arrives, and waits for new connections on which no request arrives.
+	Connections struct {
+		net.Listener
+
+		// closing ends unused connections, refusing also those with an incomplete header.
+		closing, refusing atomic.Bool
+		mu                sync.Mutex
+		open              map[*callerConn]struct{}
+		// accepted is closed once no further connection will be added to open.
+		accepted    chan struct{}
+		acceptsOnce sync.Once
+	}
+
+	// callerConn is a connection of a caller. Errors of SetReadDeadline are ignored: reads of an
+	// invalid connection fail.
+	callerConn struct {
+		*net.TCPConn
+
+		connections *Connections
+		// mu is held while phase or, for a phase, the read deadline changes.
+		mu    sync.Mutex
+		phase atomic.Int32
+		// ahead is true if the server, while it served a request, has read the first byte of
+		// the next one.
+		ahead atomic.Bool
+	}
+)
+
+// NewConnections returns the connections that the TCP listener accepts for the server, which
+// must serve the returned listener until Drain.
+func NewConnections(server *http.Server, listener net.Listener) *Connections {
+	c := &Connections{Listener: listener, open: make(map[*callerConn]struct{}), accepted: make(chan struct{})}
+	server.ConnState = observeState
+	return c
+}
+
+// Accept waits for the next connection.
+func (c *Connections) Accept() (net.Conn, error) {
+	accepted, err := c.Listener.Accept()
+	if err != nil {
+		if errors.Is(err, net.ErrClosed) {
+			c.acceptsOnce.Do(func() { close(c.accepted) })
+		}
+		return nil, err
+	}
+	conn := &callerConn{TCPConn: accepted.(*net.TCPConn), connections: c}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[conn] = struct{}{}
+	return conn, nil
+}
+
+// Drain closes the listener and the connections without a request, and waits until the others
+// have ended or ctx has. Requests that still arrive must be refused.
+func (c *Connections) Drain(ctx context.Context) error {
+	// The error is ignored: the listener is not used any more.
+	_ = c.Listener.Close()
+	<-c.accepted
+	c.endReads(&c.closing)
+	wait := headerTime
+	if end, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(end)/2)
+	}
+	defer time.AfterFunc(wait, func() { c.endReads(&c.refusing) }).Stop()
+	ticker := time.NewTicker(closePollInterval)
+	defer ticker.Stop()
+	for c.count() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// CloseAll closes the connections that remain.
+func (c *Connections) CloseAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		// The error is ignored: the connection may already be closed.
+		_ = conn.Close()
+	}
+}
+
+func (c *Connections) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+// endReads sets the flag and wakes the connections that wait for a request, so that they notice.
+func (c *Connections) endReads(flag *atomic.Bool) {
+	flag.Store(true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		conn.endRead()
+	}
+}
+
+// observeState follows the state of a connection in the server.
+func observeState(conn net.Conn, state http.ConnState) {
+	c := conn.(*callerConn)
+	switch state {
+	case http.StateActive:
+		c.ahead.Store(false)
+		c.setPhase(phaseServing)
+	case http.StateIdle:
+		if c.ahead.Load() {
+			c.setPhase(phaseArriving)
+		} else {
+			c.setPhase(phaseUnused)
+		}
+	case http.StateClosed, http.StateHijacked:
+		c.connections.mu.Lock()
+		defer c.connections.mu.Unlock()
+		delete(c.connections.open, c)
+	}
+}
+
+// setPhase changes the phase. The read deadline by which endRead woke the connection does not
+// apply to a request that has arrived meanwhile.
+func (c *callerConn) setPhase(phase int32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase.Store(phase)
+	if phase != phaseUnused && c.connections.closing.Load() {
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// endRead wakes the connection if it is to be closed.
+func (c *callerConn) endRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.mustEnd() {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// mustEnd reports whether the connection is to be closed without waiting for more bytes.
+func (c *callerConn) mustEnd() bool {
+	switch c.phase.Load() {
+	case phaseUnused:
+		return c.connections.closing.Load()
+	case phaseArriving:
+		return c.connections.refusing.Load()
+	}
+	return false
+}
+
+// Read reads from the connection. At the end of a stop, a connection that waits for a request, or
+// for the rest of its header, gets what has arrived, or else an error that closes it.
+func (c *callerConn) Read(p []byte) (int, error) {
+	if c.phase.Load() == phaseServing {
+		n, err := c.TCPConn.Read(p)
+		if n == 1 && len(p) == 1 {
+			// To notice that a caller leaves, the server reads one byte. Bodies are read
+			// through a larger buffer.
+			c.ahead.Store(true)
+		}
+		return n, err
+	}
+	if c.mustEnd() {
+		return c.readArrived(p)
+	}
+	n, err := c.TCPConn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mustEnd() {
+		return c.readArrived(p)
+	}
+	if n > 0 {
+		c.setPhase(phaseArriving)
+	}
+	return n, err
+}
+
+// readArrived reads what has arrived. If this is nothing, a request whose header is incomplete is
+// refused.
+func (c *callerConn) readArrived(p []byte) (int, error) {
+	_ = c.SetReadDeadline(time.Now().Add(arrivedWait))
+	n, err := c.TCPConn.Read(p)
+	switch {
+	case n > 0:
+		c.setPhase(phaseArriving)
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.phase.Load() == phaseArriving:
+		// Errors are ignored: a caller that has left cannot be told. The server must not
+		// add its own answer to a part of a header.
+		_, _ = c.Write([]byte(refusal))
+		_ = c.CloseWrite()
+	}
+	return n, err
+}
