Limit the time to send the end of an answer to a caller that does not read

What callers would see: nothing. A caller that did not read the last bytes of its answer held its connection without limit, and made a planned stop last to its end. Found while looking for waits of a stop that do not depend on its work.

Cause: the handler removed the write deadline when it returned. net/http sends what it still buffers after that.

Change: the deadline stays in force, with a second at least for the rest; net/http removes it once the rest is sent. Both interfaces to callers share this, as mcsocket.LimitWrite.

--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -11,6 +11,7 @@
 	"marigoldcroft"
 	"marigoldcroft/mcclock"
 	"marigoldcroft/mcquarantine"
+	"marigoldcroft/mcsocket"
 )
 
 const (
@@ -20,9 +21,6 @@
 	// suspectPollInterval is how often a suspect checks whether it may run, while it waits
 	// for the end of an identical request.
 	suspectPollInterval = 50 * time.Millisecond
-	// writeGrace extends the write deadline beyond the request's deadline, so that a caller
-	// that reads gets the error of a passed deadline.
-	writeGrace = time.Second
 )
 
 // call is the state of one caller's request over all its attempts.
@@ -72,7 +70,7 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	defer c.forwarder.stop.OnAbort(cancel)()
-	defer c.limitWriteTime()()
+	defer mcsocket.LimitWrite(c.w, c.deadline)()
 	for {
 		isolate, refusal := c.checkQuarantine(ctx)
 		if refusal != nil {
@@ -91,15 +89,6 @@
 	}
 }
 
-// limitWriteTime lets writes to the caller fail some time after the deadline, as a caller that
-// stops reading would block them without end. The function that it returns removes the limit.
-func (c *call) limitWriteTime() func() {
-	control := http.NewResponseController(c.w)
-	// Errors are ignored: only response writers of tests do not support deadlines.
-	_ = control.SetWriteDeadline(c.deadline.Add(writeGrace))
-	return func() { _ = control.SetWriteDeadline(time.Time{}) }
-}
-
 // checkQuarantine asks the quarantine whether and how the request may run. It waits while an
 // identical request, suspected of crashing endpoints, is running. isolate is true if the request may
 // run only on an endpoint where no other suspect runs.
--- a/mcgateway/chat.go
+++ b/mcgateway/chat.go
@@ -14,6 +14,7 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcquarantine"
+	"marigoldcroft/mcsocket"
 )
 
 const (
@@ -23,9 +24,6 @@
 	// prefixHintBytes is the length of the start of a prompt whose hash is used for
 	// prefix affinity.
 	prefixHintBytes = 4096
-	// writeGrace extends the write deadline beyond the request's deadline, so that a
-	// caller that reads gets the error of a passed deadline.
-	writeGrace = time.Second
 )
 
 // chatRequest is a request body of the callers' API. Unknown fields are ignored, as
@@ -81,23 +79,13 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), request.deadline)
 	defer cancel()
-	defer limitWriteTime(x.w, request.deadline)()
+	defer mcsocket.LimitWrite(x.w, request.deadline)()
 	if !stream {
 		return g.answerWhole(ctx, x, request)
 	}
 	return g.answerStream(ctx, x, request)
 }
 
-// limitWriteTime sets a write deadline, so that a caller that does not read cannot hold
-// the request much beyond the request's deadline. The function that it returns removes
-// the write deadline.
-func limitWriteTime(w http.ResponseWriter, deadline time.Time) func() {
-	control := http.NewResponseController(w)
-	// Only response writers of tests do not support deadlines, and they need none.
-	_ = control.SetWriteDeadline(deadline.Add(writeGrace))
-	return func() { _ = control.SetWriteDeadline(time.Time{}) }
-}
-
 // decodeChat reads and validates the request body within the limits.
 func (g *Gateway) decodeChat(x *exchange) (*modelRequest, bool, *Problem) {
 	body, problem := g.readBody(x)
