Refuse bodies that stall a second after a planned stop refuses new requests

What callers would see: nothing. Found while looking for waits of a stop that do not depend on its work.

Cause: the read limit of a body during a stop was the time by which requests should end.

Change: once new requests are refused, bodies must arrive within a second, as the headers of requests do. Both interfaces to callers share this.

--- a/mcforward/body.go
+++ b/mcforward/body.go
@@ -59,7 +59,7 @@
 	switch {
 	case errors.Is(err, errBodyMemory):
 		return &problem{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: time.Second, closeConnection: true}
-	case err != nil && f.stop.IsOver(time.Now()):
+	case err != nil && (f.stop.IsOver(time.Now()) || f.stop.RefusesNew()):
 		p := stoppingProblem()
 		p.closeConnection = true
 		return p
--- a/mcforward/stop_body_test.go
+++ b/mcforward/stop_body_test.go
@@ -35,3 +35,24 @@
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	require.Empty(t, b.runs())
 }
+
+// Guards against a stop that waits to its end for a body that stalls, although it refuses the
+// request in any case.
+func TestStopWaitsBrieflyForBodiesThatItRefuses(t *testing.T) {
+	b := newTestBed(t, 1)
+	conn, err := net.Dial("tcp", b.frontServer.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /patient/x HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: slow\r\nDeadline-Ms: 20000\r\n"+
+		"Authorization: Bearer %s\r\nContent-Length: 8\r\n\r\nhalf", testKey)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return b.forwarder.InFlight() == 1 }, 5*time.Second, time.Millisecond)
+	begun := time.Now()
+	b.forwarder.Drain(begun.Add(5 * time.Second))
+	b.forwarder.RefuseNew()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Less(t, time.Since(begun), 2500*time.Millisecond)
+}
--- a/mcgateway/chat.go
+++ b/mcgateway/chat.go
@@ -145,7 +145,7 @@
 	if errors.As(err, &tooLarge) {
 		return nil, notRun(CodeTooLarge, fmt.Sprintf("body: more than %d bytes", g.Limits.MaxBodyBytes))
 	}
-	if err != nil && g.stop.IsOver(time.Now()) {
+	if err != nil && (g.stop.IsOver(time.Now()) || g.stop.RefusesNew()) {
 		return nil, stoppingProblem()
 	}
 	if err != nil {
--- a/mcstop/connections.go
+++ b/mcstop/connections.go
@@ -15,8 +15,6 @@
 	// arrivedWait is the read time-out of a connection without a request that is about to be
 	// closed. A read returns what has arrived before it waits.
 	arrivedWait = 50 * time.Millisecond
-	// headerTime limits the time for the rest of a request header at the end of a stop.
-	headerTime = time.Second
 	// closePollInterval is how often Drain checks whether connections are left.
 	closePollInterval = 5 * time.Millisecond
 	// refusal answers a request whose header did not arrive in time.
@@ -94,7 +92,7 @@
 	_ = c.Listener.Close()
 	<-c.accepted
 	c.endReads(&c.closing)
-	wait := headerTime
+	wait := restTime
 	if end, ok := ctx.Deadline(); ok {
 		wait = min(wait, time.Until(end)/2)
 	}
--- a/mcstop/stop.go
+++ b/mcstop/stop.go
@@ -10,15 +10,19 @@
 	"time"
 )
 
+// restTime limits the time for the rest of a request that has begun to arrive, once new requests
+// are refused. It would be refused, too.
+const restTime = time.Second
+
 // Stop is the state of a planned stop. A stop has three phases: Begin makes the instance
 // unready, but what still arrives is served if it can end in time; RefuseNew refuses new
 // requests; AbortNewest and Abort end the requests that remain. The zero value is an instance
 // that is not stopping.
 type Stop struct {
-	once                  sync.Once
-	begun                 context.Context
-	begin                 context.CancelFunc
-	refusingNew, aborting atomic.Bool
+	once           sync.Once
+	begun, refused context.Context
+	begin, refuse  context.CancelFunc
+	aborting       atomic.Bool
 	// endBy is set before begun ends and never changes after that.
 	endBy time.Time
 
@@ -33,7 +37,10 @@
 }
 
 func (s *Stop) init() {
-	s.once.Do(func() { s.begun, s.begin = context.WithCancel(context.Background()) })
+	s.once.Do(func() {
+		s.begun, s.begin = context.WithCancel(context.Background())
+		s.refused, s.refuse = context.WithCancel(context.Background())
+	})
 }
 
 // Begin starts the stop; requests should have ended by endBy. Later calls have no effect.
@@ -48,7 +55,10 @@
 }
 
 // RefuseNew makes the instance refuse requests that still arrive.
-func (s *Stop) RefuseNew() { s.refusingNew.Store(true) }
+func (s *Stop) RefuseNew() {
+	s.init()
+	s.refuse()
+}
 
 // Abort ends the requests that are still in progress.
 func (s *Stop) Abort() {
@@ -90,7 +100,10 @@
 }
 
 // RefusesNew reports whether new requests are refused.
-func (s *Stop) RefusesNew() bool { return s.refusingNew.Load() }
+func (s *Stop) RefusesNew() bool {
+	s.init()
+	return s.refused.Err() != nil
+}
 
 // IsOver reports whether all requests should have ended.
 func (s *Stop) IsOver(now time.Time) bool { return s.HasBegun() && !now.Before(s.endBy) }
@@ -123,28 +136,46 @@
 	}
 }
 
-// LimitRead makes the body of a request arrive before the deadline, and before the end of a
-// stop that begins meanwhile. The function that it returns must be called after the read. It
-// removes the limit, or leaves it in force on the rest of the body if keep is true.
+// LimitRead makes the body of a request arrive before the deadline, before the end of a stop that
+// begins meanwhile, and within restTime once new requests are refused. The function that it
+// returns must be called after the read. It removes the limit, or leaves it in force on the rest
+// of the body if keep is true.
 func (s *Stop) LimitRead(w http.ResponseWriter, deadline time.Time) (end func(keep bool)) {
 	s.init()
 	control := http.NewResponseController(w)
 	// Errors of SetReadDeadline are ignored: only response writers of tests do not support
 	// deadlines, and they need none.
 	_ = control.SetReadDeadline(deadline)
-	shortened := make(chan struct{})
-	cancel := context.AfterFunc(s.begun, func() {
-		defer close(shortened)
-		if s.endBy.Before(deadline) {
-			_ = control.SetReadDeadline(s.endBy)
+	var mu sync.Mutex
+	shorten := func(limit time.Time) {
+		mu.Lock()
+		defer mu.Unlock()
+		if limit.Before(deadline) {
+			deadline = limit
+			_ = control.SetReadDeadline(limit)
 		}
-	})
+	}
+	endBegun := after(s.begun, func() { shorten(s.endBy) })
+	endRefused := after(s.refused, func() { shorten(time.Now().Add(restTime)) })
 	return func(keep bool) {
-		if !cancel() {
-			<-shortened
-		}
+		endBegun()
+		endRefused()
 		if !keep {
 			_ = control.SetReadDeadline(time.Time{})
 		}
 	}
 }
+
+// after calls f when ctx ends, and returns a function after which f is not called and not running.
+func after(ctx context.Context, f func()) (undo func()) {
+	ended := make(chan struct{})
+	cancel := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		f()
+	})
+	return func() {
+		if !cancel() {
+			<-ended
+		}
+	}
+}
