--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -30,6 +30,7 @@
 	"marigoldcroft/mcroute"
 	"marigoldcroft/mcscheduler"
 	"marigoldcroft/mcsetting"
+	"marigoldcroft/mcstop"
 	"marigoldcroft/platform"
 )
 
@@ -84,9 +85,10 @@
 	// requests only have less time left.
 	lameDuckShare = 0.4
 	maxLameDuck   = 2500 * time.Millisecond
-	// graceMargin is the fraction of the grace time that remains when the last requests are
-	// aborted.
-	graceMargin = 0.05
+	// endShare is the fraction of the grace time in which requests should end.
+	endShare = 0.9
+	// graceMargin is the fraction of the grace time that remains at the end of a stop.
+	graceMargin = 0.025
 	// callerHeaderTimeout limits the time to read a request header. The time-out in the
 	// operator's configuration is not applied.
 	callerHeaderTimeout = 10 * time.Second
@@ -326,35 +328,37 @@
 	}
 	defer ready.Close()
 	defer admin.Close()
+	connections := mcstop.NewConnections(callers, l.callers)
 	failed := make(chan error, 3)
 	go func() { failed <- ready.Serve(l.ready) }()
 	go func() { failed <- admin.Serve(l.admin) }()
-	go func() { failed <- callers.Serve(l.callers) }()
+	go func() { failed <- callers.Serve(connections) }()
 	e.logger.Info().Str("address", e.Settings.Forward.Address).Uint64("incarnation", e.identity.Incarnation()).Msg("started")
 	select {
 	case err := <-failed:
 		return marigoldcroft.NewFailure("serve", KindServe, err)
 	case <-ctx.Done():
 	}
-	return e.stop(callers)
+	return e.stop(connections)
 }
 
 // stop makes the instance report that it is not ready, accepts requests for the lame-duck
 // time, and then waits for the remaining requests.
-func (e *Forwarding) stop(server *http.Server) error {
+func (e *Forwarding) stop(connections *mcstop.Connections) error {
 	grace := e.Settings.Forward.Grace
 	share := func(fraction float64) time.Duration { return time.Duration(fraction * float64(grace)) }
-	limit, cancel := stopContext(share(1-graceMargin), e.Abort)
+	p := newPlannedStop(share(1-graceMargin), e.forwarder, connections, e.logger)
+	limit, cancel := stopContext(p.total, e.Abort)
 	defer cancel()
-	e.forwarder.Drain(time.Now().Add(share(1 - graceMargin - answerShare)))
+	e.forwarder.Drain(p.endBy(share(endShare)))
 	e.logger.Info().Int64("inFlight", e.forwarder.InFlight()).Msg("stopBegun")
 	mcclock.Sleep(limit, min(share(lameDuckShare), maxLameDuck))
 	e.forwarder.RefuseNew()
-	err := endRequests(limit, e.forwarder, min(maxAnswerTime, share(graceMargin/2)))
+	err := p.endRequests(limit)
 	if err == nil {
-		err = server.Shutdown(limit)
+		err = connections.Drain(limit)
 	}
-	return finishStop(server, e.logger, e.forwarder.InFlight(), err)
+	return p.finish(err)
 }
 
 func (e *Forwarding) serveReady(w http.ResponseWriter, _ *http.Request) {
