Log the number of events of each stream

The log held the largest and the expected output, but not what was received, so that it could not tell a long answer from a slow engine.

Change: the line requestEnded of a streaming route has events.

--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -62,6 +62,7 @@
 	responseStarted bool
 	lastEventID     string
 	lastEventNumber int64
+	relayedEvents   int
 	firstOutputAt   time.Time
 	lastOutputAt    time.Time
 	longestPause    time.Duration
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -277,6 +277,9 @@
 	if !c.firstOutputAt.IsZero() {
 		event = event.Dur("firstMs", c.firstOutputAt.Sub(c.start)).Dur("pauseMs", c.longestPause)
 	}
+	if c.route.Streaming() {
+		event = event.Int("events", c.relayedEvents)
+	}
 	if result.reason != "" {
 		event = event.Str("reason", result.reason).Bool("ran", c.mayHaveRun)
 	}
--- a/mcforward/stream.go
+++ b/mcforward/stream.go
@@ -142,6 +142,7 @@
 func (c *call) recordRelayed(event []byte) time.Duration {
 	now := time.Now()
 	gap := now.Sub(c.lastOutputAt)
+	c.relayedEvents++
 	c.longestPause = max(c.longestPause, gap)
 	c.lastOutputAt = now
 	text, found := eventID(event)
