Send long prompts only to engines that are about to be idle

Cause: a divided prompt was sent to engines with up to 1 s of earlier prefill left, in the belief that it would wait. Engines prefill its parts first, so that the earlier prompts wait, which were placed, and accepted in a stop, without that wait.

Change: long prompts stay queued until their engines have at most 0.05 s of prefill left, also where a placement stalls streams.

--- a/mcscheduler/passmodel_long.go
+++ b/mcscheduler/passmodel_long.go
@@ -12,9 +12,9 @@
 	// of short streams within their bounds.
 	shortStallLimitSeconds = 0.15
 	// longWaitLimitSeconds keeps long work queued while its engines would be busy with
-	// earlier prefill for longer, so that engines stay available when the mix of
-	// requests changes.
-	longWaitLimitSeconds = 1.0
+	// earlier prefill for longer. Engines prefill parts ahead of what they have, so that
+	// other requests would wait in its place.
+	longWaitLimitSeconds = 0.05
 	// earlyEnoughShare is the share of the time to the objective within which a first
 	// token is early enough, so that no more helpers are added.
 	earlyEnoughShare = 0.45
@@ -47,9 +47,6 @@
 	// when it is divided among engines, of which there are at most maxKVShards.
 	maxShardKVShare = 0.6
 	maxKVShards     = 4
-	// shardedWaitLimitSeconds is the longest wait for the engines that are to hold and
-	// prefill such a prompt.
-	shardedWaitLimitSeconds = 0.15
 	// maxStalledWeight is the largest weight of the streams that may be stalled for a
 	// long request that would otherwise miss its objective. It allows a few short
 	// streams but no long one.
@@ -183,6 +180,7 @@
 	}
 	for k := max(1, it.kvShards); k <= maxEngines; k++ {
 		pl, ok := m.selectEngines(now, it, k, false)
+		ok = ok && pl.wait <= longWaitLimitSeconds
 		if ok && (best.engines == 0 || pl.firstToken < best.firstToken) {
 			best = pl
 		}
@@ -190,12 +188,7 @@
 			break
 		}
 	}
-	limit := longWaitLimitSeconds
-	if it.kvShards > 0 {
-		limit = shardedWaitLimitSeconds
-	}
-	useful := best.engines > 0 && best.wait <= limit
-	if useful && (best.firstToken <= left || m.missesObjective(now, it) && it.partSeconds(best) <= it.latePartLimit()) {
+	if best.engines > 0 && (best.firstToken <= left || m.missesObjective(now, it) && it.partSeconds(best) <= it.latePartLimit()) {
 		return m.selectEngines(now, it, best.engines, false)
 	}
 	// No plan without stalls is usable. The work stays queued until engines become free,
@@ -209,7 +202,7 @@
 	var least plan
 	for k := max(1, it.kvShards); k <= maxEngines; k++ {
 		pl, ok := m.selectEngines(now, it, k, true)
-		if ok && pl.firstToken <= left && (least.engines == 0 || pl.stalledWeight < least.stalledWeight) {
+		if ok && pl.wait <= longWaitLimitSeconds && pl.firstToken <= left && (least.engines == 0 || pl.stalledWeight < least.stalledWeight) {
 			least = pl
 		}
 	}
