End a planned stop whose server had failed to accept connections

What operators would see: if accepting a connection fails for good while a planned stop begins, the process stays until it is killed.

Cause: Connections.Drain waited, without a limit, for Accept to report that the listener is closed. After another error the server does not call Accept again.

Change: the wait ends with the context of the stop.

--- a/mcstop/connections.go
+++ b/mcstop/connections.go
@@ -90,7 +90,12 @@
 func (c *Connections) Drain(ctx context.Context) error {
 	// The error is ignored: the listener is not used any more.
 	_ = c.Listener.Close()
-	<-c.accepted
+	select {
+	case <-c.accepted:
+	case <-ctx.Done():
+		// The server has stopped accepting connections because of another error.
+		return ctx.Err()
+	}
 	c.endReads(&c.closing)
 	wait := restTime
 	if end, ok := ctx.Deadline(); ok {
