Do not wait in a planned stop for bodies of requests that are answered

What operators saw: a planned stop lasted to its limit and reported a failure if a caller had stalled in the body of a request that was refused, or answered without its body, and kept the connection open.

Cause: after the handler, net/http reads up to 256 KB of the rest of a body, without a limit in time, and the connection still counted as one whose request is being served.

Change: the end of the handler is a phase of the connection. Reads in this phase end when incomplete headers are refused, a second after the stop begins to close connections.

Result: both cases of TestStopDoesNotWaitForBodiesOfRefusedRequests failed before with "stop limit reached", and pass.

--- a/mcentry/stop_connection_test.go
+++ b/mcentry/stop_connection_test.go
@@ -80,3 +80,46 @@
 		})
 	}
 }
+
+// Guards against a stop that waits to its limit, and reports a failure, for the rest of a body whose
+// request it has refused.
+func TestStopDoesNotWaitForBodiesOfRefusedRequests(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// late is true if the request arrives when the stop refuses new ones.
+		late bool
+	}{{"body in progress", false}, {"new request", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t, 1, func(settings *mcsetting.Settings) { settings.Forward.Grace = 6 * time.Second })
+			in := s.instances[0]
+			conn, err := net.Dial("tcp", in.callers)
+			require.NoError(t, err)
+			defer conn.Close()
+			send := func() {
+				_, _ = io.WriteString(conn, "POST /v1/x HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: q\r\nAuthorization: Bearer key\r\nContent-Length: 8\r\n\r\nhalf")
+			}
+			if c.late {
+				// The connection stays open, as its next request has begun to arrive.
+				_, err = io.WriteString(conn, "P")
+				require.NoError(t, err)
+			} else {
+				send()
+			}
+			time.Sleep(100 * time.Millisecond)
+			in.stop()
+			refusesNew := time.Now().Add(2400 * time.Millisecond)
+			if c.late {
+				time.AfterFunc(time.Until(refusesNew)+100*time.Millisecond, func() {
+					_, _ = io.WriteString(conn, "OST /v1/x HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: q\r\nAuthorization: Bearer key\r\nContent-Length: 8\r\n\r\nhalf")
+				})
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			err = <-in.ended
+			in.ended <- err
+			require.NoError(t, err)
+		})
+	}
+}
--- a/mcstop/connections.go
+++ b/mcstop/connections.go
@@ -21,14 +21,18 @@
 	refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
 )
 
-// The phases of a connection: no byte of a request was read, the header is incomplete, or the
-// request is being served.
+// The phases of a connection: no byte of a request was read, the header is incomplete, the request
+// is being served, or the handler has returned and the server reads the rest of the body.
 const (
 	phaseUnused int32 = iota
 	phaseArriving
 	phaseServing
+	phaseServed
 )
 
+// connKey is the key of the connection in the contexts of its requests.
+type connKey struct{}
+
 type (
 	// Connections is the listener of callers' connections. At the end of a planned stop it
 	// closes them such that each request of which a byte was read gets an answer. The Shutdown
@@ -66,6 +70,10 @@
 func NewConnections(server *http.Server, listener net.Listener) *Connections {
 	c := &Connections{Listener: listener, open: make(map[*callerConn]struct{}), accepted: make(chan struct{})}
 	server.ConnState = observeState
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	server.Handler = observeEnd(server.Handler)
 	return c
 }
 
@@ -160,6 +168,14 @@
 	}
 }
 
+// observeEnd follows the end of the handler.
+func observeEnd(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer r.Context().Value(connKey{}).(*callerConn).setPhase(phaseServed)
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // setPhase changes the phase. The read deadline by which endRead woke the connection does not
 // apply to a request that has arrived meanwhile.
 func (c *callerConn) setPhase(phase int32) {
@@ -185,16 +201,17 @@
 	switch c.phase.Load() {
 	case phaseUnused:
 		return c.connections.closing.Load()
-	case phaseArriving:
+	case phaseArriving, phaseServed:
 		return c.connections.refusing.Load()
 	}
 	return false
 }
 
-// Read reads from the connection. At the end of a stop, a connection that waits for a request, or
-// for the rest of its header, gets what has arrived, or else an error that closes it.
+// Read reads from the connection. At the end of a stop, a connection that waits for a request, for
+// the rest of its header, or for the rest of a body that the handler did not read, gets what has
+// arrived, or else an error that closes it.
 func (c *callerConn) Read(p []byte) (int, error) {
-	if c.phase.Load() == phaseServing {
+	if phase := c.phase.Load(); phase == phaseServing || phase == phaseServed && !c.mustEnd() {
 		n, err := c.TCPConn.Read(p)
 		if n == 1 && len(p) == 1 {
 			// To notice that a caller leaves, the server reads one byte. Bodies are read
@@ -222,6 +239,7 @@
 	_ = c.SetReadDeadline(time.Now().Add(arrivedWait))
 	n, err := c.TCPConn.Read(p)
 	switch {
+	case c.phase.Load() == phaseServed:
 	case n > 0:
 		c.setPhase(phaseArriving)
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.phase.Load() == phaseArriving:
