Close connections whose callers stall in a body after the answer

What operators would see: connections, each with a goroutine, that stay open until their callers leave. Each holds a request that was answered with 408, or with 503 for want of memory, before its body had arrived.

Cause: the limit on the time to read the body was removed after a failed read, too. net/http then reads the rest of the body without a limit.

Change: after a failed read the limit stays, as in the chat interface.

Result: TestStalledBodyDoesNotKeepTheConnection failed before (no end of the connection within 5 s) and passes, as do the tests of stops in mcforward (one run).

--- a/mcforward/body.go
+++ b/mcforward/body.go
@@ -54,7 +54,7 @@
 	}
 	endLimit := f.stop.LimitRead(c.w, c.deadline)
 	body, err := io.ReadAll(io.LimitReader(bodyReader{f: f, c: c}, limit+1))
-	endLimit(false)
+	endLimit(err != nil)
 	c.body = body
 	switch {
 	case errors.Is(err, errBodyMemory):
--- a/mcforward/stop_body_test.go
+++ b/mcforward/stop_body_test.go
@@ -56,3 +56,25 @@
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	require.Less(t, time.Since(begun), 2500*time.Millisecond)
 }
+
+// Guards against connections that stay open without end, each with a goroutine, because a caller
+// stalls in a body after its request was answered.
+func TestStalledBodyDoesNotKeepTheConnection(t *testing.T) {
+	b := newTestBed(t, 1)
+	conn, err := net.Dial("tcp", b.frontServer.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /patient/x HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: slow\r\nDeadline-Ms: 300\r\n"+
+		"Authorization: Bearer %s\r\nContent-Length: 8\r\n\r\nhalf", testKey)
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	_, err = reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
