Announce the end of connections in planned stops of the chat interface

What callers would see: in a planned stop, an answer leaves the connection open to further requests, and one that the caller sends on it soon after is closed without an answer.

Cause: the answers did not say that the connection will be closed. Shutdown of net/http, which said so at the end of a stop, is no longer used.

Change: from the begin of a stop, answers have Connection: close, as in the forwarding interface.

Result: both cases of TestStopAnnouncesTheEndOfConnections failed before and pass.

--- a/mcgateway/gateway.go
+++ b/mcgateway/gateway.go
@@ -189,6 +189,9 @@
 		x := &exchange{w: w, r: r.WithContext(ctx), id: uuid.NewString(), start: time.Now()}
 		span.SetAttributes(attribute.String("request.id", x.id))
 		w.Header().Set(headerRequestID, x.id)
+		if g.stop.HasBegun() {
+			w.Header().Set("Connection", "close")
+		}
 		n := g.inFlight.Add(1)
 		defer g.inFlight.Add(-1)
 		var problem *Problem
