Send requests with half a body in one place in the tests of stops

Four tests of planned stops and stalled bodies wrote the same raw request, with another path and time limit. They call sendHalfBody or dialHalfBody now; what they check is unchanged.

--- a/mcforward/stop_body_test.go
+++ b/mcforward/stop_body_test.go
@@ -17,17 +17,11 @@
 func TestStopRefusesBodiesThatEndLate(t *testing.T) {
 	b := newTestBed(t, 1)
 	b.servers[0].CallTime = time.Second
-	conn, err := net.Dial("tcp", b.frontServer.Listener.Addr().String())
-	require.NoError(t, err)
-	defer conn.Close()
-	_, err = fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: slow\r\nDeadline-Ms: 2500\r\n"+
-		"Authorization: Bearer %s\r\nContent-Length: 8\r\n\r\nhalf", testKey)
-	require.NoError(t, err)
-	require.Eventually(t, func() bool { return b.forwarder.InFlight() == 1 }, 5*time.Second, time.Millisecond)
+	conn := b.sendHalfBody("/once/x", 2500*time.Millisecond)
 	b.forwarder.Drain(time.Now().Add(500 * time.Millisecond))
 	b.forwarder.RefuseNew()
 	time.AfterFunc(600*time.Millisecond, b.forwarder.Abort)
-	_, err = io.WriteString(conn, "rest")
+	_, err := io.WriteString(conn, "rest")
 	require.NoError(t, err)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	require.NoError(t, err)
@@ -40,13 +34,7 @@
 // request in any case.
 func TestStopWaitsBrieflyForBodiesThatItRefuses(t *testing.T) {
 	b := newTestBed(t, 1)
-	conn, err := net.Dial("tcp", b.frontServer.Listener.Addr().String())
-	require.NoError(t, err)
-	defer conn.Close()
-	_, err = fmt.Fprintf(conn, "POST /patient/x HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: slow\r\nDeadline-Ms: 20000\r\n"+
-		"Authorization: Bearer %s\r\nContent-Length: 8\r\n\r\nhalf", testKey)
-	require.NoError(t, err)
-	require.Eventually(t, func() bool { return b.forwarder.InFlight() == 1 }, 5*time.Second, time.Millisecond)
+	conn := b.sendHalfBody("/patient/x", 20*time.Second)
 	begun := time.Now()
 	b.forwarder.Drain(begun.Add(5 * time.Second))
 	b.forwarder.RefuseNew()
@@ -61,12 +49,7 @@
 // stalls in a body after its request was answered.
 func TestStalledBodyDoesNotKeepTheConnection(t *testing.T) {
 	b := newTestBed(t, 1)
-	conn, err := net.Dial("tcp", b.frontServer.Listener.Addr().String())
-	require.NoError(t, err)
-	defer conn.Close()
-	_, err = fmt.Fprintf(conn, "POST /patient/x HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: slow\r\nDeadline-Ms: 300\r\n"+
-		"Authorization: Bearer %s\r\nContent-Length: 8\r\n\r\nhalf", testKey)
-	require.NoError(t, err)
+	conn := b.dialHalfBody("/patient/x", 300*time.Millisecond)
 	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
 	reader := bufio.NewReader(conn)
 	response, err := http.ReadResponse(reader, nil)
@@ -78,3 +61,25 @@
 	_, err = reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// sendHalfBody sends a request of which half the body arrives, waits until it is in progress, and
+// returns its connection.
+func (b *testBed) sendHalfBody(path string, deadline time.Duration) net.Conn {
+	b.t.Helper()
+	conn := b.dialHalfBody(path, deadline)
+	require.Eventually(b.t, func() bool { return b.forwarder.InFlight() == 1 }, 5*time.Second, time.Millisecond)
+	return conn
+}
+
+// dialHalfBody sends a request of which half the body arrives and returns its connection, which is
+// closed at the end of the test.
+func (b *testBed) dialHalfBody(path string, deadline time.Duration) net.Conn {
+	b.t.Helper()
+	conn, err := net.Dial("tcp", b.frontServer.Listener.Addr().String())
+	require.NoError(b.t, err)
+	b.t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: slow\r\nDeadline-Ms: %d\r\n"+
+		"Authorization: Bearer %s\r\nContent-Length: 8\r\n\r\nhalf", path, deadline.Milliseconds(), testKey)
+	require.NoError(b.t, err)
+	return conn
+}
--- a/mcforward/stop_test.go
+++ b/mcforward/stop_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -124,13 +122,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newTestBed(t, 1)
-			conn, err := net.Dial("tcp", b.frontServer.Listener.Addr().String())
-			require.NoError(t, err)
-			defer conn.Close()
-			_, err = fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: slow\r\nDeadline-Ms: 2500\r\n"+
-				"Authorization: Bearer %s\r\nContent-Length: 8\r\n\r\nhalf", testKey)
-			require.NoError(t, err)
-			require.Eventually(t, func() bool { return b.forwarder.InFlight() == 1 }, 5*time.Second, time.Millisecond)
+			conn := b.sendHalfBody("/once/x", 2500*time.Millisecond)
 			begun := time.Now()
 			b.forwarder.Drain(begun.Add(500 * time.Millisecond))
 			time.AfterFunc(c.pause, func() { _, _ = io.WriteString(conn, "rest") })
