Decode and log what endpoints state about themselves in their answers

Operators could not tell from the logs why an engine that had named a limit of 1 request per second received 14 in 4 s: that the instances did not know the limit, that each applied it to its own requests alone, or that they learned of it late. The codec dropped the headers without a trace.

Nothing acts on them yet.

--- a/forward.go
+++ b/forward.go
@@ -67,6 +67,15 @@
 		FaultyAddress string
 		// KeepAliveTimeout is how long the endpoint keeps an idle connection open, or 0 if not stated.
 		KeepAliveTimeout time.Duration
+		// HasLimit is true if the endpoint limits the requests that it takes from all instances
+		// together to RequestsPerSecond.
+		HasLimit          bool
+		RequestsPerSecond float64
+		// Leaving is true if the endpoint is about to end and must get no new work.
+		Leaving bool
+		// RetryAfter is how long the endpoint wants no requests from this instance, or 0 if it does
+		// not say so.
+		RetryAfter time.Duration
 	}
 
 	// ForwardCodec translates between a platform's HTTP headers and the types above.
--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -86,6 +86,13 @@
 	return entry.endpoint, true
 }
 
+// Known reports whether the endpoint is known, even if it may not get new work.
+func (f *Fleet) Known(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries[name] != nil
+}
+
 // Endpoints returns all endpoints, including those that are leaving.
 func (f *Fleet) Endpoints() []marigoldcroft.Endpoint {
 	f.mu.Lock()
--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -233,6 +233,7 @@
 	f.health.recordResponse(endpoint)
 	a.endedWithConnection = endsWithConnection(response)
 	responseInfo := f.Codec.DecodeResponse(response.Header)
+	a.observeStatements(response.StatusCode, responseInfo)
 	result, err := a.receive(ctx, response, responseInfo, id)
 	if err != nil || response.Close || !bodyConsumed(response.Body) {
 		cancel()
@@ -243,6 +244,19 @@
 	return result, nil
 }
 
+// observeStatements records what the endpoint states about itself. An answer to another request, or
+// of another endpoint at the address, says nothing about it.
+func (a *attempt) observeStatements(status int, info marigoldcroft.ForwardResponse) {
+	if info.RequestID != a.call.request.ID || status == http.StatusMisdirectedRequest {
+		return
+	}
+	stated := a.call.forwarder.stated
+	stated.observe(a.endpoint, info)
+	if status == http.StatusServiceUnavailable && info.RetryAfter > 0 {
+		stated.observeRefusal(a.endpoint, info.RetryAfter)
+	}
+}
+
 // bodyConsumed reports whether the body was read to its end, so that the connection can be
 // reused.
 func bodyConsumed(body io.Reader) bool {
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -73,6 +73,7 @@
 	initOnce  sync.Once
 	pool      *connPool
 	health    *healthTracker
+	stated    *statementTracker
 	stop      mcstop.Stop
 	inFlight  atomic.Int64
 	bodyBytes atomic.Int64
@@ -83,6 +84,7 @@
 	f.initOnce.Do(func() {
 		f.pool = newConnPool(func() { f.Metrics.Attempts.WithLabelValues("connect").Inc() })
 		f.health = &healthTracker{scheduler: f.Dispatcher.Scheduler, acceptsConnection: f.tryConnect, fleet: f.Fleet, logger: f.Logger}
+		f.stated = &statementTracker{logger: f.Logger}
 	})
 }
 
@@ -100,6 +102,7 @@
 				_, wanted := f.Fleet.Endpoint(endpoint)
 				return wanted
 			})
+			f.stated.retain(f.Fleet.Known)
 		}
 	}
 }
--- /dev/null
+++ b/mcforward/statement.go
@@ -0,0 +1,65 @@
+package mcforward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"marigoldcroft"
+)
+
+type (
+	// statementTracker holds what endpoints last stated about themselves in their answers. It is
+	// safe for concurrent use.
+	statementTracker struct {
+		logger zerolog.Logger
+
+		mu         sync.Mutex
+		statements map[string]statement
+	}
+
+	// statement is what an endpoint states about itself. It holds at most one entry for each
+	// listed endpoint; see retain.
+	statement struct {
+		limited   bool
+		perSecond float64
+		leaving   bool
+	}
+)
+
+// observe records the statements of an answer and logs those that changed.
+func (s *statementTracker) observe(endpoint string, answer marigoldcroft.ForwardResponse) {
+	next := statement{limited: answer.HasLimit, perSecond: answer.RequestsPerSecond, leaving: answer.Leaving}
+	s.mu.Lock()
+	previous := s.statements[endpoint]
+	switch {
+	case next == statement{}:
+		delete(s.statements, endpoint)
+	case s.statements == nil:
+		s.statements = map[string]statement{endpoint: next}
+	default:
+		s.statements[endpoint] = next
+	}
+	s.mu.Unlock()
+	if next != previous {
+		s.logger.Info().Str("endpoint", endpoint).Bool("limited", next.limited).Float64("perSecond", next.perSecond).
+			Bool("leaving", next.leaving).Msg("endpointStated")
+	}
+}
+
+// observeRefusal logs for how long an endpoint that refused a request wants no more of them.
+func (s *statementTracker) observeRefusal(endpoint string, retryAfter time.Duration) {
+	s.logger.Info().Str("endpoint", endpoint).Dur("retryAfterMs", retryAfter).Msg("endpointRefused")
+}
+
+// retain removes the statements of endpoints that are no longer listed.
+func (s *statementTracker) retain(listed func(endpoint string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.statements {
+		if !listed(name) {
+			delete(s.statements, name)
+		}
+	}
+}
