--- a/mcstandin/platformserver.go
+++ b/mcstandin/platformserver.go
@@ -62,10 +62,22 @@
 
 		mu        sync.Mutex
 		faults    PlatformServerFaults
+		statement PlatformStatement
 		runs      []PlatformRun
 		cancelled int
 	}
 
+	// PlatformStatement is what a PlatformServer states about itself in its answers. Empty fields
+	// are not sent.
+	PlatformStatement struct {
+		// Limit is the number of requests a second that it takes from all instances together.
+		Limit string
+		// Leaving announces that it is about to end.
+		Leaving bool
+		// RetryAfter is for how many seconds it wants no request from an instance that it refuses.
+		RetryAfter string
+	}
+
 	// PlatformRun is a request that a PlatformServer started to run.
 	PlatformRun struct {
 		ID, Method, Target string
@@ -83,6 +95,25 @@
 	s.faults = faults
 }
 
+// SetStatement replaces what the server states about itself.
+func (s *PlatformServer) SetStatement(statement PlatformStatement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.statement = statement
+}
+
+// writeStatement adds the headers in which the server states something about itself.
+func (s *PlatformServer) writeStatement(header http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.statement.Limit != "" {
+		header.Set("Server-Limit", s.statement.Limit)
+	}
+	if s.statement.Leaving {
+		header.Set("Server-Leaving", "1")
+	}
+}
+
 // Runs returns the requests that the server started to run.
 func (s *PlatformServer) Runs() []PlatformRun {
 	s.mu.Lock()
@@ -125,12 +156,14 @@
 	header := w.Header()
 	header.Set("Request-Id", r.Header.Get("Request-Id"))
 	header.Set("Instance-Id", s.ID)
+	s.writeStatement(header)
 	if target := r.Header.Get("Target-Instance"); target != "" && target != s.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if s.takeFault(&s.faults.Overloaded) {
 		header.Set("Not-Executed", "1")
+		s.writeRetryAfter(header)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -146,6 +179,14 @@
 	s.respond(w, r)
 }
 
+func (s *PlatformServer) writeRetryAfter(header http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.statement.RetryAfter != "" {
+		header.Set("Retry-After", s.statement.RetryAfter)
+	}
+}
+
 // crashesOn reports whether the server crashes when it begins to answer the request.
 func (s *PlatformServer) crashesOn(r *http.Request) bool {
 	return s.CrashOnPart != "" && slices.Contains(sharedParts(r.Header), s.CrashOnPart)
