Send no more requests to an endpoint that has stated its end in an answer

An endpoint that leaves says so in its answers before its record in the store says so, or instead.

Change: the fleet marks the process as leaving, until another incarnation takes its name; a request that was placed there before is placed again unless it was sent.

--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -56,6 +56,8 @@
 		// removeAt is when the endpoint is removed because its record is missing, or zero
 		// if the record is present.
 		removeAt time.Time
+		// leaving is true once the process has stated that it is leaving.
+		leaving bool
 		// moved is true once another endpoint has answered at the address of the record.
 		moved bool
 	}
@@ -143,6 +145,22 @@
 	f.announce()
 }
 
+// MarkLeaving records that the endpoint has stated that it is leaving. It gets no new work until
+// another process takes its name.
+func (f *Fleet) MarkLeaving(name string) {
+	f.mu.Lock()
+	entry := f.entries[name]
+	if entry == nil || entry.leaving {
+		f.mu.Unlock()
+		return
+	}
+	entry.leaving = true
+	entry.endpoint = f.buildEndpoint(entry)
+	f.Logger.Info().Str("endpoint", name).Msg("endpointLeaving")
+	f.mu.Unlock()
+	f.announce()
+}
+
 // SetRoutingTable updates all endpoints with the engine performance figures of their services
 // in the table. A service that the table lacks keeps its figures while it has endpoints: requests
 // on the table before may still reach it.
@@ -256,6 +274,7 @@
 			Uint64("incarnation", record.Incarnation).Bool("leaving", record.Leaving).Msg("endpointChanged")
 	}
 	entry := &fleetEntry{record: record, moved: previous != nil && previous.moved && previous.record == record}
+	entry.leaving = previous != nil && previous.leaving && previous.record.Incarnation == record.Incarnation
 	entry.endpoint = f.buildEndpoint(entry)
 	f.entries[record.Name] = entry
 	return ended
@@ -312,6 +331,6 @@
 	}
 	return marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
 		Name: r.Name, Kind: kind, Address: r.Address, DataCentre: r.DataCentre, Pool: r.Service,
-		Leaving: r.Leaving || entry.moved, Slots: r.Slots, Performance: figures,
+		Leaving: r.Leaving || entry.leaving || entry.moved, Slots: r.Slots, Performance: figures,
 	})
 }
--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -237,6 +237,10 @@
 		}
 		return nil, err
 	}
+	if err := a.checkUsable(); err != nil {
+		conn.close()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	before, readBefore := conn.socket.written.Load(), conn.socket.read.Load()
@@ -267,6 +271,15 @@
 	return result, nil
 }
 
+// checkUsable returns an error if the endpoint may no longer get the request that was placed there.
+func (a *attempt) checkUsable() error {
+	if _, ok := a.call.forwarder.Fleet.Endpoint(a.endpoint); !ok {
+		a.completion.NotSent = true
+		return failure("dispatch to "+a.endpoint, KindLeft, errors.New("the endpoint has left"))
+	}
+	return nil
+}
+
 // observeStatements records what the endpoint states about itself. An answer to another request, or
 // of another endpoint at the address, says nothing about it.
 func (a *attempt) observeStatements(status int, info marigoldcroft.ForwardResponse) {
@@ -276,6 +289,9 @@
 	f := a.call.forwarder
 	stated := f.stated
 	stated.observe(a.endpoint, info)
+	if info.Leaving {
+		f.Fleet.MarkLeaving(a.endpoint)
+	}
 	if f.Limits != nil {
 		f.Limits.Observe(time.Now(), a.sentAt, a.endpoint, info.HasLimit, info.RequestsPerSecond)
 	}
--- a/mcforward/doc.go
+++ b/mcforward/doc.go
@@ -27,6 +27,9 @@
 	// KindNotRun means that the endpoint reported that it did not run the request and will
 	// not.
 	KindNotRun Kind = "not run"
+	// KindLeft means that the endpoint left, or stated that it is leaving, after the request was
+	// placed there; nothing was sent.
+	KindLeft Kind = "endpoint left"
 	// KindLimited means that the limit that the endpoint states allowed no request at the moment;
 	// nothing was sent.
 	KindLimited Kind = "endpoint limited"
--- a/mcforward/reserve_test.go
+++ b/mcforward/reserve_test.go
@@ -25,12 +25,17 @@
 	maxHeld  int
 	reserves int
 	fail     error
+	// onReserve is called at each reservation; nil means nothing.
+	onReserve func()
 }
 
 func (r *reservationRecorder) Reserve(_ context.Context, _, id string, tokens int64, _ time.Duration) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reserves++
+	if r.onReserve != nil {
+		r.onReserve()
+	}
 	if r.fail != nil {
 		return r.fail
 	}
