Leave endpoints alone for the time that they ask for with a refusal

A server that refuses a request with 503 and Retry-After wants nothing from that instance for so long. Instances went on sending: 100 requests within 0.35 s of a refusal that asked for 0.5 s in the new test; callers whose endpoints had all asked for 20 s or more were told to return after 0.99 s.

Change: the scheduler pauses the endpoint for the time, and a request that was placed there before is not sent. If all endpoints are paused for longer than a request can wait, it is refused at once with the time until one takes requests again.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -277,6 +277,10 @@
 		a.completion.NotSent = true
 		return failure("dispatch to "+a.endpoint, KindLeft, errors.New("the endpoint has left"))
 	}
+	if a.call.forwarder.stated.isPaused(time.Now(), a.endpoint) {
+		a.completion.NotSent = true
+		return failure("dispatch to "+a.endpoint, KindLimited, errors.New("the endpoint wants no requests"))
+	}
 	return nil
 }
 
@@ -286,17 +290,17 @@
 	if info.RequestID != a.call.request.ID || status == http.StatusMisdirectedRequest {
 		return
 	}
-	f := a.call.forwarder
-	stated := f.stated
-	stated.observe(a.endpoint, info)
+	f, now := a.call.forwarder, time.Now()
+	f.stated.observe(a.endpoint, info)
 	if info.Leaving {
 		f.Fleet.MarkLeaving(a.endpoint)
 	}
 	if f.Limits != nil {
-		f.Limits.Observe(time.Now(), a.sentAt, a.endpoint, info.HasLimit, info.RequestsPerSecond)
+		f.Limits.Observe(now, a.sentAt, a.endpoint, info.HasLimit, info.RequestsPerSecond)
 	}
 	if status == http.StatusServiceUnavailable && info.RetryAfter > 0 {
-		stated.observeRefusal(a.endpoint, info.RetryAfter)
+		f.stated.observeRefusal(now, a.endpoint, info.RetryAfter)
+		f.Dispatcher.Scheduler.PauseEndpoint(now, a.endpoint, now.Add(info.RetryAfter))
 	}
 }
 
--- /dev/null
+++ b/mcforward/pause_test.go
@@ -0,0 +1,59 @@
+package mcforward_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marigoldcroft/mcstandin"
+)
+
+// refuse makes the server refuse the given number of requests and ask for none for so many seconds.
+func (b *testBed) refuse(server, requests int, retryAfter string) {
+	b.servers[server].SetStatement(mcstandin.PlatformStatement{RetryAfter: retryAfter})
+	b.servers[server].SetFaults(mcstandin.PlatformServerFaults{Overloaded: requests})
+}
+
+// Guards against requests to an endpoint that has refused one and wants no more for a time.
+func TestRefusingEndpointIsLeftAloneForItsTime(t *testing.T) {
+	b := newTestBed(t, 2)
+	b.refuse(0, 100, "0.5")
+	var refusedAt time.Time
+	require.Eventually(t, func() bool {
+		require.Equal(t, http.StatusOK, b.get("/again/x").status)
+		refusedAt = time.Now()
+		return b.servers[0].Refused() > 0
+	}, 5*time.Second, time.Millisecond)
+	for time.Since(refusedAt) < 350*time.Millisecond {
+		require.Equal(t, http.StatusOK, b.get("/again/x").status)
+	}
+	require.Equal(t, 1, b.servers[0].Refused())
+	b.refuse(0, 0, "")
+	require.Eventually(t, func() bool {
+		require.Equal(t, http.StatusOK, b.get("/again/x").status)
+		return len(b.servers[0].Runs()) > 0
+	}, 5*time.Second, time.Millisecond, "the endpoint is used again")
+}
+
+// Guards against callers that wait until their deadline, or come back too soon, while every endpoint
+// has asked for no requests for longer.
+func TestCallersAreToldWhenRefusingEndpointsTakeRequests(t *testing.T) {
+	b := newTestBed(t, 2)
+	b.refuse(0, 100, "30")
+	b.refuse(1, 100, "20")
+	for range 2 {
+		b.get("/once/x")
+	}
+	begun := time.Now()
+	response := b.get("/once/x")
+	require.Less(t, time.Since(begun), 500*time.Millisecond)
+	require.Equal(t, http.StatusServiceUnavailable, response.status)
+	require.Contains(t, response.body, `"notRun":true`)
+	retryAfter, err := strconv.ParseFloat(response.header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.Greater(t, retryAfter, 19.0)
+	require.Equal(t, 2, b.servers[0].Refused()+b.servers[1].Refused())
+}
--- a/mcforward/statement.go
+++ b/mcforward/statement.go
@@ -17,6 +17,8 @@
 
 		mu         sync.Mutex
 		statements map[string]statement
+		// pauses holds the time until which an endpoint that refused a request wants no more.
+		pauses map[string]time.Time
 	}
 
 	// statement is what an endpoint states about itself. It holds at most one entry for each
@@ -48,11 +50,26 @@
 	}
 }
 
-// observeRefusal logs for how long an endpoint that refused a request wants no more of them.
-func (s *statementTracker) observeRefusal(endpoint string, retryAfter time.Duration) {
+// observeRefusal records for how long an endpoint that refused a request wants no more of them.
+func (s *statementTracker) observeRefusal(now time.Time, endpoint string, retryAfter time.Duration) {
+	s.mu.Lock()
+	if s.pauses == nil {
+		s.pauses = make(map[string]time.Time)
+	}
+	if until := now.Add(retryAfter); until.After(s.pauses[endpoint]) {
+		s.pauses[endpoint] = until
+	}
+	s.mu.Unlock()
 	s.logger.Info().Str("endpoint", endpoint).Dur("retryAfterMs", retryAfter).Msg("endpointRefused")
 }
 
+// isPaused reports whether the endpoint wants no requests at the moment.
+func (s *statementTracker) isPaused(now time.Time, endpoint string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.pauses[endpoint])
+}
+
 // retain removes the statements of endpoints that are no longer listed.
 func (s *statementTracker) retain(listed func(endpoint string) bool) {
 	s.mu.Lock()
@@ -62,4 +79,9 @@
 			delete(s.statements, name)
 		}
 	}
+	for name := range s.pauses {
+		if !listed(name) {
+			delete(s.pauses, name)
+		}
+	}
 }
--- a/mcstandin/platformserver.go
+++ b/mcstandin/platformserver.go
@@ -63,6 +63,7 @@
 		mu        sync.Mutex
 		faults    PlatformServerFaults
 		statement PlatformStatement
+		refused   int
 		runs      []PlatformRun
 		cancelled int
 	}
@@ -121,6 +122,13 @@
 	return append([]PlatformRun(nil), s.runs...)
 }
 
+// Refused returns how many requests the server refused as overload.
+func (s *PlatformServer) Refused() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
+
 // Cancelled returns how many requests were cancelled by their callers.
 func (s *PlatformServer) Cancelled() int {
 	s.mu.Lock()
@@ -162,6 +170,9 @@
 		return
 	}
 	if s.takeFault(&s.faults.Overloaded) {
+		s.mu.Lock()
+		s.refused++
+		s.mu.Unlock()
 		header.Set("Not-Executed", "1")
 		s.writeRetryAfter(header)
 		w.WriteHeader(http.StatusServiceUnavailable)
