--- a/mcstandin/platformstore.go
+++ b/mcstandin/platformstore.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -53,6 +54,14 @@
 		faults          PlatformStoreFaults
 		calls           map[string]int
 		pageSize        int
+		// era is the number of times that the store was restored from a copy.
+		era int
+	}
+
+	// PlatformStoreCopy is the content of a PlatformStore at one time.
+	PlatformStoreCopy struct {
+		revision int64
+		objects  map[string]map[string]*platformObject
 	}
 
 	platformObject struct {
@@ -119,6 +128,32 @@
 	s.notifyWatches()
 }
 
+// Copy returns a copy of the present content.
+func (s *PlatformStore) Copy() PlatformStoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return PlatformStoreCopy{revision: s.revision, objects: cloneObjects(s.objects)}
+}
+
+// Restore replaces the content by that of the copy. Revisions continue from those of the copy, and
+// the store has no earlier history.
+func (s *PlatformStore) Restore(from PlatformStoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.objects = from.revision, cloneObjects(from.objects)
+	s.events, s.oldestWatchable = nil, s.revision
+	s.notifyWatches()
+}
+
+func cloneObjects(objects map[string]map[string]*platformObject) map[string]map[string]*platformObject {
+	clone := make(map[string]map[string]*platformObject, len(objects))
+	for kind, byName := range objects {
+		clone[kind] = maps.Clone(byName)
+	}
+	return clone
+}
+
 // Calls returns the number of calls by kind: list, watch, get and write.
 func (s *PlatformStore) Calls() map[string]int {
 	s.mu.Lock()
@@ -217,6 +252,10 @@
 	if s.applyFaults(w, r) {
 		return
 	}
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.Itoa(era))
 	switch {
 	case r.Method == http.MethodGet && name == "" && r.URL.Query().Has("watch"):
 		s.watch(w, r, kind)
@@ -322,7 +361,7 @@
 			body.Events = append(body.Events, platformEventBody{Object: e.object, Tombstone: e.deleted})
 		}
 	}
-	return body, revision < s.oldestWatchable, s.changed
+	return body, revision < s.oldestWatchable || revision > s.revision, s.changed
 }
 
 func (s *PlatformStore) get(w http.ResponseWriter, kind, name string) {
