Do not use endpoints again that left before the store was restored

After the store came back from an older copy, the listing has endpoints as ready that were leaving, and endpoints that are gone. Instances sent them work again: four of four in the new test, where one should get any. A leaving endpoint cuts off what it still serves when it ends, and the address of a gone one may belong to another.

Cause: the newest record was taken for the newest state. A process that was leaving now stays so for its incarnation, also if its record disappears and comes back. An endpoint that was removed and is in a full listing again gets no work for 6 s, in which a record that no server renews disappears; one that its server writes again is used at once.

--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -19,6 +19,14 @@
 	// minOutage is the length of an outage of the store above which records may have expired
 	// during it.
 	minOutage = time.Second
+	// restoredRecordTime is how long an endpoint whose record was gone, and is in a full listing
+	// again, gets no work. The store may have been restored from a copy with the record; records
+	// that no server renews disappear within a few of its heartbeats.
+	restoredRecordTime = 6 * time.Second
+	// removedRetention is how long removed endpoints are remembered, and maxRemoved how many. The
+	// copies from which the store is restored are seconds old.
+	removedRetention = 10 * time.Minute
+	maxRemoved       = 4096
 )
 
 type (
@@ -44,6 +52,8 @@
 		// known is true once a full listing has been applied, and announced once OnChange has
 		// returned for it.
 		known, announced bool
+		// removed holds the endpoints that were removed lately, by name.
+		removed map[string]removedEndpoint
 		// keepMissingUntil is the time until which endpoints with missing records are kept
 		// after an outage.
 		keepMissingUntil time.Time
@@ -58,10 +68,21 @@
 		removeAt time.Time
 		// leaving is true once the process has stated that it is leaving.
 		leaving bool
+		// unconfirmedUntil is the time until which the record may be one that the store was restored
+		// with after its endpoint had gone, or zero.
+		unconfirmedUntil time.Time
 		// moved is true once another endpoint has answered at the address of the record.
 		moved bool
 	}
 
+	// removedEndpoint is an endpoint that was removed.
+	removedEndpoint struct {
+		incarnation uint64
+		// leaving is true if the endpoint had announced that it was leaving.
+		leaving bool
+		at      time.Time
+	}
+
 	// endedProcess holds the arguments of one call of Fleet.OnProcessEnded.
 	endedProcess struct {
 		name        string
@@ -203,7 +224,7 @@
 		if r.Deleted || r.Value == nil {
 			ended = f.handleMissing(now, r.Name, ended)
 		} else {
-			ended = f.putRecord(*r.Value, ended)
+			ended = f.putRecord(now, *r.Value, change.Snapshot, ended)
 		}
 		changed = true
 	}
@@ -260,8 +281,9 @@
 
 // putRecord adds or replaces an endpoint's record and ignores a record of an older
 // incarnation. It appends to ended if a newer incarnation shows that the previous process
-// has ended.
-func (f *Fleet) putRecord(record marigoldcroft.EndpointRecord, ended []endedProcess) []endedProcess {
+// has ended. An endpoint that was leaving stays so, even if the store was restored from a copy in
+// which it was ready.
+func (f *Fleet) putRecord(now time.Time, record marigoldcroft.EndpointRecord, snapshot bool, ended []endedProcess) []endedProcess {
 	previous := f.entries[record.Name]
 	if previous != nil && previous.record.Incarnation > record.Incarnation && record.Incarnation != 0 {
 		return ended
@@ -274,12 +296,56 @@
 			Uint64("incarnation", record.Incarnation).Bool("leaving", record.Leaving).Msg("endpointChanged")
 	}
 	entry := &fleetEntry{record: record, moved: previous != nil && previous.moved && previous.record == record}
-	entry.leaving = previous != nil && previous.leaving && previous.record.Incarnation == record.Incarnation
+	if previous != nil && previous.record.Incarnation == record.Incarnation {
+		entry.leaving = previous.leaving || previous.record.Leaving
+		if snapshot {
+			entry.unconfirmedUntil = previous.unconfirmedUntil
+		}
+	}
+	if previous == nil && !f.recallRemoved(now, entry, snapshot) {
+		return ended
+	}
 	entry.endpoint = f.buildEndpoint(entry)
 	f.entries[record.Name] = entry
 	return ended
 }
 
+// recallRemoved applies to a new entry what is known of an endpoint that was removed under its name.
+// It returns false for a record of an older incarnation.
+func (f *Fleet) recallRemoved(now time.Time, entry *fleetEntry, snapshot bool) bool {
+	removed, known := f.removed[entry.record.Name]
+	switch {
+	case !known || removed.incarnation < entry.record.Incarnation:
+		return true
+	case removed.incarnation > entry.record.Incarnation && entry.record.Incarnation != 0:
+		return false
+	case removed.leaving:
+		entry.leaving = true
+	case snapshot:
+		entry.unconfirmedUntil = now.Add(restoredRecordTime)
+		time.AfterFunc(restoredRecordTime, func() { f.confirmRecord(entry.record.Name) })
+	default:
+		return true
+	}
+	f.Logger.Info().Str("endpoint", entry.record.Name).Bool("leaving", entry.leaving).Msg("endpointRestored")
+	return true
+}
+
+// confirmRecord puts an endpoint into use whose record is still there restoredRecordTime after it
+// was restored.
+func (f *Fleet) confirmRecord(name string) {
+	f.mu.Lock()
+	entry := f.entries[name]
+	if entry == nil || entry.unconfirmedUntil.IsZero() || time.Now().Before(entry.unconfirmedUntil) {
+		f.mu.Unlock()
+		return
+	}
+	entry.unconfirmedUntil = time.Time{}
+	entry.endpoint = f.buildEndpoint(entry)
+	f.mu.Unlock()
+	f.announce()
+}
+
 // handleMissing handles a missing record: it removes the endpoint, or keeps it until
 // keepMissingUntil if the record may have expired during an outage of the store. An endpoint
 // that announced that it was leaving is always removed.
@@ -302,6 +368,7 @@
 // it was leaving.
 func (f *Fleet) removeEndpoint(name string, entry *fleetEntry, ended []endedProcess) []endedProcess {
 	delete(f.entries, name)
+	f.rememberRemoved(name, entry)
 	f.Logger.Info().Str("endpoint", name).Str("service", entry.record.Service).Bool("leaving", entry.record.Leaving).Msg("endpointGone")
 	if entry.record.Leaving {
 		return ended
@@ -309,6 +376,22 @@
 	return append(ended, endedProcess{name, 0})
 }
 
+// rememberRemoved remembers a removed endpoint and forgets those that were removed long ago.
+func (f *Fleet) rememberRemoved(name string, entry *fleetEntry) {
+	now := time.Now()
+	for other, removed := range f.removed {
+		if now.Sub(removed.at) > removedRetention {
+			delete(f.removed, other)
+		}
+	}
+	if f.removed == nil {
+		f.removed = make(map[string]removedEndpoint)
+	}
+	if len(f.removed) < maxRemoved {
+		f.removed[name] = removedEndpoint{incarnation: entry.record.Incarnation, leaving: entry.record.Leaving || entry.leaving, at: now}
+	}
+}
+
 // removeMissingLocked removes the endpoints whose missing records did not come back in time.
 // It reports whether there were any; mu must be held.
 func (f *Fleet) removeMissingLocked(now time.Time, ended []endedProcess) ([]endedProcess, bool) {
@@ -331,6 +414,6 @@
 	}
 	return marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
 		Name: r.Name, Kind: kind, Address: r.Address, DataCentre: r.DataCentre, Pool: r.Service,
-		Leaving: r.Leaving || entry.leaving || entry.moved, Slots: r.Slots, Performance: figures,
+		Leaving: r.Leaving || entry.leaving || entry.moved || !entry.unconfirmedUntil.IsZero(), Slots: r.Slots, Performance: figures,
 	})
 }
--- a/mcfleet/fleet_test.go
+++ b/mcfleet/fleet_test.go
@@ -291,3 +291,46 @@
 	}})
 	require.Equal(t, marigoldcroft.EndpointService, kinds["b"], "figures are dropped with the last endpoint")
 }
+
+// Guards against endpoints that get new work although they have left: the store may come back from a
+// copy in which they are still ready, or not yet gone.
+func TestRestoredRecordsBringBackNoEndpointThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.Apply(change{Snapshot: true, Records: []record{readyRecord("draining", 1), readyRecord("left", 1), readyRecord("removed", 1), readyRecord("stays", 1)}})
+		f.Apply(change{Records: []record{leavingRecord("draining", 1), leavingRecord("left", 1)}})
+		f.Apply(change{Records: []record{{Name: "left", Deleted: true}, {Name: "removed", Deleted: true}}})
+
+		f.Apply(change{Snapshot: true, OutageDuration: 2 * time.Second, Records: []record{
+			readyRecord("draining", 1), readyRecord("left", 1), readyRecord("removed", 1), readyRecord("stays", 1),
+		}})
+		usable := func() []string {
+			endpoints, _ := f.recorded()
+			return endpoints
+		}
+		require.Equal(t, []string{"stays"}, usable())
+
+		f.Apply(change{Snapshot: true, Records: []record{
+			readyRecord("draining", 1), readyRecord("left", 1), readyRecord("removed", 1), readyRecord("stays", 1),
+		}})
+		require.Equal(t, []string{"stays"}, usable())
+
+		// A record whose server does not renew it disappears; one that stays belongs to a live server.
+		time.Sleep(7 * time.Second)
+		require.Equal(t, []string{"removed", "stays"}, usable())
+
+		// Another process under the name is used at once.
+		f.Apply(change{Records: []record{readyRecord("left", 2), readyRecord("draining", 2)}})
+		require.Equal(t, []string{"draining", "left", "removed", "stays"}, usable())
+	})
+}
+
+// Guards against an endpoint that stays out although its server has written its record again.
+func TestRecordThatIsWrittenAgainIsUsedAtOnce(t *testing.T) {
+	f := newFleet()
+	f.Apply(change{Snapshot: true, Records: []record{readyRecord("a", 1)}})
+	f.Apply(change{Records: []record{{Name: "a", Deleted: true}}})
+	f.Apply(change{Records: []record{readyRecord("a", 1)}})
+	endpoints, _ := f.recorded()
+	require.Equal(t, []string{"a"}, endpoints)
+}
