Write the records of instances again at once after a restore of the store

When the store comes back from an older copy, the records by which instances find each other may be missing.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -128,7 +128,9 @@
 	instances *mcfollow.Follower[marigoldcroft.ListedInstance]
 	roster    *roster
 	limits    *mclimit.EndpointLimiter
-	tasks     sync.WaitGroup
+	// recordMissing holds at most one signal that the listing of the instances lacks this one.
+	recordMissing chan struct{}
+	tasks         sync.WaitGroup
 	// reportedReady is the readiness that the balancer was told last.
 	reportedReady atomic.Bool
 }
@@ -182,6 +184,7 @@
 
 func (e *Forwarding) build(seed uint64) error {
 	s := e.Settings.Forward
+	e.recordMissing = make(chan struct{}, 1)
 	tuning := mcscheduler.Default()
 	tuning.Seed, tuning.QueueLength = seed, e.Settings.Limits.QueueLength
 	scheduler, err := mcscheduler.New(e.Settings.Scheduler, tuning)
@@ -216,7 +219,7 @@
 	}
 	e.instances = &mcfollow.Follower[marigoldcroft.ListedInstance]{
 		Name: "instances", Feed: platform.Instances(e.store), WatchTimeout: func() time.Duration { return instanceWatchWait }, BatchDelay: e.batchDelay(instanceCallRate, maxInstanceBatchDelay),
-		Apply: e.roster.apply, Logger: e.logger, Gate: gate,
+		Apply: e.applyInstances, Logger: e.logger, Gate: gate,
 	}
 	return nil
 }
--- a/mcentry/forwarding_peer.go
+++ b/mcentry/forwarding_peer.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"marigoldcroft"
+	"marigoldcroft/mcclock"
 	"marigoldcroft/mcfollow"
 	"marigoldcroft/mcmember"
 	"marigoldcroft/mcmessage"
@@ -87,6 +89,35 @@
 	return slices.Sorted(maps.Keys(r.instances))
 }
 
+// applyInstances passes the records of the instances to the membership. If the record of this
+// instance has disappeared, it is written again.
+func (e *Forwarding) applyInstances(change mcfollow.Change[marigoldcroft.ListedInstance]) {
+	before := e.roster.has(e.Settings.Instance)
+	e.roster.apply(change)
+	if !before || e.roster.has(e.Settings.Instance) {
+		return
+	}
+	select {
+	case e.recordMissing <- struct{}{}:
+	default:
+	}
+}
+
+// has reports whether the instance has a record.
+func (r *roster) has(instance string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, recorded := r.instances[instance]
+	return recorded
+}
+
+// isListed reports whether the records have been read.
+func (r *roster) isListed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.instances != nil
+}
+
 // maintainRecords keeps the instances' records up to date. Each instance rewrites its own
 // record when it is missing. The live member with the smallest name removes the records
 // of instances that have been gone for recordRetention.
@@ -98,9 +129,12 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-e.recordMissing:
+			// All instances may miss their records at once, after a restore of the store.
+			mcclock.Sleep(ctx, rand.N(announceInterval))
 		}
 		recorded := e.roster.instanceNames()
-		if len(recorded) > 0 && !slices.Contains(recorded, e.Settings.Instance) {
+		if e.roster.isListed() && !e.roster.has(e.Settings.Instance) {
 			e.announce(ctx)
 		}
 		for _, name := range e.expiredRecords(recorded) {
--- a/mcentry/forwarding_test.go
+++ b/mcentry/forwarding_test.go
@@ -24,10 +24,12 @@
 
 // site is a fake of the users' platform with forwarding instances in front of one server.
 type site struct {
-	t         *testing.T
-	store     *mcstandin.PlatformStore
-	server    *mcstandin.PlatformServer
-	instances []*instance
+	t     *testing.T
+	store *mcstandin.PlatformStore
+	// storeAddress is the address of store.
+	storeAddress string
+	server       *mcstandin.PlatformServer
+	instances    []*instance
 }
 
 type instance struct {
@@ -61,11 +63,12 @@
 	t.Cleanup(back.Close)
 	shared := httptest.NewServer(s.store)
 	t.Cleanup(shared.CloseClientConnections)
+	s.storeAddress = strings.TrimPrefix(shared.URL, "http://")
 	s.store.Put("config", "main", configuration(1, `"key"`))
 	s.store.Put("servers", "i-1", fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","batch-slots":8,"state":"ready","born":5}`,
 		strings.TrimPrefix(back.URL, "http://")))
 	for i := range n {
-		s.start(i, strings.TrimPrefix(shared.URL, "http://"), change)
+		s.start(i, s.storeAddress, change)
 	}
 	return s
 }
