Take the newer configuration from peers after a restore of the store

An instance that starts after the store came back from an older copy read the older configuration there and served by it: routes that had been added were not found, and removed ones were, until the operator wrote the newer version again. The others kept the newer one, but nothing told the new instance.

Instances share the version of the routing table in force with each exchange; one that learns of a newer version fetches the table from peers, for 10 s at the most. TestInstanceThatStartsAfterARestoreTakesTheNewerConfiguration failed before and passes.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -117,6 +117,7 @@
 	metrics   *mcobserve.Metrics
 	store     *platform.Store
 	router    *mcroute.Router
+	fetcher   *mcroute.PeerFetcher
 	fleet     *mcfleet.Fleet
 	scheduler marigoldcroft.Scheduler
 	forwarder *mcforward.Forwarder
@@ -194,7 +195,8 @@
 	e.scheduler = scheduler
 	dispatcher := &mcgateway.Dispatcher{Scheduler: scheduler}
 	e.fleet = &mcfleet.Fleet{Logger: e.logger, OnChange: e.endpointsChanged}
-	e.router = &mcroute.Router{Lease: s.KeyLease, Logger: e.logger, Changed: e.fleet.SetRoutingTable}
+	e.router = &mcroute.Router{Lease: s.KeyLease, Logger: e.logger, Changed: e.routingChanged}
+	e.fetcher = &mcroute.PeerFetcher{Router: e.router, Deployment: e.Settings.Deployment, Peers: e.configPeers, Decode: platform.DecodeRouting}
 	e.buildPeers(seed)
 	e.limits = &mclimit.EndpointLimiter{
 		Ownership: &mclimit.Ownership{Self: e.Settings.Instance}, Ask: e.askLimitOwner, Announce: e.announceLimit, Logger: e.logger,
@@ -287,6 +289,12 @@
 	e.confirmRouting(change.CompleteAt)
 }
 
+// routingChanged passes a newer table to the endpoints and its version to the peers.
+func (e *Forwarding) routingChanged(table *marigoldcroft.RoutingTable) {
+	e.fleet.SetRoutingTable(table)
+	e.member.ShareRevision(uint64(max(0, table.Version())))
+}
+
 func (e *Forwarding) confirmRouting(complete time.Duration) {
 	if table := e.router.Table(); table != nil {
 		e.router.Confirm(table.Version(), complete)
@@ -324,9 +332,7 @@
 	for _, task := range []func(context.Context){
 		e.forwarder.Run, e.forwarder.Dispatcher.Run, e.routing.Run, e.endpoints.Run, e.instances.Run,
 		e.announce, e.watchPeers, e.watchLimitMembers, e.watchSettings, e.maintainRecords, e.runMember, e.runPeers,
-		(&mcroute.PeerFetcher{
-			Router: e.router, Deployment: e.Settings.Deployment, Peers: e.configPeers, Decode: platform.DecodeRouting,
-		}).Run,
+		e.fetcher.Run,
 	} {
 		e.tasks.Go(func() { task(taskCtx) })
 	}
--- a/mcentry/forwarding_peer.go
+++ b/mcentry/forwarding_peer.go
@@ -174,6 +174,7 @@
 	// Peers may have sent entries before.
 	e.forwarder.MergeSuspects(e.member.QuarantineEntries())
 	e.mergeLimits()
+	e.fetcher.Want(int64(e.member.NewestRevision()))
 	reported := make(peerWork)
 	for {
 		select {
@@ -196,6 +197,8 @@
 			}
 		}
 		e.scheduler.SetMembers(time.Now(), e.Settings.Instance, e.member.Candidates())
+	case mcmember.EventConfig:
+		e.fetcher.Want(int64(event.Revision))
 	case mcmember.EventLimit:
 		e.mergeLimits()
 	case mcmember.EventQuarantine:
@@ -203,6 +206,7 @@
 	case mcmember.EventDropped, mcmember.EventResumed:
 		e.forwarder.MergeSuspects(e.member.QuarantineEntries())
 		e.mergeLimits()
+		e.fetcher.Want(int64(e.member.NewestRevision()))
 	case mcmember.EventSelfRemoved:
 		// Peers take over no work from a forwarding instance, so it may continue to run.
 		e.logger.Warn().Uint64("incarnation", event.Revision).Msg("runGivenUpByPeers")
--- a/mcmember/member_command.go
+++ b/mcmember/member_command.go
@@ -32,6 +32,11 @@
 	m.withTable(func(t *Table, now time.Time) { t.SetRevision(now, applied, newest) })
 }
 
+// ShareRevision calls Table.ShareRevision.
+func (m *Member) ShareRevision(revision uint64) {
+	m.withTable(func(t *Table, _ time.Time) { t.ShareRevision(revision) })
+}
+
 // SetQuarantine calls Table.SetQuarantine.
 func (m *Member) SetQuarantine(q *mcmessage.QuarantineEntry) {
 	m.withTable(func(t *Table, now time.Time) { t.SetQuarantine(now, q) })
--- a/mcmember/table_command.go
+++ b/mcmember/table_command.go
@@ -87,6 +87,12 @@
 	}
 }
 
+// ShareRevision makes the revision known to peers with the next exchanges, without a change of this
+// member's record.
+func (t *Table) ShareRevision(revision uint64) {
+	t.newestRevision = max(t.newestRevision, min(revision, maxRevision))
+}
+
 // SetInFlight replaces this member's in-flight requests by endpoint. If there are more
 // endpoints than the limit of SetMaxInFlightEndpoints, those with the most prefill tokens are shared.
 // Endpoints that are neither listed nor have ever reported are left out, as peers may not
--- a/mcroute/peer.go
+++ b/mcroute/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -23,6 +24,8 @@
 	fetchTimeout  = 400 * time.Millisecond
 	// peersPerRound limits the peers that are asked in one round.
 	peersPerRound = 3
+	// wantTime is how long a version that peers know of is wanted.
+	wantTime = 10 * time.Second
 )
 
 type (
@@ -45,6 +48,10 @@
 		Decode func(source []byte) *marigoldcroft.RoutingTable
 
 		offset int
+		mu     sync.Mutex
+		// wanted is a version that peers know of and that is to be fetched until wantedUntil.
+		wanted      int64
+		wantedUntil time.Time
 	}
 )
 
@@ -71,7 +78,26 @@
 	return response, nil
 }
 
-// Run fetches the table from peers while the last confirmation is old, until ctx ends.
+// Want makes Run fetch the version if it is newer than the table in force. The store may have lost
+// it, if it was restored from an older copy.
+func (p *PeerFetcher) Want(version int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if version > p.wanted {
+		p.wanted, p.wantedUntil = version, time.Now().Add(wantTime)
+	}
+}
+
+// wantsNewer reports whether a newer version than the table in force is wanted.
+func (p *PeerFetcher) wantsNewer() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	table := p.Router.Table()
+	return time.Now().Before(p.wantedUntil) && (table == nil || table.Version() < p.wanted)
+}
+
+// Run fetches the table from peers while the last confirmation is old or a newer version is wanted,
+// until ctx ends.
 func (p *PeerFetcher) Run(ctx context.Context) {
 	ticker := time.NewTicker(fetchInterval)
 	defer ticker.Stop()
@@ -81,7 +107,7 @@
 			return
 		case <-ticker.C:
 		}
-		if age, known := p.Router.Age(); !known || age > fetchAfterAge {
+		if age, known := p.Router.Age(); !known || age > fetchAfterAge || p.wantsNewer() {
 			p.fetchRound(ctx)
 		}
 	}
