Keep a restored lease for orders from having two holders

After the store came back from an older copy, the holder that it names, or the first instance that finds it released, took the lease at once and with a fencing token that a later holder had already used, while that holder's lease was valid for up to 15 s: endpoints could carry out orders of both.

Stores tell their era. A lease record of another era is acquired anew by whoever has seen it unchanged for a whole lease, with a token above all of the eras before. The price is up to 16 s without orders after a restore.

--- a/mcorder/lease.go
+++ b/mcorder/lease.go
@@ -32,6 +32,9 @@
 	callTimeout = 2 * time.Second
 
 	formatVersion = 1
+	// epochsPerEra is the number of fencing tokens of one era of the store. The first token of an
+	// era is above all that were given out before the restore, also those that were lost.
+	epochsPerEra = 1 << 32
 )
 
 type (
@@ -47,6 +50,9 @@
 		Renewal uint64 `json:"renewal"`
 		// Loads is the deployment-wide budget of weight loads; see LoadBudget.
 		Loads LoadBudget `json:"loads"`
+		// Era is the era of the store in which the lease was last acquired or renewed. A record of
+		// an earlier era was restored from a copy, and a later holder may be unknown.
+		Era uint64 `json:"era,omitempty"`
 	}
 
 	// Lease acquires and keeps the lease of one group. Set the exported fields before
@@ -103,9 +109,16 @@
 	if err != nil {
 		return err
 	}
+	era := marigoldcroft.StoreEra(l.Store)
 	l.observe(record, version)
 	self := l.Identity.Owner()
 	switch {
+	case record.Era != era:
+		// The lease may have had a later holder, which has it until it expires.
+		if !l.unchangedForALease() || l.Eligible != nil && !l.Eligible() {
+			return nil
+		}
+		return l.write(ctx, version, func(r *Record) { r.Owner, r.Epoch, r.Era = self, max(r.Epoch+1, era*epochsPerEra), era })
 	case record.Owner == self:
 		return l.write(ctx, version, func(*Record) {})
 	case l.Eligible != nil && !l.Eligible():
@@ -135,6 +148,11 @@
 	if l.Gone != nil && l.Gone(record.Owner) {
 		return true
 	}
+	return l.unchangedForALease()
+}
+
+// unchangedForALease reports whether this instance has seen the same version for a whole lease.
+func (l *Lease) unchangedForALease() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return time.Since(l.firstSeenAt) > LeaseDuration+ClockDrift
@@ -191,7 +209,7 @@
 		return nil
 	}
 	if next.Epoch != before.Epoch {
-		l.acquiredAt, l.hadPreviousHolder = time.Now(), before.Epoch > 0
+		l.acquiredAt, l.hadPreviousHolder = time.Now(), before.Epoch > 0 || next.Era > 0
 		l.Logger.Info().Str("group", l.Group).Uint64("epoch", next.Epoch).Msg("leaseTaken")
 	}
 	l.validUntil = start.Add(LeaseDuration)
--- a/mcstore/client_query.go
+++ b/mcstore/client_query.go
@@ -68,3 +68,6 @@
 		}
 	}
 }
+
+// Era returns the era of the store.
+func (c *Client) Era() uint64 { return marigoldcroft.StoreEra(c.store) }
--- a/store.go
+++ b/store.go
@@ -62,6 +62,22 @@
 	Delete(ctx context.Context, key string, expected Version, writeID string) error
 }
 
+// EraReader is implemented by object stores that can come back from an older copy of their content.
+// What was written after that copy is lost then, although it was acknowledged.
+type EraReader interface {
+	// Era returns how often the store has come back from an older copy, as of its last answer.
+	Era() uint64
+}
+
+// StoreEra returns the era of the store, or 0 if it never loses what it has acknowledged. Read after
+// an object, it is at least the era in which the object was read.
+func StoreEra(store ObjectReader) uint64 {
+	if r, ok := store.(EraReader); ok {
+		return r.Era()
+	}
+	return 0
+}
+
 // ObjectStore reads from and writes to the platform's object store.
 type ObjectStore interface {
 	ObjectReader
