Refuse keys whose records a restored store may have lost, at any owner

After the store came back from an older copy, an instance that had never seen a shard of the ledger granted a key again whose record was lost: the action ran twice. The owner that had seen a later head noticed and refused such keys; an instance that took the shard over, or started, did not.

The head of a shard holds the era of the store in which it was written. An owner that reads a head of another era refuses all keys from before the read, and records that with its next write.

--- a/mcledger/core.go
+++ b/mcledger/core.go
@@ -95,6 +95,8 @@
 		version  marigoldcroft.Version
 		writeID  string
 		segments []*segment
+		// storeEra is the era of the store after the read.
+		storeEra uint64
 	}
 
 	// output holds what the driver must do after a step.
@@ -341,11 +343,12 @@
 	if h == nil {
 		h = newHead()
 	}
-	if h.sequence < c.lastSequence {
+	if h.sequence < c.lastSequence || h.storeEra != state.storeEra {
 		// The store was restored to an older state, so that records of any key created so
 		// far may be lost.
 		c.raisedFloorMs = max(env.now.UnixMilli(), c.newestKeyMs) + 1
 	}
+	h.storeEra = state.storeEra
 	c.head, c.version, c.confirmedAt = h, state.version, env.now
 	for _, s := range state.segments {
 		c.segments[s.name] = s
--- a/mcledger/core_test.go
+++ b/mcledger/core_test.go
@@ -243,6 +243,36 @@
 	})
 }
 
+// Guards against an action that runs twice: the store came back from a copy without its record, and an
+// instance that never saw the record takes over the shard.
+func TestRestoredStoreAtAnotherOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t.Context())
+		begin := func(l *Ledger, key string) (marigoldcroft.ActionGrant, error) {
+			return l.Begin(t.Context(), marigoldcroft.NewActionKey("t", "s", key), [32]byte{1})
+		}
+		first := startLedger(t, c)
+		_, err := begin(first, keyInShard(0))
+		require.NoError(t, err)
+		older := c.Snapshot()
+		time.Sleep(time.Second)
+		lost := keyInShard(0)
+		grant, err := begin(first, lost)
+		require.True(t, err == nil && grant.Granted)
+
+		c.Restore(older)
+		time.Sleep(2 * time.Second)
+		next := startLedger(t, c)
+		_, err = begin(next, lost)
+		require.True(t, IsKind(err, KindKeyOutsideRetention), "got %v", err)
+		time.Sleep(time.Second)
+		grant, err = begin(next, keyInShard(0))
+		require.True(t, err == nil && grant.Granted, "new keys are accepted: %v", err)
+		_, err = begin(startLedger(t, c), lost)
+		require.True(t, IsKind(err, KindKeyOutsideRetention), "the floor is recorded, got %v", err)
+	})
+}
+
 // TestRelease checks that a planned stop gives up the shards and still serves local
 // calls.
 func TestRelease(t *testing.T) {
--- a/mcledger/head.go
+++ b/mcledger/head.go
@@ -50,7 +50,9 @@
 		// floorMs is the earliest accepted timestamp of a key. The records of older keys may
 		// have been removed or lost.
 		floorMs int64
-		records map[string]*record
+		// storeEra is the era of the store in which the head was written.
+		storeEra uint64
+		records  map[string]*record
 		// recordBytes is the encoded size of records.
 		recordBytes int
 		// startedBytes is the part of recordBytes in state started.
@@ -110,7 +112,7 @@
 func (h *head) encode() ([]byte, error) {
 	message := &mcmessage.LedgerHead{
 		Epoch: h.epoch, Owner: h.owner.instance, OwnerIncarnation: h.owner.incarnation,
-		Sequence: h.sequence, FloorMs: h.floorMs, Segments: h.segments,
+		Sequence: h.sequence, FloorMs: h.floorMs, Segments: h.segments, StoreEra: h.storeEra,
 	}
 	for _, id := range slices.Sorted(maps.Keys(h.records)) {
 		message.Records = append(message.Records, h.records[id])
@@ -126,7 +128,7 @@
 	h := newHead()
 	h.epoch, h.sequence, h.floorMs = message.GetEpoch(), message.GetSequence(), message.GetFloorMs()
 	h.owner = executor{instance: message.GetOwner(), incarnation: message.GetOwnerIncarnation()}
-	h.segments = message.GetSegments()
+	h.segments, h.storeEra = message.GetSegments(), message.GetStoreEra()
 	for _, r := range message.GetRecords() {
 		h.set(attemptRecordID(r.GetAttempt()), r)
 	}
--- a/mcledger/shard.go
+++ b/mcledger/shard.go
@@ -175,13 +175,14 @@
 
 func (s *shard) readOnce(ctx context.Context, known map[string]bool) (headReadResult, error) {
 	object, err := s.store.Get(ctx, headKey(s.number))
+	state := headReadResult{storeEra: marigoldcroft.StoreEra(s.store)}
 	if mcstore.IsNotFound(err) {
-		return headReadResult{}, nil
+		return state, nil
 	}
 	if err != nil {
 		return headReadResult{}, err
 	}
-	state := headReadResult{version: object.Version(), writeID: object.WriteID()}
+	state.version, state.writeID = object.Version(), object.WriteID()
 	if state.head, err = decodeHead(object.Value()); err != nil {
 		return headReadResult{}, err
 	}
--- a/mcorder/restore_test.go
+++ b/mcorder/restore_test.go
@@ -14,25 +14,6 @@
 	"marigoldcroft/mcstore"
 )
 
-// restorableStore is a store that can come back from an older copy of one object.
-type restorableStore struct {
-	mcstore.Memory
-
-	era uint64
-}
-
-func (s *restorableStore) Era() uint64 { return s.era }
-
-// restore puts an older value in the place of the object with the key.
-func (s *restorableStore) restore(t *testing.T, older marigoldcroft.Object) {
-	t.Helper()
-	s.era++
-	now, err := s.Get(t.Context(), older.Key())
-	require.NoError(t, err)
-	_, err = s.Put(t.Context(), older.Key(), older.Value(), now.Version(), "restore")
-	require.NoError(t, err)
-}
-
 func newLease(store marigoldcroft.ObjectStore, instance string) *mcorder.Lease {
 	identity := marigoldcroft.NewIdentity("d", "r", "dc", instance, time.Now(), 1)
 	return &mcorder.Lease{Store: store, Identity: identity, Group: "g", Logger: zerolog.Nop()}
@@ -44,21 +25,19 @@
 	for _, released := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			ctx := context.Background()
-			store := &restorableStore{}
+			store := &mcstore.Memory{}
 			a, b := newLease(store, "a"), newLease(store, "b")
 			require.NoError(t, a.AcquireOrRenew(ctx))
-			older, err := store.Get(ctx, "leases/g")
-			require.NoError(t, err)
+			older := store.Snapshot()
 			require.NoError(t, a.Release(ctx))
 			if released {
-				older, err = store.Get(ctx, "leases/g")
-				require.NoError(t, err)
+				older = store.Snapshot()
 			}
 			require.NoError(t, b.AcquireOrRenew(ctx))
 			lost, err := b.Epoch()
 			require.NoError(t, err)
 
-			store.restore(t, older)
+			store.Restore(older)
 			// b's lease lasts for up to LeaseDuration, as b does not know of the restore yet.
 			for begun := time.Now(); time.Since(begun) < mcorder.LeaseDuration; time.Sleep(time.Second) {
 				require.NoError(t, a.AcquireOrRenew(ctx))
--- a/mcstore/memory.go
+++ b/mcstore/memory.go
@@ -28,6 +28,8 @@
 	// lastVersion never decreases, so that an object gets a new version when it is
 	// deleted and created again.
 	lastVersion uint64
+	// era counts the calls of Restore.
+	era uint64
 	// changed is closed at the next change to wake all watches. It is nil if no watch has
 	// started since the last change.
 	changed chan struct{}
@@ -172,11 +174,19 @@
 	return maps.Clone(m.objects)
 }
 
+// Era returns how often the store was restored.
+func (m *Memory) Era() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
 // Restore replaces the stored objects with a snapshot, as when a store is restored from a
-// backup. Versions assigned since the snapshot are not reused.
+// backup, and begins the next era. Versions assigned since the snapshot are not reused.
 func (m *Memory) Restore(objects map[string]marigoldcroft.Object) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.objects = maps.Clone(objects)
+	m.era++
 	m.notify()
 }
