Do not continue a broken stream with an answer that is no stream

Other operators report streams with the text of an error in their middle. A stream that broke off was continued with any successful answer of the next endpoint, also with a body of another media type: its text came after the events that the caller had. Answers with an error status were not relayed before either, and an answer that ends in its head was no success.

The answer that continues a stream must be a stream of events, or have the media type of the first one.

--- a/mcforward/stream.go
+++ b/mcforward/stream.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,12 +22,17 @@
 	// eventsPerProgressReport is the number of events after which the scheduler is told the
 	// shortest time between two events, a measure of the decode speed.
 	eventsPerProgressReport = 5
+	mediaTypeOfEvents       = "text/event-stream"
 )
 
 // relayStream relays each event once it is complete, with the comments before it. An event that
 // was received only in part when the stream broke is dropped.
 func (a *attempt) relayStream(ctx context.Context, response *http.Response, id marigoldcroft.StreamID) (*callResult, error) {
 	c := a.call
+	if media := mediaType(response.Header); c.responseStarted && media != mediaTypeOfEvents && media != mediaType(c.w.Header()) {
+		return nil, failure("stream of "+a.endpoint, KindInvalidResponse,
+			errors.Newf("it continues a stream as %q", response.Header.Get("Content-Type")))
+	}
 	reader := bufio.NewReaderSize(response.Body, bufferBytes)
 	flusher := http.NewResponseController(c.w)
 	delivered, shortestGap := 0, time.Duration(math.MaxInt64)
@@ -89,6 +95,12 @@
 	}
 }
 
+// mediaType returns the media type of a body without its parameters.
+func mediaType(header http.Header) string {
+	media, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(media))
+}
+
 // isWholeStream reports whether a stream is complete that ended after this attempt delivered
 // the given number of events, with rest after the last one. A stream whose body ended with its
 // connection must have delivered an event: without one, nothing shows that the endpoint did
