Take no refusal without a request id for an answer on a kept connection

Other operators report servers that write an earlier refusal once more on a kept connection. An answer without a request id that says that the request did not run was taken for the answer to the next request there: the caller was told 503, not run, for a request that had run, and one that may be repeated ran at a second endpoint.

Such a refusal now counts only on the first exchange of a connection; later it is an answer to another request, after which nothing is known of this one.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -46,6 +46,8 @@
 	// sent is true once a part of the request may have reached the endpoint.
 	sent   bool
 	sentAt time.Time
+	// reusedConnection is true if the connection of the attempt had carried an earlier request.
+	reusedConnection bool
 	// progress follows the output of the answer.
 	progress mcquarantine.Progress
 	// endedWithConnection is true if the end of the connection is the end of the response. Such
@@ -244,7 +246,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	before, readBefore := conn.socket.written.Load(), conn.socket.read.Load()
-	a.sentAt = time.Now()
+	a.sentAt, a.reusedConnection = time.Now(), conn.reused
 	response, err := conn.conn.RoundTrip(a.request(ctx, endpoint))
 	if conn.socket.written.Load() > before {
 		a.markSent(endpoint)
@@ -393,7 +395,7 @@
 	c := a.call
 	operation := "answer of " + a.endpoint
 	switch {
-	case responseInfo.RequestID != c.request.ID && !(responseInfo.RequestID == "" && responseInfo.NotRun):
+	case responseInfo.RequestID != c.request.ID && !a.isRefusalWithoutID(responseInfo):
 		c.forwarder.Metrics.Mismatches.Inc()
 		return nil, failure(operation, KindRequestIDMismatch, errors.Newf("it is for request %q", responseInfo.RequestID))
 	case response.StatusCode == http.StatusMisdirectedRequest:
@@ -415,6 +417,12 @@
 	return a.relayBuffered(ctx, response, id)
 }
 
+// isRefusalWithoutID reports whether the answer is a refusal of this attempt although it names no
+// request. On a connection that carried an earlier request it may be a refusal sent once more.
+func (a *attempt) isRefusalWithoutID(info marigoldcroft.ForwardResponse) bool {
+	return info.RequestID == "" && info.NotRun && !a.reusedConnection
+}
+
 // markHelperDown takes the helper at the address out of rotation.
 func (a *attempt) markHelperDown(address string) {
 	f := a.call.forwarder
--- a/mcforward/connpool.go
+++ b/mcforward/connpool.go
@@ -57,6 +57,8 @@
 		address  string
 		conn     *http.ClientConn
 		socket   *countingConn
+		// reused is true if the connection has carried an earlier request.
+		reused bool
 		// idleSince and idleTime determine until when an idle connection can be reused.
 		idleSince time.Time
 		idleTime  time.Duration
@@ -184,7 +186,7 @@
 // put returns a connection to the pool after its last response was read to the end.
 // statedIdleTime is the idle time that the endpoint states, or 0.
 func (c *connPool) put(pc *pooledConn, statedIdleTime time.Duration) {
-	pc.idleSince, pc.idleTime = time.Now(), defaultIdleTime
+	pc.reused, pc.idleSince, pc.idleTime = true, time.Now(), defaultIdleTime
 	if statedIdleTime > 0 {
 		pc.idleTime = min(max(statedIdleTime-idleMargin, statedIdleTime/4), maxIdleTime)
 	}
--- a/mcforward/report_test.go
+++ b/mcforward/report_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -49,6 +50,26 @@
 	b.forwarder.Fleet.Apply(mcfollow.Change[marigoldcroft.EndpointRecord]{Records: []marigoldcroft.Record[marigoldcroft.EndpointRecord]{record}})
 }
 
+// Guards against a refusal that a faulty server writes once more on a kept connection and that is
+// taken for the answer to the next request: the caller would be told that a request did not run which
+// has run, or it would run at a second endpoint.
+func TestRepeatedRefusalIsNoAnswerToTheNextRequest(t *testing.T) {
+	for _, fields := range []string{"", "Request-Id: request-0\r\n"} {
+		b := newTestBed(t, 1)
+		var runs atomic.Int64
+		b.serveRaw(0, func(n int, r *http.Request) (string, bool) {
+			if n == 0 {
+				return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Request-Id")), true
+			}
+			runs.Add(1)
+			return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n" + fields + "Content-Length: 0\r\n\r\n", true
+		})
+		require.Equal(t, http.StatusOK, b.get("/once/x").status)
+		require.Equal(t, http.StatusBadGateway, b.get("/once/x").status, "fields %q", fields)
+		require.Equal(t, int64(1), runs.Load())
+	}
+}
+
 // Guards against the answer of the next endpoint, an error, in the middle of a stream that broke off
 // at the first one, and against such a stream that looks complete.
 func TestErrorAfterABrokenStreamIsNoPartOfIt(t *testing.T) {
