--- a/mclimit/example_test.go
+++ b/mclimit/example_test.go
@@ -1,9 +1,12 @@
 package mclimit_test
 
 import (
+	"context"
 	"fmt"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"marigoldcroft"
 	"marigoldcroft/mclimit"
 )
@@ -29,3 +32,26 @@
 	// false teamTokenRate 501ms
 	// true
 }
+
+// Uses the limiter of endpoints without the daemon, in a program without peers: it calls Acquire
+// before each request and Observe with what the endpoint stated in its answer. With peers, it would
+// also call Ownership.SetMembers after each change, Merge with the limits that peers announce, and
+// Grant for the questions that they send with Ask.
+func ExampleEndpointLimiter() {
+	ownership := &mclimit.Ownership{Self: "a"}
+	ownership.SetMembers(time.Now().Add(-time.Minute), []string{"a"}, 0)
+	limiter := &mclimit.EndpointLimiter{
+		Ownership: ownership, Logger: zerolog.Nop(),
+		Announce: func(limit marigoldcroft.EndpointLimit) { fmt.Println(limit.Endpoint(), limit.PerSecond()) },
+	}
+	granted, _ := limiter.Acquire(context.Background(), "engine-1")
+	fmt.Println(granted)
+	sentAt := time.Now()
+	limiter.Observe(time.Now(), sentAt, "engine-1", true, 0.5)
+	granted, wait := limiter.Acquire(context.Background(), "engine-1")
+	fmt.Println(granted, wait >= 2*time.Second)
+	// Output:
+	// true
+	// engine-1 0.5
+	// false true
+}
