--- a/mcforward/statement.go
+++ b/mcforward/statement.go
@@ -1,6 +1,7 @@
 package mcforward
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -74,14 +75,6 @@
 func (s *statementTracker) retain(listed func(endpoint string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for name := range s.statements {
-		if !listed(name) {
-			delete(s.statements, name)
-		}
-	}
-	for name := range s.pauses {
-		if !listed(name) {
-			delete(s.pauses, name)
-		}
-	}
+	maps.DeleteFunc(s.statements, func(name string, _ statement) bool { return !listed(name) })
+	maps.DeleteFunc(s.pauses, func(name string, _ time.Time) bool { return !listed(name) })
 }
--- a/mclimit/endpointlimiter.go
+++ b/mclimit/endpointlimiter.go
@@ -77,12 +77,20 @@
 // without a limit ends a limit only if the request was sent after this instance learned of it, as
 // answers can overtake each other.
 func (l *EndpointLimiter) Observe(now, sentAt time.Time, endpoint string, limited bool, perSecond float64) {
+	if next, changed := l.observe(now, sentAt, endpoint, limited, perSecond); changed {
+		l.Announce(next)
+	}
+}
+
+// observe stores what an endpoint stated. It returns the record to announce and true if peers must
+// learn of it.
+func (l *EndpointLimiter) observe(now, sentAt time.Time, endpoint string, limited bool, perSecond float64) (marigoldcroft.EndpointLimit, bool) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	e := l.limits[endpoint]
 	known := e != nil && e.limit.Limited()
-	if limited == known && !limited || !limited && !sentAt.After(e.learnedAt) {
-		l.mu.Unlock()
-		return
+	if !limited && (!known || !sentAt.After(e.learnedAt)) {
+		return marigoldcroft.EndpointLimit{}, false
 	}
 	spec := marigoldcroft.EndpointLimitSpec{Endpoint: endpoint, Version: uint64(max(0, now.UnixMilli())), Limited: limited}
 	if limited {
@@ -95,15 +103,10 @@
 	if known && limited && next.PerSecond() == e.limit.PerSecond() {
 		e.learnedAt = now
 		if next.Version()-e.limit.Version() < uint64(renewAfter.Milliseconds()) {
-			l.mu.Unlock()
-			return
+			return next, false
 		}
 	}
-	stored := l.put(now, next, "endpoint")
-	l.mu.Unlock()
-	if stored {
-		l.Announce(next)
-	}
+	return next, l.put(now, next, "endpoint")
 }
 
 // Merge takes limits that peers know of.
