Keep what endpoints state about themselves in one file of the forwarder

What an attempt does with the statements of its endpoint moves to statement.go, unchanged; the tests of the package pass.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -120,26 +120,6 @@
 	return result, err
 }
 
-// acquire asks for permission to send the request if the endpoint limits its requests. If there is
-// none, the endpoint is paused until there may be, so that the request waits or goes elsewhere.
-func (a *attempt) acquire(ctx context.Context) error {
-	f := a.call.forwarder
-	if f.Limits == nil {
-		return nil
-	}
-	granted, wait := f.Limits.Acquire(ctx, a.endpoint)
-	if granted {
-		return nil
-	}
-	a.completion.NotSent = true
-	now := time.Now()
-	f.Dispatcher.Scheduler.PauseEndpoint(now, a.endpoint, now.Add(wait))
-	if ctx.Err() != nil {
-		return a.contextError(ctx, "wait for the limit of "+a.endpoint)
-	}
-	return failure("dispatch to "+a.endpoint, KindLimited, errors.Newf("no request allowed for %v", wait.Round(time.Millisecond)))
-}
-
 // observeOutput records that output was read. The quarantine is told once of an answer that goes
 // on.
 func (a *attempt) observeOutput(now time.Time, id marigoldcroft.StreamID) {
@@ -273,39 +253,6 @@
 	return result, nil
 }
 
-// checkUsable returns an error if the endpoint may no longer get the request that was placed there.
-func (a *attempt) checkUsable() error {
-	if _, ok := a.call.forwarder.Fleet.Endpoint(a.endpoint); !ok {
-		a.completion.NotSent = true
-		return failure("dispatch to "+a.endpoint, KindLeft, errors.New("the endpoint has left"))
-	}
-	if a.call.forwarder.stated.isPaused(time.Now(), a.endpoint) {
-		a.completion.NotSent = true
-		return failure("dispatch to "+a.endpoint, KindLimited, errors.New("the endpoint wants no requests"))
-	}
-	return nil
-}
-
-// observeStatements records what the endpoint states about itself. An answer to another request, or
-// of another endpoint at the address, says nothing about it.
-func (a *attempt) observeStatements(status int, info marigoldcroft.ForwardResponse) {
-	if info.RequestID != a.call.request.ID || status == http.StatusMisdirectedRequest {
-		return
-	}
-	f, now := a.call.forwarder, time.Now()
-	f.stated.observe(a.endpoint, info)
-	if info.Leaving {
-		f.Fleet.MarkLeaving(a.endpoint)
-	}
-	if f.Limits != nil {
-		f.Limits.Observe(now, a.sentAt, a.endpoint, info.HasLimit, info.RequestsPerSecond)
-	}
-	if status == http.StatusServiceUnavailable && info.RetryAfter > 0 {
-		f.stated.observeRefusal(now, a.endpoint, info.RetryAfter)
-		f.Dispatcher.Scheduler.PauseEndpoint(now, a.endpoint, now.Add(info.RetryAfter))
-	}
-}
-
 // bodyConsumed reports whether the body was read to its end, so that the connection can be
 // reused.
 func bodyConsumed(body io.Reader) bool {
@@ -417,12 +364,6 @@
 	return a.relayBuffered(ctx, response, id)
 }
 
-// isRefusalWithoutID reports whether the answer is a refusal of this attempt although it names no
-// request. On a connection that carried an earlier request it may be a refusal sent once more.
-func (a *attempt) isRefusalWithoutID(info marigoldcroft.ForwardResponse) bool {
-	return info.RequestID == "" && info.NotRun && !a.reusedConnection
-}
-
 // markHelperDown takes the helper at the address out of rotation.
 func (a *attempt) markHelperDown(address string) {
 	f := a.call.forwarder
