Count instances that were never reached among those that share a limit

An instance that starts behind a cut knows no member but itself. It took itself for the owner of every limited endpoint and for the only instance, and would have granted all of a limit beside the owner on the other side: twice the limit in all.

Instances that the store lists and that were never reported as members count as out of reach, like members that were lost.

--- a/mcentry/forwarding_limit.go
+++ b/mcentry/forwarding_limit.go
@@ -78,7 +78,7 @@
 	defer ticker.Stop()
 	for {
 		now := time.Now()
-		members, unreachable := limitMembers(e.member.Members())
+		members, unreachable := limitMembers(e.member.Members(), e.member.NeverContacted())
 		e.limits.Ownership.SetMembers(now, members, unreachable)
 		select {
 		case <-ctx.Done():
@@ -88,9 +88,11 @@
 	}
 }
 
-// limitMembers returns the members that share the limits of endpoints, and the number of those that
-// are gone without having announced their end and may still be running behind a partition.
-func limitMembers(views []mcmember.MemberView) (members []string, unreachable int) {
+// limitMembers returns the members that share the limits of endpoints, and the number of instances
+// that may be running out of reach: members that are gone without having announced their end, and
+// those that the store lists and that this instance has not heard of since it started.
+func limitMembers(views []mcmember.MemberView, neverContacted []mcmember.Contact) (members []string, unreachable int) {
+	unreachable = len(neverContacted)
 	for _, view := range views {
 		switch {
 		case view.State != mcmessage.MemberState_MEMBER_STATE_GONE:
