--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -5,7 +5,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
 
 	"marigoldcroft/review/harness"
 )
@@ -16,6 +20,8 @@
 	exitBroken  = 1
 	exitNotRun  = 2
 	programPath = "target/marigoldcroft"
+	// longestRun limits the time of a case.
+	longestRun = 110 * time.Second
 )
 
 // cases maps the name of a case to its function, which reports whether the rule held. trouble is
@@ -27,6 +33,7 @@
 	"pause":     playPause,
 	"foreign":   playForeign,
 	"restored":  playRestored,
+	"grace":     playGrace,
 }
 
 func main() {
@@ -57,7 +64,19 @@
 	if err != nil {
 		return notRun(err)
 	}
-	defer c.Close()
+	closeOnce := sync.OnceFunc(c.Close)
+	defer closeOnce()
+	go func() {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+		select {
+		case <-signals:
+		case <-time.After(longestRun):
+		}
+		closeOnce()
+		_ = os.RemoveAll(temporary)
+		os.Exit(exitNotRun)
+	}()
 	held, err := cases[name](c, trouble)
 	if err != nil {
 		record.Printf("the case could not run: %v", err)
--- a/review/driver/truncated.go
+++ b/review/driver/truncated.go
@@ -48,6 +48,7 @@
 	if err := s.command.Start(); err != nil {
 		return err
 	}
+	c.OnClose(s.kill)
 	s.born = time.Now().UnixMilli()
 	listening := make(chan struct{})
 	go func() {
@@ -164,11 +165,6 @@
 // playTruncated crashes one server of each service while they send answers without a length.
 func playTruncated(c *harness.Cluster, trouble bool) (bool, error) {
 	var all []*serverProcess
-	defer func() {
-		for _, s := range all {
-			s.kill()
-		}
-	}()
 	for _, service := range []string{"pool", "api"} {
 		servers, err := startProcesses(c, service)
 		all = append(all, servers...)
--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,6 +26,8 @@
 	DrainTime   = 2 * time.Second
 	memoryMB    = 284
 	killWait    = 10 * time.Second
+	firstPort   = 12000
+	portCount   = 18000
 )
 
 type (
@@ -33,9 +36,13 @@
 		Store   *mcstandin.PlatformStore
 		Entries []*Entry
 		Record  *Record
+		// Grace is grace-s of the settings of entries that are added.
+		Grace time.Duration
 
 		program, folder, storeAddress string
-		closers                       []func()
+
+		mu      sync.Mutex
+		closers []func()
 	}
 
 	// Entry is one entry process.
@@ -78,7 +85,7 @@
 
 // NewCluster starts the store. folder is a temporary folder for settings and logs.
 func NewCluster(program, folder string, record *Record) (*Cluster, error) {
-	c := &Cluster{Store: mcstandin.NewPlatformStore(1), Record: record, program: program, folder: folder}
+	c := &Cluster{Store: mcstandin.NewPlatformStore(1), Record: record, Grace: GraceTime, program: program, folder: folder}
 	var err error
 	c.storeAddress, _, err = c.Serve(c.Store)
 	return c, err
@@ -94,18 +101,29 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
 	end = func() { _ = server.Close() }
-	c.closers = append(c.closers, end)
+	c.OnClose(end)
 	return listener.Addr().String(), end, nil
 }
 
-// FreeAddress returns a loopback address whose port is free.
+// OnClose calls end when the cluster is closed.
+func (c *Cluster) OnClose(end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closers = append(c.closers, end)
+}
+
+// FreeAddress returns a loopback address whose port is free. The ports are below those that the
+// kernel gives to outgoing connections, which could take one before a process listens there.
 func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		var listener net.Listener
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 // AddEntry writes the settings of a further entry instance as deploy/entry.yaml.tmpl does.
@@ -118,6 +136,16 @@
 		}
 	}
 	e.settings, e.outputPath = filepath.Join(c.folder, e.Name+".yaml"), filepath.Join(c.folder, e.Name+".log")
+	if err := e.WriteSettings(c.storeAddress, c.Grace); err != nil {
+		return nil, err
+	}
+	c.Entries = append(c.Entries, e)
+	return e, nil
+}
+
+// WriteSettings writes the settings file, as the platform does at each start and whenever the
+// settings change.
+func (e *Entry) WriteSettings(store string, grace time.Duration) error {
 	text := fmt.Sprintf(`deployment: fleet
 region: "r"
 dataCentre: "z"
@@ -139,14 +167,13 @@
   retrySlack: 100
   retryWindow: 10s
   memoryMB: %d
-`, e.Name, e.peer, e.admin, e.Caller, e.Ready, c.storeAddress, int(GraceTime.Seconds()), RevokeLimit.Milliseconds(), memoryMB)
-	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
-	c.Entries = append(c.Entries, e)
-	return e, nil
+`, e.Name, e.peer, e.admin, e.Caller, e.Ready, store, int(grace.Seconds()), RevokeLimit.Milliseconds(), memoryMB)
+	return os.WriteFile(e.settings, []byte(text), 0o600)
 }
 
+// StoreAddress returns the address of the store.
+func (c *Cluster) StoreAddress() string { return c.storeAddress }
+
 // Start starts the process with the command of the deploy file.
 func (e *Entry) Start() error {
 	output, err := os.OpenFile(e.outputPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -249,6 +276,8 @@
 	for _, e := range c.Entries {
 		e.Kill()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, end := range c.closers {
 		end()
 	}
