--- a/review/driver/keys.go
+++ b/review/driver/keys.go
@@ -33,8 +33,12 @@
 	return harness.Service{Name: "api", HealthPath: "/health", MaxConns: 96}
 }
 
-// startServers starts n servers of the service api.
+// startServers starts n servers of the service api, with as many slots as at the site copo-lima.
 func startServers(c *harness.Cluster, n int) ([]*mcstandin.PlatformServer, error) {
+	return startServersWithSlots(c, n, 6)
+}
+
+func startServersWithSlots(c *harness.Cluster, n, slots int) ([]*mcstandin.PlatformServer, error) {
 	var servers []*mcstandin.PlatformServer
 	for i := range n {
 		s := &mcstandin.PlatformServer{ID: "i-api-" + string(rune('a'+i)), CallTime: 20 * time.Millisecond}
@@ -42,7 +46,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c.PutEntry(s.ID, "api", address, mcstandin.PlatformReady, 6, time.Now().UnixMilli())
+		c.PutEntry(s.ID, "api", address, mcstandin.PlatformReady, slots, time.Now().UnixMilli())
 		servers = append(servers, s)
 	}
 	return servers, nil
