--- a/review/driver/keys.go
+++ b/review/driver/keys.go
@@ -221,6 +221,13 @@
 		if answer.Status == 0 {
 			time.Sleep(20 * time.Millisecond)
 		}
+		for _, other := range c.Entries[1:] {
+			id, _ := call(c, other, "GET", "/lookup/1", revokedKey)
+			if server, _ := ranAt(servers, id); server != "" {
+				held = false
+				c.Record.Printf("server: %s ran request %s from %s, which was not started again", server, id, other.Name)
+			}
+		}
 		time.Sleep(20 * time.Millisecond)
 	}
 	<-written
