Review case 4: a deadly request with another query is not recognised

Shown: a request that crashes servers comes with the same path, caller and body and another query; 39 or 40 of 48 reach servers later than stable-ms after the third crash.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -34,6 +34,7 @@
 	"foreign":   playForeign,
 	"restored":  playRestored,
 	"grace":     playGrace,
+	"deadly":    playDeadly,
 	"endless":   playEndless,
 }
 
