--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -27,7 +28,8 @@
 	memoryMB    = 284
 	killWait    = 10 * time.Second
 	firstPort   = 12000
-	portCount   = 18000
+	blockPorts  = 100
+	blockCount  = 180
 )
 
 type (
@@ -112,18 +114,43 @@
 	c.closers = append(c.closers, end)
 }
 
-// FreeAddress returns a loopback address whose port is free. The ports are below those that the
-// kernel gives to outgoing connections, which could take one before a process listens there.
+// ports hands out the ports of a block. The listener on its first port reserves it against other
+// runs beside this one until the process ends.
+var ports struct {
+	sync.Mutex
+	block net.Listener
+	next  int
+}
+
+// FreeAddress returns a loopback address whose port is free, a different one each time. The ports are
+// below those that the kernel gives to outgoing connections, which could take one before a process
+// listens there.
 func FreeAddress() (string, error) {
-	var err error
+	ports.Lock()
+	defer ports.Unlock()
+	err := errors.New("no block of ports is free")
 	for range 100 {
-		var listener net.Listener
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
-		if listener, err = net.Listen("tcp", address); err == nil {
+		if ports.block != nil {
+			break
+		}
+		first := firstPort + blockPorts*rand.IntN(blockCount)
+		if ports.block, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err != nil {
+			ports.block = nil
+			continue
+		}
+		ports.next = first + 1
+	}
+	if ports.block == nil {
+		return "", err
+	}
+	for end := ports.next + blockPorts - 1; ports.next < end; {
+		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
+		ports.next++
+		if listener, err := net.Listen("tcp", address); err == nil {
 			return address, listener.Close()
 		}
 	}
-	return "", err
+	return "", errors.New("no port is free")
 }
 
 // AddEntry writes the settings of a further entry instance as deploy/entry.yaml.tmpl does.
