Log what tells apart the ways in which a leaving endpoint is used

Callers: no change. The record of the incident could not be explained from logs: a dispatch named neither the endpoint's incarnation nor the age of the listing, records that were ignored left no line, and of an outage only the first error was logged.

Change: `dispatched` has incarnation, routingAgeMs and listingAgeMs; `recordIgnored` (a line a second after the first 16) names the record and the reason; `storeCallFailed` is each further failed call, bounded by the pauses between calls. Test of the dispatch line; refusalLine is split so that both tests share it. Logic is unchanged.

--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"marigoldcroft"
 	"marigoldcroft/mcfollow"
@@ -27,6 +28,10 @@
 	// copies from which the store is restored are seconds old.
 	removedRetention = 10 * time.Minute
 	maxRemoved       = 4096
+	// ignoredLogInterval and ignoredLogBurst bound the log lines of records that are ignored, which
+	// other programs may write at any rate.
+	ignoredLogInterval = time.Second
+	ignoredLogBurst    = 16
 )
 
 type (
@@ -52,6 +57,8 @@
 		// known is true once a full listing has been applied, and announced once OnChange has
 		// returned for it.
 		known, announced bool
+		// ignoredLog limits the lines of records that are ignored.
+		ignoredLog rate.Sometimes
 		// removed holds the endpoints that were removed lately, by name.
 		removed map[string]removedEndpoint
 		// keepMissingUntil is the time until which endpoints with missing records are kept
@@ -211,6 +218,7 @@
 	f.mu.Lock()
 	if f.entries == nil {
 		f.entries = make(map[string]*fleetEntry)
+		f.ignoredLog = rate.Sometimes{First: ignoredLogBurst, Interval: ignoredLogInterval}
 	}
 	if change.OutageDuration > minOutage && f.known {
 		f.keepMissingUntil = now.Add(recordReturnTime)
@@ -222,6 +230,9 @@
 	for _, r := range change.Records {
 		listed[r.Name] = true
 		if r.Deleted || r.Value == nil {
+			if !r.Deleted {
+				f.logIgnored(r.Name, "not an endpoint's record", 0, 0)
+			}
 			ended = f.handleMissing(now, r.Name, ended)
 		} else {
 			ended = f.putRecord(now, *r.Value, change.Snapshot, ended)
@@ -244,6 +255,14 @@
 	f.notifyEnded(ended)
 }
 
+// logIgnored writes the log line of a record that is ignored. known is the incarnation that the
+// record does not replace.
+func (f *Fleet) logIgnored(name, reason string, incarnation, known uint64) {
+	f.ignoredLog.Do(func() {
+		f.Logger.Warn().Str("endpoint", name).Str("reason", reason).Uint64("incarnation", incarnation).Uint64("known", known).Msg("recordIgnored")
+	})
+}
+
 // announce passes the endpoints to OnChange. The listing is read while announceMu is held, so that
 // the last call has the newest one. mu must not be held.
 func (f *Fleet) announce() {
@@ -286,6 +305,7 @@
 func (f *Fleet) putRecord(now time.Time, record marigoldcroft.EndpointRecord, snapshot bool, ended []endedProcess) []endedProcess {
 	previous := f.entries[record.Name]
 	if previous != nil && previous.record.Incarnation > record.Incarnation && record.Incarnation != 0 {
+		f.logIgnored(record.Name, "older incarnation", record.Incarnation, previous.record.Incarnation)
 		return ended
 	}
 	if previous != nil && record.Incarnation > previous.record.Incarnation && !previous.record.Leaving {
@@ -318,6 +338,7 @@
 	case !known || removed.incarnation < entry.record.Incarnation:
 		return true
 	case removed.incarnation > entry.record.Incarnation && entry.record.Incarnation != 0:
+		f.logIgnored(entry.record.Name, "older incarnation than the removed one", entry.record.Incarnation, removed.incarnation)
 		return false
 	case removed.leaving:
 		entry.leaving = true
--- a/mcfollow/follower.go
+++ b/mcfollow/follower.go
@@ -170,13 +170,15 @@
 	}
 }
 
-// recordFailure counts a failed call and logs the first one of an outage.
+// recordFailure counts a failed call and logs it. The pauses between calls bound the number of lines.
 func (f *Follower[T]) recordFailure(err error) {
+	event := "storeCallFailed"
 	if f.failures == 0 {
 		f.failedSince = time.Now()
-		f.Logger.Warn().Str("records", f.Name).Err(err).Msg("storeLost")
+		event = "storeLost"
 	}
 	f.failures++
+	f.Logger.Warn().Str("records", f.Name).Int("failures", f.failures).Err(err).Msg(event)
 }
 
 // backOff waits before the next call after a failed one. If another follower probes the store,
--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -108,8 +108,8 @@
 	if err := a.acquire(ctx); err != nil {
 		return nil, err
 	}
-	f.Logger.Info().Str("requestId", c.request.ID).Str("endpoint", a.endpoint).Strs("helpers", a.decision.Helpers).
-		Stringer("class", a.decision.Class).Dur("queuedMs", time.Since(queuedAt)).Dur("predictedStartMs", a.decision.PredictedStart).
+	event := f.Logger.Info().Str("requestId", c.request.ID).Str("endpoint", a.endpoint).Uint64("incarnation", f.Fleet.Incarnation(a.endpoint))
+	f.addAges(event).Strs("helpers", a.decision.Helpers).Stringer("class", a.decision.Class).Dur("queuedMs", time.Since(queuedAt)).Dur("predictedStartMs", a.decision.PredictedStart).
 		Dur("predictedFirstMs", a.decision.PredictedFirstToken).Dur("predictedEndMs", a.decision.PredictedEnd).
 		Int64("outputTokens", work.OutputTokens).Int64("expectedOutputTokens", work.ExpectedOutputTokens).Msg("dispatched")
 	a.loadChanged()
--- a/mcforward/refusal_test.go
+++ b/mcforward/refusal_test.go
@@ -14,9 +14,8 @@
 	"marigoldcroft/mcforward"
 )
 
-// refusalLine sends a request to a forwarder with the parts of the test bed, which must refuse it,
-// and returns the request's log line.
-func (b *testBed) refusalLine() map[string]any {
+// logLines sends a request to a forwarder with the parts of the test bed and returns its log lines.
+func (b *testBed) logLines(status int) []map[string]any {
 	b.t.Helper()
 	var output bytes.Buffer
 	f := &mcforward.Forwarder{
@@ -29,11 +28,21 @@
 	r.RequestURI = "/once/x"
 	w := httptest.NewRecorder()
 	f.ServeHTTP(w, r)
-	require.Equal(b.t, http.StatusServiceUnavailable, w.Code)
-	lines := bytes.Split(bytes.TrimSpace(output.Bytes()), []byte("\n"))
-	var line map[string]any
-	require.NoError(b.t, json.Unmarshal(lines[len(lines)-1], &line))
-	return line
+	require.Equal(b.t, status, w.Code)
+	var lines []map[string]any
+	for _, raw := range bytes.Split(bytes.TrimSpace(output.Bytes()), []byte("\n")) {
+		var line map[string]any
+		require.NoError(b.t, json.Unmarshal(raw, &line))
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// refusalLine sends a request that must be refused, and returns its last log line.
+func (b *testBed) refusalLine() map[string]any {
+	b.t.Helper()
+	lines := b.logLines(http.StatusServiceUnavailable)
+	return lines[len(lines)-1]
 }
 
 // Guards against refusals whose log line does not tell an instance without endpoints from one
@@ -55,3 +64,17 @@
 	require.NotContains(t, line, "routingAgeMs")
 	require.NotContains(t, line, "listed")
 }
+
+// Guards against a request at a leaving endpoint whose log line does not tell whether the instance
+// had an old listing or had taken the endpoint back into use.
+func TestDispatchLineHasItsInputs(t *testing.T) {
+	b := newTestBed(t, 1)
+	for _, line := range b.logLines(http.StatusOK) {
+		if line["message"] == "dispatched" {
+			require.Equal(t, 1200.0, line["listingAgeMs"])
+			require.Equal(t, 1.0, line["incarnation"])
+			return
+		}
+	}
+	t.Fatal("no line of the dispatch")
+}
