Let no record of another program change what is known of an endpoint

Cause: a record without a start (`born`) was decoded with incarnation 0, which replaced any other incarnation in mcfleet and so cleared the mark of leaving. Content that could not be decoded removed the endpoint at once.

A record that another program has left under an endpoint's name is ignored, with a line `recordIgnored`; the endpoint's own next record, within a heartbeat, replaces it. The exceptions for incarnation 0 in mcfleet are gone.

--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -151,8 +151,13 @@
 func (f *Fleet) Incarnation(name string) uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if m := f.entries[name]; m != nil {
-		return m.record.Incarnation
+	return f.incarnation(name)
+}
+
+// incarnation is Incarnation with mu held.
+func (f *Fleet) incarnation(name string) uint64 {
+	if entry := f.entries[name]; entry != nil {
+		return entry.record.Incarnation
 	}
 	return 0
 }
@@ -229,15 +234,16 @@
 	changed := !f.known
 	for _, r := range change.Records {
 		listed[r.Name] = true
-		if r.Deleted || r.Value == nil {
-			if !r.Deleted {
-				f.logIgnored(r.Name, "not an endpoint's record", 0, 0)
-			}
-			ended = f.handleMissing(now, r.Name, ended)
-		} else {
-			ended = f.putRecord(now, *r.Value, change.Snapshot, ended)
+		switch {
+		case r.Deleted:
+			ended, changed = f.handleMissing(now, r.Name, ended), true
+		case r.Value == nil:
+			// Another program has written it. The endpoint's own next record replaces it, and
+			// until then what is known of the endpoint holds.
+			f.logIgnored(r.Name, "not an endpoint's record", 0, f.incarnation(r.Name))
+		default:
+			ended, changed = f.putRecord(now, *r.Value, change.Snapshot, ended), true
 		}
-		changed = true
 	}
 	if change.Snapshot {
 		f.known = true
@@ -304,7 +310,7 @@
 // which it was ready.
 func (f *Fleet) putRecord(now time.Time, record marigoldcroft.EndpointRecord, snapshot bool, ended []endedProcess) []endedProcess {
 	previous := f.entries[record.Name]
-	if previous != nil && previous.record.Incarnation > record.Incarnation && record.Incarnation != 0 {
+	if previous != nil && previous.record.Incarnation > record.Incarnation {
 		f.logIgnored(record.Name, "older incarnation", record.Incarnation, previous.record.Incarnation)
 		return ended
 	}
@@ -337,7 +343,7 @@
 	switch {
 	case !known || removed.incarnation < entry.record.Incarnation:
 		return true
-	case removed.incarnation > entry.record.Incarnation && entry.record.Incarnation != 0:
+	case removed.incarnation > entry.record.Incarnation:
 		f.logIgnored(entry.record.Name, "older incarnation than the removed one", entry.record.Incarnation, removed.incarnation)
 		return false
 	case removed.leaving:
