Confirm an endpoint whose record has returned before it is used again

Cause: some endpoints never announce their leaving: their record is removed and they serve on. If a write of the endpoint was on its way, the store may carry it out seconds later, and the record is there again, in state ready and of the same process. mcfleet took such an event for a live endpoint and used it at once, until the record lapsed three heartbeats later or an answer said that the endpoint is leaving. The record alone can't tell this from an endpoint whose record lapsed, as in a cut from the store.

Evidence: records do return.

Change: a returned record waits for a health check, in which the endpoint states its name, that it is healthy and that it does not leave. Both cases take the same path now.

--- a/forward.go
+++ b/forward.go
@@ -55,6 +55,8 @@
 	ForwardResponse struct {
 		// RequestID is the id of the request that the answer belongs to.
 		RequestID string
+		// Endpoint is the name of the endpoint, which it states in answers to health checks.
+		Endpoint string
 		// NotRun is true if the endpoint states that it did not and will not run the request.
 		NotRun bool
 		// HasReceipt is true if the header holds the endpoint's receipt, as it does in every
--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -208,7 +208,7 @@
 		Metrics: e.metrics, Logger: e.logger, MaxInFlight: e.Settings.Limits.MaxInFlight,
 		MaxBodyBytes: int64(bodyShare * float64(max(s.MemoryMB, 64)) * (1 << 20)),
 	}
-	e.fleet.OnProcessEnded = e.forwarder.EndpointEnded
+	e.fleet.OnProcessEnded, e.fleet.OnReturned = e.forwarder.EndpointEnded, e.forwarder.ConfirmReturned
 	e.store = platform.NewStore(s.PlatformStore)
 	gate := &mcfollow.Gate{}
 	e.routing = &mcfollow.Follower[marigoldcroft.RoutingTable]{
--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -20,14 +20,11 @@
 	// minOutage is the length of an outage of the store above which records may have expired
 	// during it.
 	minOutage = time.Second
-	// restoredRecordTime is how long an endpoint whose record was gone, and is in a full listing
-	// again, gets no work. The store may have been restored from a copy with the record; records
-	// that no server renews disappear within a few of its heartbeats.
-	restoredRecordTime = 6 * time.Second
-	// removedRetention is how long removed endpoints are remembered, and maxRemoved how many. The
-	// copies from which the store is restored are seconds old.
-	removedRetention = 10 * time.Minute
-	maxRemoved       = 4096
+	// returnedRecordTime is how long an endpoint whose record was gone and is there again gets no
+	// work unless it is confirmed. The store may have been restored from a copy with the record, or
+	// a write of the endpoint may have been carried out late; records that no endpoint renews
+	// disappear within a few heartbeats.
+	returnedRecordTime = 6 * time.Second
 	// ignoredLogInterval and ignoredLogBurst bound the log lines of records that are ignored, which
 	// other programs may write at any rate.
 	ignoredLogInterval = time.Second
@@ -46,6 +43,9 @@
 		// leaving. Either its record expired and incarnation is 0, or a newer process took its
 		// name and incarnation is that of the newer one. It may be nil.
 		OnProcessEnded func(name string, incarnation uint64)
+		// OnReturned is called when the record of a removed endpoint is there again. The endpoint gets
+		// no work before Confirm is called for it or its record has stayed for a time. It may be nil.
+		OnReturned func(endpoint marigoldcroft.Endpoint, incarnation uint64)
 
 		// announceMu is locked before mu.
 		announceMu sync.Mutex
@@ -61,6 +61,8 @@
 		ignoredLog rate.Sometimes
 		// removed holds the endpoints that were removed lately, by name.
 		removed map[string]removedEndpoint
+		// returned holds the arguments of the calls of OnReturned that are due.
+		returned []returnedEndpoint
 		// keepMissingUntil is the time until which endpoints with missing records are kept
 		// after an outage.
 		keepMissingUntil time.Time
@@ -75,21 +77,13 @@
 		removeAt time.Time
 		// leaving is true once the process has stated that it is leaving.
 		leaving bool
-		// unconfirmedUntil is the time until which the record may be one that the store was restored
-		// with after its endpoint had gone, or zero.
+		// unconfirmedUntil is the time until which the record may have returned without its endpoint,
+		// or zero.
 		unconfirmedUntil time.Time
 		// moved is true once another endpoint has answered at the address of the record.
 		moved bool
 	}
 
-	// removedEndpoint is an endpoint that was removed.
-	removedEndpoint struct {
-		incarnation uint64
-		// leaving is true if the endpoint had announced that it was leaving.
-		leaving bool
-		at      time.Time
-	}
-
 	// endedProcess holds the arguments of one call of Fleet.OnProcessEnded.
 	endedProcess struct {
 		name        string
@@ -242,7 +236,7 @@
 			// until then what is known of the endpoint holds.
 			f.logIgnored(r.Name, "not an endpoint's record", 0, f.incarnation(r.Name))
 		default:
-			ended, changed = f.putRecord(now, *r.Value, change.Snapshot, ended), true
+			ended, changed = f.putRecord(now, *r.Value, ended), true
 		}
 	}
 	if change.Snapshot {
@@ -253,12 +247,14 @@
 			}
 		}
 	}
+	returned := f.takeReturned()
 	f.mu.Unlock()
 	if changed {
 		f.announce()
 	}
 	f.markAnnounced()
 	f.notifyEnded(ended)
+	f.notifyReturned(returned)
 }
 
 // logIgnored writes the log line of a record that is ignored. known is the incarnation that the
@@ -308,7 +304,7 @@
 // incarnation. It appends to ended if a newer incarnation shows that the previous process
 // has ended. An endpoint that was leaving stays so, even if the store was restored from a copy in
 // which it was ready.
-func (f *Fleet) putRecord(now time.Time, record marigoldcroft.EndpointRecord, snapshot bool, ended []endedProcess) []endedProcess {
+func (f *Fleet) putRecord(now time.Time, record marigoldcroft.EndpointRecord, ended []endedProcess) []endedProcess {
 	previous := f.entries[record.Name]
 	if previous != nil && previous.record.Incarnation > record.Incarnation {
 		f.logIgnored(record.Name, "older incarnation", record.Incarnation, previous.record.Incarnation)
@@ -324,11 +320,9 @@
 	entry := &fleetEntry{record: record, moved: previous != nil && previous.moved && previous.record == record}
 	if previous != nil && previous.record.Incarnation == record.Incarnation {
 		entry.leaving = previous.leaving || previous.record.Leaving
-		if snapshot {
-			entry.unconfirmedUntil = previous.unconfirmedUntil
-		}
+		entry.unconfirmedUntil = previous.unconfirmedUntil
 	}
-	if previous == nil && !f.recallRemoved(now, entry, snapshot) {
+	if previous == nil && !f.recallRemoved(now, entry) {
 		return ended
 	}
 	entry.endpoint = f.buildEndpoint(entry)
@@ -336,43 +330,6 @@
 	return ended
 }
 
-// recallRemoved applies to a new entry what is known of an endpoint that was removed under its name.
-// It returns false for a record of an older incarnation.
-func (f *Fleet) recallRemoved(now time.Time, entry *fleetEntry, snapshot bool) bool {
-	removed, known := f.removed[entry.record.Name]
-	switch {
-	case !known || removed.incarnation < entry.record.Incarnation:
-		return true
-	case removed.incarnation > entry.record.Incarnation:
-		f.logIgnored(entry.record.Name, "older incarnation than the removed one", entry.record.Incarnation, removed.incarnation)
-		return false
-	case removed.leaving:
-		entry.leaving = true
-	case snapshot:
-		entry.unconfirmedUntil = now.Add(restoredRecordTime)
-		time.AfterFunc(restoredRecordTime, func() { f.confirmRecord(entry.record.Name) })
-	default:
-		return true
-	}
-	f.Logger.Info().Str("endpoint", entry.record.Name).Bool("leaving", entry.leaving).Msg("endpointRestored")
-	return true
-}
-
-// confirmRecord puts an endpoint into use whose record is still there restoredRecordTime after it
-// was restored.
-func (f *Fleet) confirmRecord(name string) {
-	f.mu.Lock()
-	entry := f.entries[name]
-	if entry == nil || entry.unconfirmedUntil.IsZero() || time.Now().Before(entry.unconfirmedUntil) {
-		f.mu.Unlock()
-		return
-	}
-	entry.unconfirmedUntil = time.Time{}
-	entry.endpoint = f.buildEndpoint(entry)
-	f.mu.Unlock()
-	f.announce()
-}
-
 // handleMissing handles a missing record: it removes the endpoint, or keeps it until
 // keepMissingUntil if the record may have expired during an outage of the store. An endpoint
 // that announced that it was leaving is always removed.
@@ -403,22 +360,6 @@
 	return append(ended, endedProcess{name, 0})
 }
 
-// rememberRemoved remembers a removed endpoint and forgets those that were removed long ago.
-func (f *Fleet) rememberRemoved(name string, entry *fleetEntry) {
-	now := time.Now()
-	for other, removed := range f.removed {
-		if now.Sub(removed.at) > removedRetention {
-			delete(f.removed, other)
-		}
-	}
-	if f.removed == nil {
-		f.removed = make(map[string]removedEndpoint)
-	}
-	if len(f.removed) < maxRemoved {
-		f.removed[name] = removedEndpoint{incarnation: entry.record.Incarnation, leaving: entry.record.Leaving || entry.leaving, at: now}
-	}
-}
-
 // removeMissingLocked removes the endpoints whose missing records did not come back in time.
 // It reports whether there were any; mu must be held.
 func (f *Fleet) removeMissingLocked(now time.Time, ended []endedProcess) ([]endedProcess, bool) {
--- a/mcfleet/leaving_test.go
+++ b/mcfleet/leaving_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -37,3 +39,49 @@
 		})
 	}
 }
+
+// Guards against requests to an endpoint that left without an announcement, by the removal of its
+// record, and whose last write is carried out afterwards. One that lives is used as soon as it is
+// confirmed, or once its record has stayed.
+func TestReturnedRecordIsNotUsedBeforeItsEndpointIsConfirmed(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		then   func(f *recordingFleet)
+		later  []string
+		atOnce []string
+	}{
+		{"confirmed", func(f *recordingFleet) { f.Confirm("a", 1) }, []string{"a"}, []string{"a"}},
+		{"another process is confirmed", func(f *recordingFleet) { f.Confirm("a", 2) }, []string{"a"}, nil},
+		{"the record stays", func(*recordingFleet) {}, []string{"a"}, nil},
+		{"the record disappears", func(f *recordingFleet) { f.Apply(change{Records: []record{{Name: "a", Deleted: true}}}) }, nil, nil},
+		{"it says that it is leaving", func(f *recordingFleet) {
+			f.MarkLeaving("a")
+			f.Confirm("a", 1)
+		}, nil, nil},
+		{"its record says that it is leaving", func(f *recordingFleet) {
+			f.Apply(change{Records: []record{leavingRecord("a", 1)}})
+			f.Confirm("a", 1)
+		}, nil, nil},
+		{"the next process starts", func(f *recordingFleet) { f.Apply(change{Records: []record{readyRecord("a", 2)}}) }, []string{"a"}, []string{"a"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet()
+				f.Apply(change{Snapshot: true, Records: []record{readyRecord("a", 1)}})
+				f.Apply(change{Records: []record{{Name: "a", Deleted: true}}})
+				f.Apply(change{Records: []record{readyRecord("a", 1)}})
+				endpoints, _ := f.recorded()
+				require.Empty(t, endpoints)
+				require.Equal(t, []string{"a/1 false"}, f.returned)
+				c.then(f)
+				endpoints, _ = f.recorded()
+				require.Equal(t, c.atOnce, endpoints)
+				time.Sleep(7 * time.Second)
+				synctest.Wait()
+				endpoints, _ = f.recorded()
+				require.Equal(t, c.later, endpoints)
+				require.Len(t, f.returned, 1)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/mcfleet/returned.go
@@ -0,0 +1,108 @@
+package mcfleet
+
+import (
+	"time"
+
+	"marigoldcroft"
+)
+
+const (
+	// removedRetention is how long removed endpoints are remembered, and maxRemoved how many. The
+	// copies from which the store is restored are seconds old.
+	removedRetention = 10 * time.Minute
+	maxRemoved       = 4096
+)
+
+type (
+	// removedEndpoint is an endpoint that was removed.
+	removedEndpoint struct {
+		incarnation uint64
+		// leaving is true if the endpoint had announced that it was leaving.
+		leaving bool
+		at      time.Time
+	}
+
+	// returnedEndpoint holds the arguments of one call of Fleet.OnReturned.
+	returnedEndpoint struct {
+		endpoint    marigoldcroft.Endpoint
+		incarnation uint64
+	}
+)
+
+// Confirm puts an endpoint into use that OnReturned was called for. It has no effect on an endpoint
+// that has announced its leaving, or if another process has taken the name.
+func (f *Fleet) Confirm(name string, incarnation uint64) {
+	f.confirm(name, func(entry *fleetEntry) bool { return entry.record.Incarnation == incarnation })
+}
+
+// confirm ends the time for which an endpoint is unconfirmed if the condition holds.
+func (f *Fleet) confirm(name string, condition func(entry *fleetEntry) bool) {
+	f.mu.Lock()
+	entry := f.entries[name]
+	if entry == nil || entry.unconfirmedUntil.IsZero() || !condition(entry) {
+		f.mu.Unlock()
+		return
+	}
+	entry.unconfirmedUntil = time.Time{}
+	entry.endpoint = f.buildEndpoint(entry)
+	f.Logger.Info().Str("endpoint", name).Uint64("incarnation", entry.record.Incarnation).Msg("endpointConfirmed")
+	f.mu.Unlock()
+	f.announce()
+}
+
+// recallRemoved applies to a new entry what is known of an endpoint that was removed under its name.
+// It returns false for a record of an older incarnation. A process that left without an announcement
+// can't be told from one whose record lapsed, so the record alone brings neither back at once.
+func (f *Fleet) recallRemoved(now time.Time, entry *fleetEntry) bool {
+	name := entry.record.Name
+	removed, known := f.removed[name]
+	switch {
+	case !known || removed.incarnation < entry.record.Incarnation:
+		return true
+	case removed.incarnation > entry.record.Incarnation:
+		f.logIgnored(name, "older incarnation than the removed one", entry.record.Incarnation, removed.incarnation)
+		return false
+	case removed.leaving || entry.record.Leaving:
+		entry.leaving = true
+	default:
+		f.returned = append(f.returned, returnedEndpoint{f.buildEndpoint(entry), entry.record.Incarnation})
+		entry.unconfirmedUntil = now.Add(returnedRecordTime)
+		time.AfterFunc(returnedRecordTime, func() {
+			f.confirm(name, func(entry *fleetEntry) bool { return !time.Now().Before(entry.unconfirmedUntil) })
+		})
+	}
+	f.Logger.Info().Str("endpoint", name).Bool("leaving", entry.leaving).Msg("endpointReturned")
+	return true
+}
+
+// takeReturned returns the arguments of the calls of OnReturned that are due; mu must be held.
+func (f *Fleet) takeReturned() []returnedEndpoint {
+	returned := f.returned
+	f.returned = nil
+	return returned
+}
+
+// notifyReturned calls OnReturned for each endpoint; mu must not be held.
+func (f *Fleet) notifyReturned(returned []returnedEndpoint) {
+	for _, r := range returned {
+		if f.OnReturned != nil {
+			f.OnReturned(r.endpoint, r.incarnation)
+		}
+	}
+}
+
+// rememberRemoved remembers a removed endpoint and forgets those that were removed long ago.
+func (f *Fleet) rememberRemoved(name string, entry *fleetEntry) {
+	now := time.Now()
+	for other, removed := range f.removed {
+		if now.Sub(removed.at) > removedRetention {
+			delete(f.removed, other)
+		}
+	}
+	if f.removed == nil {
+		f.removed = make(map[string]removedEndpoint)
+	}
+	if len(f.removed) < maxRemoved {
+		f.removed[name] = removedEndpoint{incarnation: entry.record.Incarnation, leaving: entry.record.Leaving || entry.leaving, at: now}
+	}
+}
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -72,14 +72,16 @@
 	MaxInFlight  int
 	MaxBodyBytes int64
 
-	initOnce  sync.Once
-	pool      *connPool
-	health    *healthTracker
-	stated    *statementTracker
-	stop      mcstop.Stop
-	inFlight  atomic.Int64
-	bodyBytes atomic.Int64
-	running   mcclock.RunningTime
+	initOnce sync.Once
+	pool     *connPool
+	health   *healthTracker
+	stated   *statementTracker
+	// confirming has room for the endpoints that are checked at the same time.
+	confirming chan struct{}
+	stop       mcstop.Stop
+	inFlight   atomic.Int64
+	bodyBytes  atomic.Int64
+	running    mcclock.RunningTime
 }
 
 func (f *Forwarder) init() {
@@ -87,6 +89,7 @@
 		f.pool = newConnPool(func() { f.Metrics.Attempts.WithLabelValues("connect").Inc() })
 		f.health = &healthTracker{scheduler: f.Dispatcher.Scheduler, acceptsConnection: f.tryConnect, fleet: f.Fleet, logger: f.Logger}
 		f.stated = &statementTracker{logger: f.Logger}
+		f.confirming = make(chan struct{}, maxConfirming)
 	})
 }
 
--- a/mcstandin/platformserver.go
+++ b/mcstandin/platformserver.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// PlatformHealthPath is the path of a PlatformServer's health check.
+const PlatformHealthPath = "/health"
+
 type (
 	// PlatformServerFaults are the faults of a PlatformServer. Each field but BreakAfterEvent is the
 	// number of requests that the fault still applies to, and counts down.
@@ -64,6 +67,7 @@
 		faults    PlatformServerFaults
 		statement PlatformStatement
 		refused   int
+		checks    int
 		runs      []PlatformRun
 		cancelled int
 	}
@@ -178,6 +182,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if r.URL.Path == PlatformHealthPath {
+		s.answerHealthCheck(w)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -190,6 +198,24 @@
 	s.respond(w, r)
 }
 
+// answerHealthCheck answers with status 503 while the server is leaving.
+func (s *PlatformServer) answerHealthCheck(w http.ResponseWriter) {
+	s.mu.Lock()
+	s.checks++
+	leaving := s.statement.Leaving
+	s.mu.Unlock()
+	if leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Checks returns the number of health checks that the server answered.
+func (s *PlatformServer) Checks() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.checks
+}
+
 func (s *PlatformServer) writeRetryAfter(header http.Header) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
