List records after a watch that the store did not answer

Cause: after a call without an answer a follower tried the same watch again and again. While the watches of a store are silent, which it may be for all watches of a kind at once, each try costs a second, although a list is answered.

Change: a call that ended at its time limit is followed by a list. Other failures, a reset for example, are followed by a watch as before.

--- a/mcfollow/follower.go
+++ b/mcfollow/follower.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -108,6 +109,10 @@
 			f.Logger.Info().Str("records", f.Name).Int64("revision", f.revision).Msg("historyGone")
 			continue
 		}
+		if errors.Is(err, context.DeadlineExceeded) {
+			// The store may answer other calls while its watches are silent.
+			f.listed = false
+		}
 		f.recordFailure(err)
 		f.backOff(ctx)
 	}
