List records when a peer's copy shows that a change was missed

Cause: an instance whose copy differs from a newer one of a peer restarted its watch, from the revision that it had reached. That helps if an answer was lost, but not if the watch has gone on to a revision after the change: an event that could not be decoded, a watch that the store ended while it was silent. The copy then stayed wrong for good, although every exchange with a peer showed it, and counted as complete, as each restarted watch confirmed it.

Change: the records are listed in place of the next watch.

Result: TestChangeThatAWatchPassedOverIsListed fails before.

--- a/mcfollow/copystatus.go
+++ b/mcfollow/copystatus.go
@@ -36,6 +36,8 @@
 		interrupted bool
 		// skipWait requests that the next watch does not wait.
 		skipWait bool
+		// listAgain requests a list in place of the next watch.
+		listAgain bool
 	}
 
 	// recordHash is the hash of one record; present is false for a record that is deleted or
@@ -58,7 +60,8 @@
 
 // ObservePeerCopy handles a peer's report of its copy. An equal digest confirms this copy up to the
 // time at which the peer's copy was complete. A different digest that is newer by more than
-// minPeerLead shows that this instance's watch missed a change; the watch is then restarted.
+// minPeerLead shows that this instance's watch missed a change; the records are then listed, as the
+// watch may have gone on from a revision after the change.
 func (f *Follower[T]) ObservePeerCopy(digest uint64, complete time.Duration) {
 	s := &f.status
 	s.mu.Lock()
@@ -69,7 +72,7 @@
 	if digest != s.digest {
 		behind := complete - s.complete
 		s.mu.Unlock()
-		if behind > minPeerLead && s.interruptWatch() {
+		if behind > minPeerLead && s.interruptWatch(true) {
 			f.Logger.Info().Str("records", f.Name).Dur("behindMs", behind).Msg("copyBehind")
 		}
 		return
@@ -90,15 +93,15 @@
 			due += complete - mcclock.Now()
 		}
 		if due <= 0 {
-			f.status.interruptWatch()
+			f.status.interruptWatch(false)
 		}
 		mcclock.Sleep(ctx, max(due, minAgeCheckInterval))
 	}
 }
 
-// interruptWatch cancels a waiting watch and makes the next one return at once. It returns
-// false if no watch waits.
-func (s *copyStatus) interruptWatch() bool {
+// interruptWatch cancels a waiting watch and makes the next one return at once, or be replaced by a
+// list. It returns false if no watch waits.
+func (s *copyStatus) interruptWatch(listAgain bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.cancelWatch == nil {
@@ -106,6 +109,7 @@
 	}
 	s.cancelWatch()
 	s.cancelWatch, s.interrupted, s.skipWait = nil, true, true
+	s.listAgain = s.listAgain || listAgain
 	return true
 }
 
@@ -118,6 +122,15 @@
 	return skipWait
 }
 
+// takeListAgain reports whether a list must replace the next watch, and clears the request.
+func (s *copyStatus) takeListAgain() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listAgain := s.listAgain
+	s.listAgain = false
+	return listAgain
+}
+
 // beginWatch returns the context of a watch and a function to call after the watch, which
 // reports whether the watch was interrupted. Only a waiting watch can be interrupted.
 func (s *copyStatus) beginWatch(ctx context.Context, waiting bool) (context.Context, func() bool) {
--- a/mcfollow/follower.go
+++ b/mcfollow/follower.go
@@ -128,6 +128,9 @@
 	if f.status.takeSkipWait() || f.failures > 0 {
 		wait = recoveryWait
 	}
+	if f.status.takeListAgain() {
+		f.listed = false
+	}
 	f.calls.Add(1)
 	sentAt := mcclock.Now()
 	if !f.listed {
--- a/mcfollow/silentwatch_test.go
+++ b/mcfollow/silentwatch_test.go
@@ -30,6 +30,32 @@
 	return nil, 0, ctx.Err()
 }
 
+// Guards against a change that a watch has passed over, such as the leaving of an endpoint: each later
+// watch goes on from a revision after it, so that only a list shows it.
+func TestChangeThatAWatchPassedOverIsListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, held := &feed{revision: 1, records: map[string]int{"a": 1, "b": 1}}, &recordedCopy{}
+		follower := newConfirmedFollower(f, held)
+		follower.StoreFallbackAge = nil
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			follower.Run(ctx)
+		}()
+		synctest.Wait()
+		require.Equal(t, 2, held.size())
+		f.update(func() { delete(f.records, "b") })
+		digest, complete, _ := follower.CopyStatus()
+		follower.ObservePeerCopy(digest+1, complete+2*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, 1, held.size())
+		require.True(t, held.last().Snapshot)
+		cancel()
+		<-done
+	})
+}
+
 // Guards against records that an instance does not learn of, such as the leaving of an endpoint, for
 // as long as the store's watches are silent, although the store answers lists.
 func TestSilentWatchIsReplacedByAList(t *testing.T) {
