Let the record of an older incarnation count once it has stayed

Cause: mcfleet ignored each record with an older start than the one it knew, as a late write of an older process. If the clock of an endpoint goes back before it starts again under its name, all records of the running process are ignored, the one that announces its leaving among them: the endpoint stays in use until it exits. After its record had been removed, such an endpoint was not used for ten minutes.

Change: a record of an older incarnation that is still the last one after 1.5 s replaces the known one. A late write is replaced by the running process's next heartbeat, 1.2 s at the known sites, before that. What is leaving is out of use then, within the 2 s of the shortest drain-ms; what is ready waits for a health check, as a returned record does. An older record after a removal takes the path of returned records.

Result: TestOlderIncarnationCountsOnceItsRecordHasStayed, 6 cases, 4 fail before ("leaving, written late" and "removed, leaving" hold before and after). TestApply, with its case of a late record, is unchanged and passes.

--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -82,6 +82,10 @@
 		unconfirmedUntil time.Time
 		// moved is true once another endpoint has answered at the address of the record.
 		moved bool
+		// older is the last record, if it is that of an older incarnation.
+		older *marigoldcroft.EndpointRecord
+		// adopted is true if the record took the place of one with a newer incarnation.
+		adopted bool
 	}
 
 	// endedProcess holds the arguments of one call of Fleet.OnProcessEnded.
@@ -300,17 +304,17 @@
 	f.notifyEnded(ended)
 }
 
-// putRecord adds or replaces an endpoint's record and ignores a record of an older
-// incarnation. It appends to ended if a newer incarnation shows that the previous process
+// putRecord adds or replaces an endpoint's record; one of an older incarnation has to stay for a
+// time before it does. It appends to ended if a newer incarnation shows that the previous process
 // has ended. An endpoint that was leaving stays so, even if the store was restored from a copy in
 // which it was ready.
 func (f *Fleet) putRecord(now time.Time, record marigoldcroft.EndpointRecord, ended []endedProcess) []endedProcess {
 	previous := f.entries[record.Name]
 	if previous != nil && previous.record.Incarnation > record.Incarnation {
-		f.logIgnored(record.Name, "older incarnation", record.Incarnation, previous.record.Incarnation)
+		f.holdOlder(previous, record)
 		return ended
 	}
-	if previous != nil && record.Incarnation > previous.record.Incarnation && !previous.record.Leaving {
+	if previous != nil && record.Incarnation > previous.record.Incarnation && !previous.record.Leaving && !previous.adopted {
 		ended = append(ended, endedProcess{record.Name, record.Incarnation})
 	}
 	if previous == nil || previous.record != record {
@@ -320,10 +324,10 @@
 	entry := &fleetEntry{record: record, moved: previous != nil && previous.moved && previous.record == record}
 	if previous != nil && previous.record.Incarnation == record.Incarnation {
 		entry.leaving = previous.leaving || previous.record.Leaving
-		entry.unconfirmedUntil = previous.unconfirmedUntil
+		entry.unconfirmedUntil, entry.adopted = previous.unconfirmedUntil, previous.adopted
 	}
-	if previous == nil && !f.recallRemoved(now, entry) {
-		return ended
+	if previous == nil {
+		f.recallRemoved(now, entry)
 	}
 	entry.endpoint = f.buildEndpoint(entry)
 	f.entries[record.Name] = entry
--- a/mcfleet/leaving_test.go
+++ b/mcfleet/leaving_test.go
@@ -85,3 +85,56 @@
 		})
 	}
 }
+
+// Guards against an endpoint that stays in use although it has announced its leaving, because its clock
+// went back before its last start and its records count as those of an older process; and against one
+// that is taken out of use by a late record of an older process.
+func TestOlderIncarnationCountsOnceItsRecordHasStayed(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// older follows a ready record of incarnation 5, and then is what comes within a heartbeat.
+		older, then []record
+		// afterwards is what may be used 1.9 s after the older record, returned what had to be checked.
+		afterwards, returned []string
+	}{
+		{"leaving", []record{leavingRecord("a", 3)}, nil, nil, nil},
+		{"leaving, written late", []record{leavingRecord("a", 3)}, []record{readyRecord("a", 5)}, []string{"a"}, nil},
+		{"ready", []record{readyRecord("a", 3)}, nil, nil, []string{"a/3 false"}},
+		{"ready, then leaving", []record{readyRecord("a", 3)}, []record{leavingRecord("a", 3)}, []string{"a"}, nil},
+		{"removed", []record{{Name: "a", Deleted: true}, readyRecord("a", 3)}, nil, nil, []string{"a/3 false"}},
+		{"removed, leaving", []record{{Name: "a", Deleted: true}, leavingRecord("a", 3)}, nil, nil, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet()
+				f.Apply(change{Snapshot: true, Records: []record{readyRecord("a", 5)}})
+				for _, r := range c.older {
+					f.Apply(change{Records: []record{r}})
+				}
+				time.Sleep(1200 * time.Millisecond)
+				for _, r := range c.then {
+					f.Apply(change{Records: []record{r}})
+				}
+				time.Sleep(700 * time.Millisecond)
+				synctest.Wait()
+				endpoints, _ := f.recorded()
+				require.Equal(t, c.afterwards, endpoints)
+				require.Equal(t, c.returned, f.returned)
+
+				time.Sleep(time.Second)
+				synctest.Wait()
+				last := append(c.older, c.then...)
+				f.Confirm("a", last[len(last)-1].Value.Incarnation)
+				endpoints, _ = f.recorded()
+				if last[len(last)-1].Value.Leaving {
+					require.Empty(t, endpoints, "its leaving counts after the time for a late record")
+				} else {
+					require.Equal(t, []string{"a"}, endpoints)
+				}
+				f.Apply(change{Records: []record{readyRecord("a", 6)}})
+				endpoints, _ = f.recorded()
+				require.Equal(t, []string{"a"}, endpoints, "the next process")
+			})
+		})
+	}
+}
--- a/mcfleet/returned.go
+++ b/mcfleet/returned.go
@@ -11,6 +11,10 @@
 	// copies from which the store is restored are seconds old.
 	removedRetention = 10 * time.Minute
 	maxRemoved       = 4096
+	// olderRecordTime is how long a record of an older incarnation must stay before it counts. If an
+	// older process wrote it late, the next heartbeat of the running one replaces it; if it stays,
+	// the endpoint's clock went back before its last start.
+	olderRecordTime = 1500 * time.Millisecond
 )
 
 type (
@@ -50,29 +54,66 @@
 	f.announce()
 }
 
+// holdOlder keeps a record of an older incarnation than that of the entry until it has stayed for
+// olderRecordTime.
+func (f *Fleet) holdOlder(entry *fleetEntry, record marigoldcroft.EndpointRecord) {
+	f.logIgnored(record.Name, "older incarnation", record.Incarnation, entry.record.Incarnation)
+	if entry.older != nil && *entry.older == record {
+		return
+	}
+	held := &record
+	entry.older = held
+	time.AfterFunc(olderRecordTime, func() { f.adoptOlder(held) })
+}
+
+// adoptOlder replaces an endpoint's record by the held one if that is still the last.
+func (f *Fleet) adoptOlder(held *marigoldcroft.EndpointRecord) {
+	f.mu.Lock()
+	previous := f.entries[held.Name]
+	if previous == nil || previous.older != held {
+		f.mu.Unlock()
+		return
+	}
+	entry := &fleetEntry{record: *held, adopted: true, leaving: held.Leaving}
+	f.Logger.Info().Str("endpoint", held.Name).Uint64("incarnation", held.Incarnation).Uint64("previous", previous.record.Incarnation).
+		Bool("leaving", held.Leaving).Msg("olderRecordAdopted")
+	if !held.Leaving {
+		f.awaitConfirmation(time.Now(), entry)
+	}
+	entry.endpoint = f.buildEndpoint(entry)
+	f.entries[held.Name] = entry
+	returned := f.takeReturned()
+	f.mu.Unlock()
+	f.announce()
+	f.notifyReturned(returned)
+}
+
+// awaitConfirmation keeps new work from the entry's endpoint until it is confirmed.
+func (f *Fleet) awaitConfirmation(now time.Time, entry *fleetEntry) {
+	f.returned = append(f.returned, returnedEndpoint{f.buildEndpoint(entry), entry.record.Incarnation})
+	entry.unconfirmedUntil = now.Add(returnedRecordTime)
+	name := entry.record.Name
+	time.AfterFunc(returnedRecordTime, func() {
+		f.confirm(name, func(entry *fleetEntry) bool { return !time.Now().Before(entry.unconfirmedUntil) })
+	})
+}
+
 // recallRemoved applies to a new entry what is known of an endpoint that was removed under its name.
-// It returns false for a record of an older incarnation. A process that left without an announcement
-// can't be told from one whose record lapsed, so the record alone brings neither back at once.
-func (f *Fleet) recallRemoved(now time.Time, entry *fleetEntry) bool {
+// A process that left without an announcement can't be told from one whose record lapsed, nor an
+// older process from one whose clock went back, so the record alone brings none of them back at once.
+func (f *Fleet) recallRemoved(now time.Time, entry *fleetEntry) {
 	name := entry.record.Name
 	removed, known := f.removed[name]
 	switch {
 	case !known || removed.incarnation < entry.record.Incarnation:
-		return true
-	case removed.incarnation > entry.record.Incarnation:
-		f.logIgnored(name, "older incarnation than the removed one", entry.record.Incarnation, removed.incarnation)
-		return false
-	case removed.leaving || entry.record.Leaving:
+		return
+	case entry.record.Leaving, removed.leaving && removed.incarnation == entry.record.Incarnation:
 		entry.leaving = true
 	default:
-		f.returned = append(f.returned, returnedEndpoint{f.buildEndpoint(entry), entry.record.Incarnation})
-		entry.unconfirmedUntil = now.Add(returnedRecordTime)
-		time.AfterFunc(returnedRecordTime, func() {
-			f.confirm(name, func(entry *fleetEntry) bool { return !time.Now().Before(entry.unconfirmedUntil) })
-		})
+		f.awaitConfirmation(now, entry)
 	}
-	f.Logger.Info().Str("endpoint", name).Bool("leaving", entry.leaving).Msg("endpointReturned")
-	return true
+	f.Logger.Info().Str("endpoint", name).Uint64("incarnation", entry.record.Incarnation).Uint64("removed", removed.incarnation).
+		Bool("leaving", entry.leaving).Msg("endpointReturned")
 }
 
 // takeReturned returns the arguments of the calls of OnReturned that are due; mu must be held.
