Keep missing endpoints for the time after an outage of the store itself

Cause: the outage was that of one follower, and it ended when that follower had an answer. A follower can fail while the store answers the others: its connection is silent, its watches are, its records can't be read. It then kept endpoints that had left, 2 s longer than it had not known of it.

Change: the gate of the followers finds the outages from the results of all calls; one begins with a failed call and ends with the next answer to any. An endpoint is kept until 2 s after the end of the outage, not after the first answer to the endpoints' follower.

Not covered: an outage that only this instance has, as the other instances know of it; its length is bounded by stable-ms and not told apart here.

--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -14,12 +14,9 @@
 
 const (
 	// recordReturnTime is how long an endpoint whose record expired during an outage of the
-	// store is kept after the outage. The platform promises that the records of live
+	// store is kept after the end of the outage. The platform promises that the records of live
 	// endpoints are back within about two seconds.
 	recordReturnTime = 2 * time.Second
-	// minOutage is the length of an outage of the store above which records may have expired
-	// during it.
-	minOutage = time.Second
 	// returnedRecordTime is how long an endpoint whose record was gone and is there again gets no
 	// work unless it is confirmed. The store may have been restored from a copy with the record, or
 	// a write of the endpoint may have been carried out late; records that no endpoint renews
@@ -223,9 +220,12 @@
 		f.entries = make(map[string]*fleetEntry)
 		f.ignoredLog = rate.Sometimes{First: ignoredLogBurst, Interval: ignoredLogInterval}
 	}
-	if change.OutageDuration > minOutage && f.known {
+	if change.OutageDuration > 0 && f.known {
 		f.keepMissingUntil = now.Add(recordReturnTime)
-		time.AfterFunc(recordReturnTime, f.removeOverdue)
+		if !change.OutageEndedAt.IsZero() {
+			f.keepMissingUntil = change.OutageEndedAt.Add(recordReturnTime)
+		}
+		time.AfterFunc(f.keepMissingUntil.Sub(now), f.removeOverdue)
 	}
 	var ended []endedProcess
 	listed := make(map[string]bool, len(change.Records))
--- a/mcfleet/leaving_test.go
+++ b/mcfleet/leaving_test.go
@@ -138,3 +138,22 @@
 		})
 	}
 }
+
+// Guards against an endpoint that left and is kept for the time after an outage counted from the moment
+// at which this instance could read the records again, which may be later than its end.
+func TestMissingRecordIsAwaitedFromTheEndOfTheOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.Apply(change{Snapshot: true, Records: []record{readyRecord("a", 1), readyRecord("b", 1), readyRecord("c", 1)}})
+		f.Apply(change{Snapshot: true, OutageDuration: 5 * time.Second, OutageEndedAt: time.Now().Add(-1500 * time.Millisecond), Records: []record{readyRecord("b", 1), readyRecord("c", 1)}})
+		endpoints, _ := f.recorded()
+		require.Equal(t, []string{"a", "b", "c"}, endpoints)
+		time.Sleep(600 * time.Millisecond)
+		synctest.Wait()
+		endpoints, _ = f.recorded()
+		require.Equal(t, []string{"b", "c"}, endpoints)
+		f.Apply(change{Snapshot: true, OutageDuration: 5 * time.Second, OutageEndedAt: time.Now().Add(-3 * time.Second), Records: []record{readyRecord("c", 1)}})
+		endpoints, _ = f.recorded()
+		require.Equal(t, []string{"c"}, endpoints, "the time is over")
+	})
+}
--- a/mcfollow/follower.go
+++ b/mcfollow/follower.go
@@ -38,9 +38,12 @@
 		Records []marigoldcroft.Record[T]
 		// Snapshot is true if Records is a full listing, which replaces the copy.
 		Snapshot bool
-		// OutageDuration is the time from the first failed call of an outage to this answer, which ends
-		// the outage, or 0 if the previous call succeeded.
+		// OutageDuration is the length of the last outage of the store, longer than a second, that ended
+		// at OutageEndedAt, after the first failed call since the previous answer; or 0 if there was
+		// none. An outage begins with a failed call and ends with the next answer to any follower that
+		// shares the gate: this one alone may fail for longer.
 		OutageDuration time.Duration
+		OutageEndedAt  time.Time
 		// CompleteAt is a time of mcclock.Now at which the copy, with this change applied, held
 		// every change made until then.
 		CompleteAt time.Duration
@@ -79,7 +82,9 @@
 		listed      bool
 		failures    int
 		failedSince time.Time
-		calls       atomic.Int64
+		// own finds the outages of a follower without a gate.
+		own   outageTracker
+		calls atomic.Int64
 	}
 )
 
@@ -164,12 +169,15 @@
 // applyAnswer applies a successful answer and ends an outage, if there was one.
 func (f *Follower[T]) applyAnswer(records []marigoldcroft.Record[T], revision int64, snapshot bool, complete time.Duration) {
 	change := Change[T]{Records: records, Snapshot: snapshot, CompleteAt: complete}
+	now := time.Now()
+	f.outages().succeeded(now)
 	if f.Gate != nil {
 		f.Gate.succeeded()
 	}
 	if f.failures > 0 {
-		change.OutageDuration = time.Since(f.failedSince)
-		f.Logger.Info().Str("records", f.Name).Dur("gapMs", change.OutageDuration).Int("failures", f.failures).Msg("storeRegained")
+		last := f.outages().lastSince(f.failedSince)
+		change.OutageDuration, change.OutageEndedAt = last.duration, last.endedAt
+		f.Logger.Info().Str("records", f.Name).Dur("gapMs", now.Sub(f.failedSince)).Dur("outageMs", last.duration).Int("failures", f.failures).Msg("storeRegained")
 	}
 	f.failures, f.revision = 0, revision
 	f.Apply(change)
@@ -180,15 +188,24 @@
 
 // recordFailure counts a failed call and logs it. The pauses between calls bound the number of lines.
 func (f *Follower[T]) recordFailure(err error) {
-	event := "storeCallFailed"
+	now, event := time.Now(), "storeCallFailed"
+	f.outages().failed(now)
 	if f.failures == 0 {
-		f.failedSince = time.Now()
+		f.failedSince = now
 		event = "storeLost"
 	}
 	f.failures++
 	f.Logger.Warn().Str("records", f.Name).Int("failures", f.failures).Err(err).Msg(event)
 }
 
+// outages returns the tracker that the followers of the store share.
+func (f *Follower[T]) outages() *outageTracker {
+	if f.Gate != nil {
+		return &f.Gate.outages
+	}
+	return &f.own
+}
+
 // backOff waits before the next call after a failed one. If another follower probes the store,
 // it waits for that one's success and not for its own backoff.
 func (f *Follower[T]) backOff(ctx context.Context) {
--- a/mcfollow/follower_test.go
+++ b/mcfollow/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -110,6 +111,13 @@
 	}
 }
 
+// all returns the changes that were applied.
+func (c *recordedCopy) all() []mcfollow.Change[int] {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.changes)
+}
+
 func (c *recordedCopy) size() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/mcfollow/gate.go
+++ b/mcfollow/gate.go
@@ -11,8 +11,11 @@
 const maxGateWait = 2 * time.Second
 
 // Gate lets one of the followers of a store probe it during an outage; the others wait for the
-// result. Without it, each kind of records is retried separately. The zero value is ready.
+// result. Without it, each kind of records is retried separately. It also finds the outages of the
+// store. The zero value is ready.
 type Gate struct {
+	outages outageTracker
+
 	mu sync.Mutex
 	// prober is the name of the follower that probes, or empty.
 	prober string
