Refuse answers that switch protocols

Callers saw: no answer at all.

Cause: after such an answer net/http hands the connection over as the body. Neither the request's context nor a limit of the transport ends a read of it, so the deadline did not hold. Bytes sent without a pause were bounded all the same, by size; memory did not grow. The same held for the store's client, the reservations and the clients of services and engines.

Change: mcsocket.RefuseSwitch closes the connection of such an answer; mcsocket.PlainTransport does it for every http.Client to endpoints and the store.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -238,6 +238,10 @@
 		}
 		return nil, a.exchangeError(ctx, err)
 	}
+	if err := mcsocket.RefuseSwitch(response); err != nil {
+		conn.close()
+		return nil, failure("answer of "+a.endpoint, KindInvalidResponse, err)
+	}
 	defer response.Body.Close()
 	f.health.recordResponse(endpoint)
 	a.endedWithConnection = endsWithConnection(response)
--- a/mcforward/confirm.go
+++ b/mcforward/confirm.go
@@ -10,6 +10,7 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcclock"
+	"marigoldcroft/mcsocket"
 )
 
 const (
@@ -70,6 +71,10 @@
 		conn.close()
 		return failure(operation, KindConnectionBroken, err)
 	}
+	if err := mcsocket.RefuseSwitch(response); err != nil {
+		conn.close()
+		return failure(operation, KindInvalidResponse, err)
+	}
 	defer response.Body.Close()
 	info := f.Codec.DecodeResponse(response.Header)
 	if response.Close || !bodyConsumed(response.Body) {
--- a/mcforward/endless_test.go
+++ b/mcforward/endless_test.go
@@ -1,6 +1,7 @@
 package mcforward_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -23,6 +24,46 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n%s\r\n", r.Header.Get("Request-Id"), fields)
 }
 
+// switchingHead returns the head of an answer that switches protocols, which nobody has asked for.
+func switchingHead(r *http.Request) string {
+	return strings.Replace(endlessHead(r, "Upgrade: x\r\nConnection: Upgrade\r\n"), "200 OK", "101 Switching Protocols", 1)
+}
+
+// A response that sends a byte now and then, without end, must end at the deadline of its request:
+// otherwise the request is never answered, and its slot and its connection are lost.
+func TestTricklingResponseEndsAtItsDeadline(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		start      func(r *http.Request) string
+	}{
+		{"no response", "/once/x", nil},
+		{"head", "/once/x", func(*http.Request) string { return "HTTP/1.1 200 OK\r\nX-A: " }},
+		{"body with a length", "/once/x", func(r *http.Request) string { return endlessHead(r, "Content-Length: 1073741824\r\n") }},
+		{"body without a length", "/once/x", func(r *http.Request) string { return endlessHead(r, "") }},
+		{"body of an error", "/once/x", func(r *http.Request) string {
+			return strings.Replace(endlessHead(r, "Content-Length: 1000\r\n"), "200 OK", "500 Error", 1)
+		}},
+		{"switch of protocols", "/once/x", switchingHead},
+		{"stream", "/solo/stream/x", func(r *http.Request) string { return endlessHead(r, "Content-Type: text/event-stream\r\n") }},
+		{"stream: switch of protocols", "/solo/stream/x", switchingHead},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestBed(t, 1)
+			server := &mcstandin.EndlessServer{Start: c.start, Rest: "x", Pause: 50 * time.Millisecond}
+			b.httpServers[0].Config.Handler = server
+			r := b.request(http.MethodGet, c.path, "")
+			r.Header.Set("Deadline-Ms", "500")
+			ctx, cancel := context.WithTimeout(r.Context(), 5*time.Second)
+			defer cancel()
+			got := b.send(r.WithContext(ctx))
+			require.NoError(t, ctx.Err(), "no answer")
+			require.True(t, got.broken || got.status == http.StatusBadGateway || got.status == http.StatusGatewayTimeout, "status %d", got.status)
+			require.Eventually(t, func() bool { return server.Serving() == 0 && b.forwarder.InFlight() == 0 }, 3*time.Second, time.Millisecond)
+		})
+	}
+}
+
 // A server in trouble may send bytes that are no answer, without end, until the caller closes.
 // Wherever in a response they come, the caller must get a failure in time, never a complete
 // success, the connection must be closed, and memory must not grow with what was sent.
@@ -43,6 +84,8 @@
 		{"one header", once, func(*http.Request) string { return "HTTP/1.1 200 OK\r\nX-A: " }, "x"},
 		{"many headers", once, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n" }, "X-A: b\r\n"},
 		{"interim responses", once, nothing, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+		{"switch of protocols", once, switchingHead, "x"},
+		{"stream: switch of protocols", stream, switchingHead, "data: x\n\n"},
 		{"chunk size", once, head(chunked), "0"},
 		{"chunk extension", once, head(chunked), "1;a"},
 		{"trailer", once, func(r *http.Request) string { return endlessHead(r, chunked) + "0\r\n" }, "X-A: b\r\n"},
--- a/mcservice/service.go
+++ b/mcservice/service.go
@@ -114,14 +114,14 @@
 	setDefault(&cfg.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&cfg.MaxAnswerBytes, defaultMaxAnswerBytes)
 	// The environment's proxy settings are ignored, as services are addressed by IP.
-	var transport http.RoundTripper = &http.Transport{
+	var transport http.RoundTripper = mcsocket.PlainTransport{Base: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: mcsocket.MaxResponseHeaderBytes,
-	}
+	}}
 	if cfg.Wrap != nil {
 		transport = cfg.Wrap(transport)
 	}
--- a/mcservice/service_test.go
+++ b/mcservice/service_test.go
@@ -236,6 +236,9 @@
 	head := func(*http.Request) string { return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" }
 	for _, server := range []*mcstandin.EndlessServer{
 		{Rest: "these bytes are no answer "},
+		{Start: func(*http.Request) string {
+			return "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"
+		}, Rest: "x", Pause: 50 * time.Millisecond},
 		{Start: func(*http.Request) string { return "HTTP/1.1 200 OK\r\n" }, Rest: "X-A: b\r\n"},
 		{Start: head, Rest: "1;a"},
 		{Start: head, Rest: "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
--- a/mcstandin/endless.go
+++ b/mcstandin/endless.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 )
 
 // EndlessServer answers each request with bytes that have no end, until the caller closes the
@@ -12,8 +13,9 @@
 type EndlessServer struct {
 	// Start returns the first bytes of the response; nil means none.
 	Start func(r *http.Request) string
-	// Rest is sent again and again after them.
-	Rest string
+	// Rest is sent again and again after them, once per Pause, or without a pause if that is 0.
+	Rest  string
+	Pause time.Duration
 
 	serving, sent atomic.Int64
 }
@@ -38,7 +40,11 @@
 		_, err = io.WriteString(conn, s.Start(r))
 	}
 	block := []byte(strings.Repeat(s.Rest, blockBytes/len(s.Rest)+1))
+	if s.Pause > 0 {
+		block = []byte(s.Rest)
+	}
 	for err == nil {
+		time.Sleep(s.Pause)
 		var n int
 		n, err = conn.Write(block)
 		s.sent.Add(int64(n))
--- a/mcstore/http.go
+++ b/mcstore/http.go
@@ -47,9 +47,9 @@
 // defaultClient ignores the proxy settings of the environment, since the store is reached
 // directly by its IP address.
 var defaultClient = &http.Client{
-	Transport: &http.Transport{
+	Transport: mcsocket.PlainTransport{Base: &http.Transport{
 		MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: mcsocket.MaxResponseHeaderBytes,
-	},
+	}},
 	CheckRedirect: mcsocket.KeepRedirect,
 }
 
