Soak: entries that bring a leaving server back

Leaving servers say so in their answers and in health checks, as they do on the platform. A server's entry keeps its start when it announces its leaving; it had named a new process each time. Health checks are no longer counted by the check of leaving servers: the platform allows them.

--- a/mcsoak/backend.go
+++ b/mcsoak/backend.go
@@ -24,6 +24,7 @@
 // the proxy through which instances reach it.
 type backend struct {
 	id, service string
+	started     time.Time
 	server      *mcstandin.PlatformServer
 	listener    *httptest.Server
 	link        *proxy
@@ -49,7 +50,7 @@
 	if id == "" {
 		id = fmt.Sprintf("i-%s-%d", service, n)
 	}
-	b := &backend{id: id, service: service}
+	b := &backend{id: id, service: service, started: time.Now()}
 	b.server = &mcstandin.PlatformServer{
 		ID: b.id, Events: streamEvents, EventInterval: eventInterval, CallTime: serverWorkTime,
 		CrashOnPart: deadlyPart, CrashAfterEvents: n % 3, CrashAfterBytes: 5 * (n % 4), Crash: func() { s.crashOnPart(b) },
@@ -72,10 +73,10 @@
 }
 
 // serve records requests that arrive more than leavingLimit after the server began to leave,
-// and serves all requests.
+// and serves all requests. Health checks may reach it until its end.
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
-	if !b.leavingAt.IsZero() && time.Since(b.leavingAt) > leavingLimit {
+	if r.URL.Path != mcstandin.PlatformHealthPath && !b.leavingAt.IsZero() && time.Since(b.leavingAt) > leavingLimit {
 		b.lateRequests = append(b.lateRequests, r.Header.Get("Request-Id"))
 	}
 	b.mu.Unlock()
@@ -85,7 +86,7 @@
 // writeEntry writes the entry of the server with the given state to the store.
 func (s *Soak) writeEntry(b *backend, state string) {
 	s.store.PutEntry(b.id, mcstandin.PlatformEntry{
-		Service: b.service, Address: b.link.address, DataCentre: dataCentre, Slots: serverSlots, State: state, Started: time.Now().UnixMilli(),
+		Service: b.service, Address: b.link.address, DataCentre: dataCentre, Slots: serverSlots, State: state, Started: b.started.UnixMilli(),
 	})
 }
 
@@ -93,13 +94,19 @@
 // removes it.
 func (s *Soak) leave(b *backend) {
 	s.writeEntry(b, mcstandin.PlatformDraining)
-	b.mu.Lock()
-	b.leavingAt = time.Now()
-	b.mu.Unlock()
+	b.beginLeaving()
 	s.pause(leavingTime)
 	s.remove(b)
 }
 
+// beginLeaving makes the server state in its answers and health checks that it is leaving.
+func (b *backend) beginLeaving() {
+	b.server.SetStatement(mcstandin.PlatformStatement{Leaving: true})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leavingAt = time.Now()
+}
+
 // crash makes the server unreachable without notice and removes its entry after
 // entryLapseTime, as the entry of a crashed server lapses.
 func (s *Soak) crash(b *backend) {
--- a/mcsoak/fault.go
+++ b/mcsoak/fault.go
@@ -22,6 +22,8 @@
 	// maxFaultRequests is the maximum number of requests that one server fault affects.
 	maxFaultRequests = 12
 	pollInterval     = 100 * time.Millisecond
+	// heartbeatTime is the time between two writes of a server's entry.
+	heartbeatTime = 1200 * time.Millisecond
 )
 
 type (
@@ -94,6 +96,69 @@
 		}
 	}},
 	{deadlyPartFault, (*Soak).sendDeadlyPart},
+	{"leaving server's entry is overwritten", func(s *Soak, r *rand.Rand) {
+		text, wait := oddEntries[r.IntN(len(oddEntries))], returnPause(r)
+		s.replace(s.anyServer(r), func(s *Soak, b *backend) { s.leaveAndReturn(b, wait, text) })
+	}},
+	{"left server's entry returns", func(s *Soak, r *rand.Rand) {
+		wait := returnPause(r)
+		s.replace(s.anyServer(r), func(s *Soak, b *backend) { s.leaveAndReturn(b, wait, nil) })
+	}},
+	{"server's entry is overwritten", func(s *Soak, r *rand.Rand) {
+		b := s.anyServer(r)
+		if b.replacing.Swap(true) {
+			return
+		}
+		defer b.replacing.Store(false)
+		s.store.PutRawEntry(b.id, oddEntries[r.IntN(len(oddEntries))](b))
+		s.pause(heartbeatTime)
+		s.writeEntry(b, mcstandin.PlatformReady)
+	}},
+}
+
+// oddEntries are entries that another program writes in place of a server's own: with a field
+// missing, of another type or out of range.
+var oddEntries = []func(b *backend) string{
+	func(b *backend) string { return b.oddEntry(`"batch-slots":8`) },
+	func(b *backend) string { return b.oddEntry(`"batch-slots":8,"born":"now"`) },
+	func(b *backend) string { return b.oddEntry(`"batch-slots":8,"born":9999999999999`) },
+	func(b *backend) string { return b.oddEntry(`"batch-slots":1e999,"born":1`) },
+	func(*backend) string {
+		return `{"service":"plain","address":"10.0.0.1:99999","state":"ready","born":1}`
+	},
+	func(*backend) string { return "not JSON" },
+}
+
+// oddEntry returns an entry with the server's own service and address, in state ready, and the given
+// fields.
+func (b *backend) oddEntry(fields string) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"state":"ready",%s}`, b.service, b.link.address, dataCentre, fields)
+}
+
+// returnPause draws the pause before the entry of a leaving server is written again. The first request
+// that it brings back would be late: an answer of the server then says that it is leaving.
+func returnPause(r *rand.Rand) time.Duration {
+	return leavingLimit - 200*time.Millisecond + time.Duration(r.Int64N(int64(time.Second)))
+}
+
+// leaveAndReturn lets the server leave and, after a pause, writes text in place of its entry. Without
+// a text, the server leaves by the removal of its entry, which is then written once more as it was, as
+// by a write that is carried out late.
+func (s *Soak) leaveAndReturn(b *backend, wait time.Duration, text func(b *backend) string) {
+	if text == nil {
+		s.store.RemoveEntry(b.id)
+	} else {
+		s.writeEntry(b, mcstandin.PlatformDraining)
+	}
+	b.beginLeaving()
+	s.pause(wait)
+	if text == nil {
+		s.writeEntry(b, mcstandin.PlatformReady)
+	} else {
+		s.store.PutRawEntry(b.id, text(b))
+	}
+	s.pause(leavingTime + heartbeatTime)
+	s.remove(b)
 }
 
 // faultDuration draws the length of a fault: at least 200 ms.
