Do not take a part of an answer for a whole one if its endpoint has ended

Cause: such an answer ends with its connection, and the system closes the connections of a process that is killed in the regular way. The end of the connection was taken for the end of the answer; a check of the endpoint followed 60 ms later and counted for the quarantine of prompts only.

Change: before the end of such an answer is passed on, the endpoint is connected to at once and again 15 ms later. If it refuses, the answer has broken off: a stream is resumed or broken off, a call repeated where its route allows it, and an action ends with 502. Weighed in docs/design.md, 2.4.

Answers with a length or chunks are not touched.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -50,6 +50,8 @@
 	reusedConnection bool
 	// progress follows the output of the answer.
 	progress mcquarantine.Progress
+	// address is that of the endpoint.
+	address string
 	// endedWithConnection is true if the end of the connection is the end of the response. Such
 	// a response does not prove that the endpoint survived the request: a crash that closes the
 	// connection between two events ends it in the same way.
@@ -244,7 +246,7 @@
 	}
 	defer response.Body.Close()
 	f.health.recordResponse(endpoint)
-	a.endedWithConnection = endsWithConnection(response)
+	a.address, a.endedWithConnection = endpoint.Address(), endsWithConnection(response)
 	responseInfo := f.Codec.DecodeResponse(response.Header)
 	a.observeStatements(response.StatusCode, responseInfo)
 	result, err := a.receive(ctx, response, responseInfo, id)
@@ -387,6 +389,11 @@
 	if err != nil {
 		return nil, a.exchangeError(ctx, err)
 	}
+	if len(body) < maxBufferedBytes {
+		if err := a.confirmWhole(ctx); err != nil {
+			return nil, err
+		}
+	}
 	c.recordFirstOutput(id, a)
 	c.copyHeader(response.Header, true)
 	c.responseStarted = true
@@ -407,6 +414,11 @@
 	if marigoldcroft.FailureKind[Kind](err) == KindOversized {
 		return nil, err
 	}
+	if err == nil {
+		if err := a.confirmWhole(ctx); err != nil {
+			return nil, err
+		}
+	}
 	if err != nil {
 		return nil, a.exchangeError(ctx, err)
 	}
--- a/mcforward/stream.go
+++ b/mcforward/stream.go
@@ -41,6 +41,9 @@
 		event, err := readEvent(reader)
 		switch {
 		case errors.Is(err, io.EOF) && a.isWholeStream(delivered, event):
+			if err := a.confirmWhole(ctx); err != nil {
+				return nil, err
+			}
 			if _, err := c.w.Write(append(comments, event...)); err != nil {
 				return nil, failure("write to the caller", KindCallerLeft, err)
 			}
--- a/mcforward/unframed_test.go
+++ b/mcforward/unframed_test.go
@@ -135,6 +135,50 @@
 	}
 }
 
+// Guards against a part of an answer that reaches the caller as a whole one: the connections of an
+// endpoint that is killed end in the regular way, as those of an answer without a length do.
+func TestAnswerOfAnEndpointThatDiesIsNotWhole(t *testing.T) {
+	const part = "id: 1\ndata: token 1\n\n"
+	for _, c := range []struct {
+		name, path, body string
+		// repeated is true if another endpoint answers in its place.
+		repeated bool
+	}{
+		{"body of an action", "/once/x", "a part", false},
+		{"body that may be repeated", "/again/x", "a part", true},
+		{"large body", "/once/x", strings.Repeat("x", 2<<20), false},
+		{"stream", "/solo/stream/x", part, false},
+		{"stream that may be resumed", "/stream/x", part, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			endpoints := 1
+			if c.repeated {
+				endpoints = 2
+			}
+			b := newTestBed(t, endpoints)
+			dying := &mcstandin.RawServer{Response: unframed("HTTP/1.1 200 OK", "", c.body)}
+			b.httpServers[0].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_ = b.httpServers[0].Listener.Close()
+				dying.ServeHTTP(w, r)
+			})
+			for range 20 {
+				got := b.get(c.path)
+				if !c.repeated {
+					require.True(t, got.broken || got.status == http.StatusBadGateway, "status %d", got.status)
+					return
+				}
+				require.False(t, got.broken)
+				require.Equal(t, http.StatusOK, got.status)
+				require.NotEqual(t, c.body, got.body)
+				if dying.Served() > 0 {
+					return
+				}
+			}
+			t.Fatal("the endpoint got no request")
+		})
+	}
+}
+
 // The response of an endpoint that dies may end cleanly with its connection. Taking that for
 // proof that the request is sound would let it crash one endpoint after another; where the
 // endpoint survives, not taking it for proof would put sound prompts under quarantine.
