Follow a changed grace time and key lease without a restart

Cause: reload applied the settings of the retry budget only. All others kept the value of the start, and the log line named just the section ("forward").

Change: the grace time is read when a stop begins, the key lease when keys are checked. The line has the names of the settings that changed and of those that need a restart (forward.memoryMB, for example).

Not done of the matter: one test that changes every setting in turn.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -196,6 +196,7 @@
 	dispatcher := &mcgateway.Dispatcher{Scheduler: scheduler}
 	e.fleet = &mcfleet.Fleet{Logger: e.logger, OnChange: e.endpointsChanged}
 	e.router = &mcroute.Router{Lease: s.KeyLease, Logger: e.logger, Changed: e.routingChanged}
+	e.router.SetLease(e.reloaded.Load().KeyLease)
 	e.fetcher = &mcroute.PeerFetcher{Router: e.router, Deployment: e.Settings.Deployment, Peers: e.configPeers, Decode: platform.DecodeRouting}
 	e.buildPeers(seed)
 	e.limits = &mclimit.EndpointLimiter{
@@ -361,7 +362,7 @@
 // stop makes the instance report that it is not ready, accepts requests for the lame-duck
 // time, and then waits for the remaining requests.
 func (e *Forwarding) stop(connections *mcstop.Connections) error {
-	grace := e.Settings.Forward.Grace
+	grace := e.reloaded.Load().Grace
 	share := func(fraction float64) time.Duration { return time.Duration(fraction * float64(grace)) }
 	p := newPlannedStop(share(1-graceMargin), e.forwarder, connections, e.logger)
 	limit, cancel := stopContext(p.total, e.Abort)
--- a/mcentry/reload.go
+++ b/mcentry/reload.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// reload applies the settings that can change at run time, which are those of the retry
-// budget. Other changed settings need a restart and are named in the log line.
+// reload applies the settings that can change at run time. Other changed settings need a restart and
+// are named in the log line.
 func (e *Forwarding) reload(text []byte, signalled bool) {
 	next, err := mcsetting.Decode(text)
 	if err != nil {
@@ -64,22 +64,36 @@
 	}
 	before := *e.reloaded.Load()
 	after := before
-	after.RetryRatio, after.RetrySlack, after.RetryWindow = next.Forward.RetryRatio, next.Forward.RetrySlack, next.Forward.RetryWindow
+	copyReloadable(&after, next.Forward)
 	e.reloaded.Store(&after)
-	next.Forward.RetryRatio, next.Forward.RetrySlack, next.Forward.RetryWindow = before.RetryRatio, before.RetrySlack, before.RetryWindow
-	current := e.Settings
-	current.Forward.RetryRatio, current.Forward.RetrySlack, current.Forward.RetryWindow = before.RetryRatio, before.RetrySlack, before.RetryWindow
-	e.logger.Info().Bool("signalled", signalled).Bool("retryBudgetChanged", before != after).
-		Strs("needRestart", changedFields(current, next)).Msg("settingsReloaded")
+	e.router.SetLease(after.KeyLease)
+	copyReloadable(&next.Forward, e.Settings.Forward)
+	retry := before.RetryRatio != after.RetryRatio || before.RetrySlack != after.RetrySlack || before.RetryWindow != after.RetryWindow
+	e.logger.Info().Bool("signalled", signalled).Strs("changed", changedFields("forward.", before, after)).Bool("retryBudgetChanged", retry).
+		Strs("needRestart", changedFields("", e.Settings, next)).Msg("settingsReloaded")
 }
 
-// changedFields returns the YAML names of the top-level fields that differ.
-func changedFields(a, b mcsetting.Settings) []string {
+// copyReloadable copies the settings that are read each time they are used.
+func copyReloadable(to *mcsetting.Forward, from mcsetting.Forward) {
+	to.RetryRatio, to.RetrySlack, to.RetryWindow = from.RetryRatio, from.RetrySlack, from.RetryWindow
+	to.Grace, to.KeyLease = from.Grace, from.KeyLease
+}
+
+// changedFields returns the YAML names of the fields that differ, each after the prefix.
+func changedFields[T any](prefix string, a, b T) []string {
+	return changedValues(prefix, reflect.ValueOf(a), reflect.ValueOf(b))
+}
+
+func changedValues(prefix string, a, b reflect.Value) []string {
 	names := []string{}
-	x, y := reflect.ValueOf(a), reflect.ValueOf(b)
-	for i := range x.NumField() {
-		if !reflect.DeepEqual(x.Field(i).Interface(), y.Field(i).Interface()) {
-			names = append(names, x.Type().Field(i).Tag.Get("yaml"))
+	for i := range a.NumField() {
+		name := prefix + a.Type().Field(i).Tag.Get("yaml")
+		switch {
+		case reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()):
+		case a.Field(i).Kind() == reflect.Struct:
+			names = append(names, changedValues(name+".", a.Field(i), b.Field(i))...)
+		default:
+			names = append(names, name)
 		}
 	}
 	return names
--- a/mcroute/router.go
+++ b/mcroute/router.go
@@ -17,13 +17,15 @@
 type Router struct {
 	// Lease is how long the keys of a table are accepted without confirmation. A revoked
 	// key is refused by every instance after this time, even by one that cannot reach the
-	// store.
+	// store. SetLease replaces it.
 	Lease  time.Duration
 	Logger zerolog.Logger
 	// Changed is called with each newer table before it is in force, while mu is held, so that
 	// requests on it find what Changed sets. It may be nil.
 	Changed func(table *marigoldcroft.RoutingTable)
 
+	// lease is the value that SetLease was called with last, or 0.
+	lease atomic.Int64
 	table atomic.Pointer[marigoldcroft.RoutingTable]
 	// confirmedAt is the time since boot, in ns, at which the table was last known to be
 	// the newest.
@@ -83,6 +85,13 @@
 
 // KeysTrusted reports whether the keys of the table may still be accepted.
 func (r *Router) KeysTrusted() bool {
+	lease := r.Lease
+	if changed := r.lease.Load(); changed > 0 {
+		lease = time.Duration(changed)
+	}
 	age, known := r.Age()
-	return known && age < r.Lease
+	return known && age < lease
 }
+
+// SetLease replaces Lease while requests are served.
+func (r *Router) SetLease(lease time.Duration) { r.lease.Store(int64(lease)) }
