Keep the time for which an endpoint wants no requests beyond its record

Cause: the time of a Retry-After was removed with the endpoint's record, and the scheduler's pause with the endpoint, when the record lapsed. It returned within seconds, with both forgotten.

Change: a pause is kept until its end, listed or not, for 1,024 endpoints at most that are not listed. An attempt that meets one is not sent and tells the scheduler again.

Result: TestPauseOutlivesTheRecord fails before.

--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -107,7 +107,7 @@
 				_, wanted := f.Fleet.Endpoint(endpoint)
 				return wanted
 			})
-			f.stated.retain(f.Fleet.Known)
+			f.stated.retain(now, f.Fleet.Known)
 			if f.Limits != nil {
 				f.Limits.Retain(f.Fleet.Known)
 			}
--- a/mcforward/pause_test.go
+++ b/mcforward/pause_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"marigoldcroft"
+	"marigoldcroft/mcfollow"
 	"marigoldcroft/mcstandin"
 )
 
@@ -38,6 +40,36 @@
 	}, 5*time.Second, time.Millisecond, "the endpoint is used again")
 }
 
+// Guards against requests to an endpoint that wants none for a time, after its record has lapsed and
+// returned within that time.
+func TestPauseOutlivesTheRecord(t *testing.T) {
+	b := newTestBed(t, 2)
+	b.refuse(0, 100, "4")
+	var refusedAt time.Time
+	require.Eventually(t, func() bool {
+		require.Equal(t, http.StatusOK, b.get("/again/x").status)
+		refusedAt = time.Now()
+		return b.servers[0].Refused() > 0
+	}, 5*time.Second, time.Millisecond)
+	apply := func(r marigoldcroft.Record[marigoldcroft.EndpointRecord]) {
+		b.forwarder.Fleet.Apply(mcfollow.Change[marigoldcroft.EndpointRecord]{Records: []marigoldcroft.Record[marigoldcroft.EndpointRecord]{r}})
+	}
+	apply(marigoldcroft.Record[marigoldcroft.EndpointRecord]{Name: b.servers[0].ID, Deleted: true})
+	// The statements of endpoints that are not listed are removed once a second.
+	require.Never(t, func() bool { return b.get("/again/x").status != http.StatusOK }, 2200*time.Millisecond, 50*time.Millisecond)
+	b.refuse(0, 0, "")
+	apply(b.record(0))
+	b.forwarder.Fleet.Confirm(b.servers[0].ID, 1)
+	for time.Since(refusedAt) < 3500*time.Millisecond {
+		require.Equal(t, http.StatusOK, b.get("/again/x").status)
+	}
+	require.Empty(t, b.servers[0].Runs())
+	require.Eventually(t, func() bool {
+		require.Equal(t, http.StatusOK, b.get("/again/x").status)
+		return len(b.servers[0].Runs()) > 0
+	}, 5*time.Second, time.Millisecond, "the endpoint is used again")
+}
+
 // Guards against callers that wait until their deadline, or come back too soon, while every endpoint
 // has asked for no requests for longer.
 func TestCallersAreToldWhenRefusingEndpointsTakeRequests(t *testing.T) {
--- a/mcforward/statement.go
+++ b/mcforward/statement.go
@@ -13,6 +13,9 @@
 	"marigoldcroft"
 )
 
+// maxUnlistedPauses limits the pauses that are kept of endpoints which are not listed.
+const maxUnlistedPauses = 1024
+
 type (
 	// statementTracker holds what endpoints last stated about themselves in their answers. It is
 	// safe for concurrent use.
@@ -67,19 +70,28 @@
 	s.logger.Info().Str("endpoint", endpoint).Dur("retryAfterMs", retryAfter).Msg("endpointRefused")
 }
 
-// isPaused reports whether the endpoint wants no requests at the moment.
-func (s *statementTracker) isPaused(now time.Time, endpoint string) bool {
+// pausedUntil returns the time until which the endpoint wants no requests, and whether that is ahead.
+func (s *statementTracker) pausedUntil(now time.Time, endpoint string) (time.Time, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Before(s.pauses[endpoint])
+	until := s.pauses[endpoint]
+	return until, now.Before(until)
 }
 
-// retain removes the statements of endpoints that are no longer listed.
-func (s *statementTracker) retain(listed func(endpoint string) bool) {
+// retain removes the statements of endpoints that are no longer listed. A pause is kept until its
+// end: the record of the endpoint may lapse and return before that.
+func (s *statementTracker) retain(now time.Time, listed func(endpoint string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	maps.DeleteFunc(s.statements, func(name string, _ statement) bool { return !listed(name) })
-	maps.DeleteFunc(s.pauses, func(name string, _ time.Time) bool { return !listed(name) })
+	unlisted := 0
+	maps.DeleteFunc(s.pauses, func(name string, until time.Time) bool {
+		if listed(name) {
+			return !now.Before(until)
+		}
+		unlisted++
+		return !now.Before(until) || unlisted > maxUnlistedPauses
+	})
 }
 
 // acquire asks for permission to send the request if the endpoint limits its requests. If there is
@@ -108,8 +120,11 @@
 		a.completion.NotSent = true
 		return failure("dispatch to "+a.endpoint, KindLeft, errors.New("the endpoint has left"))
 	}
-	if a.call.forwarder.stated.isPaused(time.Now(), a.endpoint) {
+	now := time.Now()
+	if until, paused := a.call.forwarder.stated.pausedUntil(now, a.endpoint); paused {
 		a.completion.NotSent = true
+		// The scheduler forgets a pause when the endpoint's record lapses.
+		a.call.forwarder.Dispatcher.Scheduler.PauseEndpoint(now, a.endpoint, until)
 		return failure("dispatch to "+a.endpoint, KindLimited, errors.New("the endpoint wants no requests"))
 	}
 	return nil
