Forget a held record of an older process when it is removed

If it was removed within that time while its endpoint was kept after an outage of the store, it still took the place of the known one, and the endpoint, no longer awaited, was not removed.

Change: a record that is missing ends what is held.

Result: TestOlderRecordThatIsGoneDoesNotCount fails before.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -196,7 +196,6 @@
 	dispatcher := &mcgateway.Dispatcher{Scheduler: scheduler}
 	e.fleet = &mcfleet.Fleet{Logger: e.logger, OnChange: e.endpointsChanged}
 	e.router = &mcroute.Router{Lease: s.KeyLease, Logger: e.logger, Changed: e.routingChanged}
-	e.router.SetLease(e.reloaded.Load().KeyLease)
 	e.fetcher = &mcroute.PeerFetcher{Router: e.router, Deployment: e.Settings.Deployment, Peers: e.configPeers, Decode: platform.DecodeRouting}
 	e.buildPeers(seed)
 	e.limits = &mclimit.EndpointLimiter{
--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -342,6 +342,7 @@
 	if entry == nil {
 		return ended
 	}
+	entry.older = nil
 	if now.Before(f.keepMissingUntil) && !entry.record.Leaving {
 		if entry.removeAt.IsZero() {
 			entry.removeAt = f.keepMissingUntil
--- a/mcfleet/leaving_test.go
+++ b/mcfleet/leaving_test.go
@@ -139,6 +139,23 @@
 	}
 }
 
+// Guards against a record of an older process that counts although it is gone, as it was removed while
+// its endpoint is kept after an outage.
+func TestOlderRecordThatIsGoneDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.Apply(change{Snapshot: true, Records: []record{readyRecord("a", 5)}})
+		f.Apply(change{OutageDuration: 5 * time.Second, Records: []record{leavingRecord("a", 3)}})
+		f.Apply(change{Records: []record{{Name: "a", Deleted: true}}})
+		time.Sleep(1600 * time.Millisecond)
+		synctest.Wait()
+		require.Equal(t, uint64(5), f.Incarnation("a"))
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.False(t, f.Known("a"), "its record did not come back")
+	})
+}
+
 // Guards against an endpoint that left and is kept for the time after an outage counted from the moment
 // at which this instance could read the records again, which may be later than its end.
 func TestMissingRecordIsAwaitedFromTheEndOfTheOutage(t *testing.T) {
--- a/mcfollow/silentwatch_test.go
+++ b/mcfollow/silentwatch_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"marigoldcroft"
+	"marigoldcroft/mcfollow"
 )
 
 // silentWatchFeed is a feed whose watches get no answer while it is silent. Its lists are answered.
@@ -30,6 +31,22 @@
 	return nil, 0, ctx.Err()
 }
 
+// start runs the follower in a synctest bubble until it waits, and returns the function that ends it.
+func start(t *testing.T, follower *mcfollow.Follower[int]) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.Run(ctx)
+	}()
+	synctest.Wait()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // Guards against a change that a watch has passed over, such as the leaving of an endpoint: each later
 // watch goes on from a revision after it, so that only a list shows it.
 func TestChangeThatAWatchPassedOverIsListed(t *testing.T) {
@@ -37,13 +54,7 @@
 		f, held := &feed{revision: 1, records: map[string]int{"a": 1, "b": 1}}, &recordedCopy{}
 		follower := newConfirmedFollower(f, held)
 		follower.StoreFallbackAge = nil
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			follower.Run(ctx)
-		}()
-		synctest.Wait()
+		stop := start(t, follower)
 		require.Equal(t, 2, held.size())
 		f.update(func() { delete(f.records, "b") })
 		digest, complete, _ := follower.CopyStatus()
@@ -51,8 +62,7 @@
 		time.Sleep(100 * time.Millisecond)
 		require.Equal(t, 1, held.size())
 		require.True(t, held.last().Snapshot)
-		cancel()
-		<-done
+		stop()
 	})
 }
 
@@ -64,13 +74,7 @@
 		held := &recordedCopy{}
 		follower := newConfirmedFollower(f.feed, held)
 		follower.Feed, follower.StoreFallbackAge = f, nil
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			follower.Run(ctx)
-		}()
-		synctest.Wait()
+		stop := start(t, follower)
 		require.Equal(t, 2, held.size())
 		f.update(func() {
 			f.silent = true
@@ -81,7 +85,6 @@
 		// The watch that replaces the waiting one has no answer within its second; the list has.
 		time.Sleep(1500 * time.Millisecond)
 		require.Equal(t, 1, held.size())
-		cancel()
-		<-done
+		stop()
 	})
 }
--- a/mcforward/pause_test.go
+++ b/mcforward/pause_test.go
@@ -19,38 +19,45 @@
 	b.servers[server].SetFaults(mcstandin.PlatformServerFaults{Overloaded: requests})
 }
 
-// Guards against requests to an endpoint that has refused one and wants no more for a time.
-func TestRefusingEndpointIsLeftAloneForItsTime(t *testing.T) {
-	b := newTestBed(t, 2)
-	b.refuse(0, 100, "0.5")
-	var refusedAt time.Time
-	require.Eventually(t, func() bool {
-		require.Equal(t, http.StatusOK, b.get("/again/x").status)
+// awaitRefusal makes server 0 refuse requests for so many seconds, sends requests until it has refused
+// one, and returns the time after that.
+func (b *testBed) awaitRefusal(retryAfter string) (refusedAt time.Time) {
+	b.t.Helper()
+	b.refuse(0, 100, retryAfter)
+	require.Eventually(b.t, func() bool {
+		require.Equal(b.t, http.StatusOK, b.get("/again/x").status)
 		refusedAt = time.Now()
 		return b.servers[0].Refused() > 0
 	}, 5*time.Second, time.Millisecond)
+	return refusedAt
+}
+
+// awaitUse sends requests until server 0 has run one.
+func (b *testBed) awaitUse() {
+	b.t.Helper()
+	require.Eventually(b.t, func() bool {
+		require.Equal(b.t, http.StatusOK, b.get("/again/x").status)
+		return len(b.servers[0].Runs()) > 0
+	}, 5*time.Second, time.Millisecond, "the endpoint is used again")
+}
+
+// Guards against requests to an endpoint that has refused one and wants no more for a time.
+func TestRefusingEndpointIsLeftAloneForItsTime(t *testing.T) {
+	b := newTestBed(t, 2)
+	refusedAt := b.awaitRefusal("0.5")
 	for time.Since(refusedAt) < 350*time.Millisecond {
 		require.Equal(t, http.StatusOK, b.get("/again/x").status)
 	}
 	require.Equal(t, 1, b.servers[0].Refused())
 	b.refuse(0, 0, "")
-	require.Eventually(t, func() bool {
-		require.Equal(t, http.StatusOK, b.get("/again/x").status)
-		return len(b.servers[0].Runs()) > 0
-	}, 5*time.Second, time.Millisecond, "the endpoint is used again")
+	b.awaitUse()
 }
 
 // Guards against requests to an endpoint that wants none for a time, after its record has lapsed and
 // returned within that time.
 func TestPauseOutlivesTheRecord(t *testing.T) {
 	b := newTestBed(t, 2)
-	b.refuse(0, 100, "4")
-	var refusedAt time.Time
-	require.Eventually(t, func() bool {
-		require.Equal(t, http.StatusOK, b.get("/again/x").status)
-		refusedAt = time.Now()
-		return b.servers[0].Refused() > 0
-	}, 5*time.Second, time.Millisecond)
+	refusedAt := b.awaitRefusal("4")
 	apply := func(r marigoldcroft.Record[marigoldcroft.EndpointRecord]) {
 		b.forwarder.Fleet.Apply(mcfollow.Change[marigoldcroft.EndpointRecord]{Records: []marigoldcroft.Record[marigoldcroft.EndpointRecord]{r}})
 	}
@@ -64,10 +71,7 @@
 		require.Equal(t, http.StatusOK, b.get("/again/x").status)
 	}
 	require.Empty(t, b.servers[0].Runs())
-	require.Eventually(t, func() bool {
-		require.Equal(t, http.StatusOK, b.get("/again/x").status)
-		return len(b.servers[0].Runs()) > 0
-	}, 5*time.Second, time.Millisecond, "the endpoint is used again")
+	b.awaitUse()
 }
 
 // Guards against callers that wait until their deadline, or come back too soon, while every endpoint
