Refuse answers that switch protocols at every client

Callers saw: an operator's command or query (marigoldcroft get, apply, drain and so on), and a drain that an instance passes on to another, never ends if the other side answers with 101 and Upgrade. The client also followed redirects: a command was sent once more, to an address that nobody has named.

The admin client used http.DefaultClient, which hands the connection over as the body of such an answer; the call's time limit of 20 s does not end a read of it. The load generator did the same.

--- a/mcadmin/client.go
+++ b/mcadmin/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcconfig"
+	"marigoldcroft/mcsocket"
 )
 
 const (
@@ -27,9 +29,9 @@
 
 // Client calls the admin API of one instance.
 type Client struct {
-	// Address is the base URL, such as http://127.0.0.1:7003.
-	Address string
-	HTTP    *http.Client
+	// baseURL is such as http://127.0.0.1:7003.
+	baseURL string
+	http    *http.Client
 }
 
 // RemoteError is an error response of the instance.
@@ -44,6 +46,18 @@
 // Conflicts returns the objects that concurrent changes modified first, if any.
 func (e *RemoteError) Conflicts() []mcconfig.Conflict { return e.response.Conflicts }
 
+// NewClient returns a client of the instance whose admin API listens at the address, an IP and port.
+// credentials are those for mutual TLS; nil means plain HTTP.
+func NewClient(address string, credentials *tls.Config) *Client {
+	scheme := "http://"
+	if credentials != nil {
+		scheme = "https://"
+	}
+	return &Client{baseURL: scheme + address, http: mcsocket.NewClient(&http.Transport{
+		TLSClientConfig: credentials, DisableKeepAlives: true, MaxResponseHeaderBytes: mcsocket.MaxResponseHeaderBytes,
+	})}
+}
+
 // Apply applies the documents of an operator file, or only checks them in a dry run. The
 // name of the file is used in error messages.
 func (c *Client) Apply(ctx context.Context, file string, text []byte, dryRun bool) (mcconfig.Result, error) {
@@ -146,11 +160,11 @@
 	operation := method + " " + path
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, c.Address+"/admin/v1/"+path, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, c.baseURL+"/admin/v1/"+path, bytes.NewReader(body))
 	if err != nil {
 		return value, marigoldcroft.NewFailure(operation, KindInvalid, err)
 	}
-	response, err := c.HTTP.Do(r)
+	response, err := c.http.Do(r)
 	if err != nil {
 		return value, marigoldcroft.NewFailure(operation, KindUnreachable, err)
 	}
--- a/mccommand/admin_call.go
+++ b/mccommand/admin_call.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -48,14 +47,13 @@
 // client returns a client of the admin API, over mutual TLS if a certificate file is given.
 func (call *adminCall) client() (*mcadmin.Client, error) {
 	if call.tlsFiles.CertificateFile == "" {
-		return &mcadmin.Client{Address: "http://" + call.server, HTTP: http.DefaultClient}, nil
+		return mcadmin.NewClient(call.server, nil), nil
 	}
 	credentials, err := mcpeer.NewCredentials(call.tlsFiles)
 	if err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{TLSClientConfig: credentials.HTTPClient()}
-	return &mcadmin.Client{Address: "https://" + call.server, HTTP: &http.Client{Transport: transport}}, nil
+	return mcadmin.NewClient(call.server, credentials.HTTPClient()), nil
 }
 
 // run parses the arguments and calls act with a client of the admin API. It prints the
--- a/mcentry/admin.go
+++ b/mcentry/admin.go
@@ -172,10 +172,9 @@
 // adminClient returns a client of another instance's operators' interface.
 func (e *Entry) adminClient(address string) *mcadmin.Client {
 	if e.credentials == nil {
-		return &mcadmin.Client{Address: "http://" + address, HTTP: http.DefaultClient}
+		return mcadmin.NewClient(address, nil)
 	}
-	transport := &http.Transport{TLSClientConfig: e.credentials.HTTPClient(), DisableKeepAlives: true}
-	return &mcadmin.Client{Address: "https://" + address, HTTP: &http.Client{Transport: transport}}
+	return mcadmin.NewClient(address, e.credentials.HTTPClient())
 }
 
 // serveAdmin serves the operators' interface until ctx ends.
--- a/mcentry/build.go
+++ b/mcentry/build.go
@@ -40,7 +40,7 @@
 
 func (e *Entry) buildComponents(seed uint64, peerAddress string, credentials *mcpeer.Credentials) error {
 	s := e.Settings
-	client := &http.Client{Transport: mcsocket.PlainTransport{Base: mcengine.NewTransport()}, CheckRedirect: mcsocket.KeepRedirect}
+	client := mcsocket.NewClient(mcengine.NewTransport())
 	e.engine = &mcengine.Client{HTTP: client}
 	e.store = e.newStore(1 - LedgerShare)
 	e.ledgerStore = e.newStore(LedgerShare)
--- a/mcload/run.go
+++ b/mcload/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"marigoldcroft/mcclock"
+	"marigoldcroft/mcsocket"
 )
 
 const maxIdleConnections = 4096
@@ -27,9 +28,9 @@
 		rng:         rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
 		callerSlots: make(chan struct{}, settings.MaxCallers),
 		balancer:    newBalancer(settings.Targets),
-		client: &http.Client{Transport: &http.Transport{
+		client: mcsocket.NewClient(&http.Transport{
 			MaxIdleConns: maxIdleConnections, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true,
-		}},
+		}),
 	}
 	g.filler = newFillerText(g.rng)
 	g.run(ctx)
--- a/mcservice/service.go
+++ b/mcservice/service.go
@@ -114,22 +114,18 @@
 	setDefault(&cfg.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&cfg.MaxAnswerBytes, defaultMaxAnswerBytes)
 	// The environment's proxy settings are ignored, as services are addressed by IP.
-	var transport http.RoundTripper = mcsocket.PlainTransport{Base: &http.Transport{
+	var transport http.RoundTripper = &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: mcsocket.MaxResponseHeaderBytes,
-	}}
+	}
 	if cfg.Wrap != nil {
 		transport = cfg.Wrap(transport)
 	}
-	return &Client{cfg: cfg, http: &http.Client{
-		Transport: transport,
-		// Following a redirect would send a call a second time.
-		CheckRedirect: mcsocket.KeepRedirect,
-	}}
+	return &Client{cfg: cfg, http: mcsocket.NewClient(transport)}
 }
 
 func setDefault[T ~int64](field *T, value T) {
--- a/mcsocket/dialer.go
+++ b/mcsocket/dialer.go
@@ -3,7 +3,6 @@
 
 import (
 	"net"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -20,10 +19,6 @@
 	keepAliveInterval = time.Second
 )
 
-// KeepRedirect makes an http.Client return a redirect as the response. Following it would send
-// the request, which may run only once, to an address that nobody has listed.
-func KeepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // NewDialer returns a dialer that gives up after connectTimeout. The kernel closes its
 // connections when sent data or keep-alive probes stay unacknowledged for ackTimeout
 // (TCP_USER_TIMEOUT). Without this option, a connection to a machine that lost power hangs
--- a/mcsocket/switch.go
+++ b/mcsocket/switch.go
@@ -10,8 +10,18 @@
 // the request's context nor a limit of its transport ends a read of it.
 var ErrSwitched = errors.New("the answer switches to another protocol")
 
-// PlainTransport is a transport that refuses answers which switch protocols.
-type PlainTransport struct{ Base http.RoundTripper }
+// plainTransport is a transport that refuses answers which switch protocols.
+type plainTransport struct{ base http.RoundTripper }
+
+// NewClient returns a client for other processes, whose addresses come from a list or from settings.
+// It refuses answers that switch protocols. It returns a redirect as the response: following it would
+// send the request, which may run only once, to an address that nobody has listed.
+func NewClient(base http.RoundTripper) *http.Client {
+	return &http.Client{
+		Transport:     plainTransport{base},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
 
 // RefuseSwitch returns ErrSwitched and closes the connection if the answer switches protocols.
 func RefuseSwitch(response *http.Response) error {
@@ -23,9 +33,9 @@
 	return ErrSwitched
 }
 
-// RoundTrip calls Base.
-func (t PlainTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := t.Base.RoundTrip(r)
+// RoundTrip calls the base.
+func (t plainTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.base.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
@@ -35,9 +45,9 @@
 	return response, nil
 }
 
-// CloseIdleConnections closes the idle connections of Base, as http.Client expects of a transport.
-func (t PlainTransport) CloseIdleConnections() {
-	if base, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+// CloseIdleConnections closes the idle connections of the base, as http.Client expects of a transport.
+func (t plainTransport) CloseIdleConnections() {
+	if base, ok := t.base.(interface{ CloseIdleConnections() }); ok {
 		base.CloseIdleConnections()
 	}
 }
--- a/mcstore/http.go
+++ b/mcstore/http.go
@@ -46,12 +46,9 @@
 
 // defaultClient ignores the proxy settings of the environment, since the store is reached
 // directly by its IP address.
-var defaultClient = &http.Client{
-	Transport: mcsocket.PlainTransport{Base: &http.Transport{
-		MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: mcsocket.MaxResponseHeaderBytes,
-	}},
-	CheckRedirect: mcsocket.KeepRedirect,
-}
+var defaultClient = mcsocket.NewClient(&http.Transport{
+	MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: mcsocket.MaxResponseHeaderBytes,
+})
 
 // send sends a request and reads the whole response. The second result is false if no
 // byte of the request can have reached the store.
