Do not wait without limit for a body that is not needed

Callers saw: no answer at all. A request that is refused before its body is read (unknown route or key, too many requests, a planned stop) got its 404, 401 or 503 only once the body had arrived. If the rest of the body never comes, or a byte comes now and then, the answer was never sent and the connection, a descriptor of the instance, was held until the caller left. A body larger than the limit of the configuration had the same effect in both interfaces.

Cause: net/http reads up to 256 KiB of a body that the handler left unread before it sends a small answer, and after a larger one before it closes the connection. The handlers limit their own reads of a body (mcstop.LimitRead); nothing limited this one.

Change: mcstop.Connections, through which both interfaces get their callers' connections, gives the rest of such a body 1 s after the handler has returned. The limit is set only if the end of the body was not read, since otherwise the server reads ahead, and a failure of that read would cancel later requests of the connection.

--- a/mcstop/connections.go
+++ b/mcstop/connections.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -63,6 +64,12 @@
 		// the next one.
 		ahead atomic.Bool
 	}
+
+	// observedBody notices the end of a request's body.
+	observedBody struct {
+		io.ReadCloser
+		ended bool
+	}
 )
 
 // NewConnections returns the connections that the TCP listener accepts for the server, which
@@ -73,7 +80,7 @@
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, conn)
 	}
-	server.Handler = observeEnd(server.Handler)
+	server.Handler = observeRequest(server.Handler)
 	return c
 }
 
@@ -168,14 +175,40 @@
 	}
 }
 
-// observeEnd follows the end of the handler.
-func observeEnd(handler http.Handler) http.Handler {
+// observeRequest follows the end of the handler, and limits what net/http reads for the
+// request without a limit of its own: the rest of a body that the handler did not read, for which it
+// waits before it sends a small answer.
+func observeRequest(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer r.Context().Value(connKey{}).(*callerConn).setPhase(phaseServed)
+		conn := r.Context().Value(connKey{}).(*callerConn)
+		body := &observedBody{ReadCloser: r.Body, ended: r.ContentLength == 0}
+		if !body.ended {
+			r.Body = body
+		}
+		defer func() {
+			conn.setPhase(phaseServed)
+			conn.limitRest(time.Now(), !body.ended)
+		}()
 		handler.ServeHTTP(w, r)
 	})
 }
 
+// Read reads from the body.
+func (b *observedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || err != nil
+	return n, err
+}
+
+// limitRest limits what follows the end of the handler. A read deadline is set only for a body that
+// was not read to its end, as otherwise the server reads ahead, and a failure of that would cancel
+// later requests of the connection.
+func (c *callerConn) limitRest(now time.Time, bodyLeft bool) {
+	if bodyLeft {
+		_ = c.SetReadDeadline(now.Add(restTime))
+	}
+}
+
 // setPhase changes the phase. The read deadline by which endRead woke the connection does not
 // apply to a request that has arrived meanwhile.
 func (c *callerConn) setPhase(phase int32) {
--- a/mcstop/stop.go
+++ b/mcstop/stop.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// restTime limits the time for the rest of a request that has begun to arrive, once new requests
-// are refused. It would be refused, too.
+// restTime limits the time for the rest of a request that is not needed: it was refused, or it would
+// be, once new requests are refused.
 const restTime = time.Second
 
 // Stop is the state of a planned stop. A stop has three phases: Begin makes the instance
