Give each stand-in of the table of waits an address of its own

The health tracker of a forwarder of an earlier case goes on connecting to its endpoint after the case has ended, and the kernel may give the port of that endpoint to the listener of a later case.

--- a/mcforward/waits_test.go
+++ b/mcforward/waits_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,9 +81,15 @@
 	paths          []string
 }
 
+// lastPeer counts the peers.
+var lastPeer atomic.Int64
+
 func newEndlessPeer(t *testing.T, s sender) *endlessPeer {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// Each peer has an address of its own: a health tracker of an earlier case goes on connecting to
+	// its endpoint, whose port could be that of this peer.
+	n := lastPeer.Add(1)
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, n/250, 1+n%250))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	p := &endlessPeer{sender: s, listener: listener}
@@ -98,6 +106,13 @@
 	return p
 }
 
+// String describes the connections for a failed test.
+func (p *endlessPeer) String() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Sprintf("%d of %d connections are still open, requests for %v were read", p.open, p.accepted, p.paths)
+}
+
 func (p *endlessPeer) address() string { return p.listener.Addr().String() }
 
 // count adds to the open connections and the sent bytes, and records the path of a request.
@@ -325,7 +340,7 @@
 					p.mu.Lock()
 					defer p.mu.Unlock()
 					return s.whole || p.open == 0
-				}, waitSlack, 5*time.Millisecond, "the connection is still open")
+				}, waitSlack, 5*time.Millisecond, "%s", p)
 			})
 		}
 	}
