Limit the time of every answer to a caller

Callers saw: nothing, as the caller at fault does not read; the instance lost a connection, a descriptor and a goroutine for each until that caller left. A caller that sends requests and reads no answers blocked the write of a refusal (404, 401, 503) without limit. On the chat interface the same held for the answers of plain services, of jobs and streams of jobs, and for /metrics.

Cause: only the handlers of forwarded requests and of chat requests set a write limit (mcsocket.LimitWrite). Found by reading for waits without limit, as the body that is not needed.

Change: mcstop.Connections limits each answer to 10 s from the begin of its handler, which a handler replaces by the limit that it knows, and leaves 1 s after the handler for what is still to be written; the second part was done by LimitWrite for some handlers. Services, jobs and their streams now state their limits: an answer that comes later than 10 s must not be cut off.

--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -77,7 +77,7 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	defer c.forwarder.stop.OnAbort(cancel)()
-	defer mcsocket.LimitWrite(c.w, c.deadline)()
+	mcsocket.LimitWrite(c.w, c.deadline)
 	for {
 		isolate, refusal := c.checkQuarantine(ctx)
 		if refusal != nil {
--- a/mcgateway/chat.go
+++ b/mcgateway/chat.go
@@ -81,7 +81,7 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), request.deadline)
 	defer cancel()
-	defer mcsocket.LimitWrite(x.w, request.deadline)()
+	mcsocket.LimitWrite(x.w, request.deadline)
 	if !stream {
 		return g.answerWhole(ctx, x, request)
 	}
--- a/mcgateway/jobs.go
+++ b/mcgateway/jobs.go
@@ -11,6 +11,7 @@
 	"marigoldcroft"
 	"marigoldcroft/mcclock"
 	"marigoldcroft/mcjob"
+	"marigoldcroft/mcsocket"
 	"marigoldcroft/mcstore"
 )
 
@@ -76,6 +77,8 @@
 }
 
 func sendJob(x *exchange, code int, job marigoldcroft.JobStatus) *Problem {
+	// The time for a call of the job store may have used that for the answer.
+	mcsocket.LimitWrite(x.w, time.Now())
 	x.w.Header().Set("Content-Type", "application/json")
 	x.w.WriteHeader(code)
 	// An error means that the caller has disconnected; it is ignored.
--- a/mcgateway/jobstream.go
+++ b/mcgateway/jobstream.go
@@ -7,6 +7,7 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcclock"
+	"marigoldcroft/mcsocket"
 	"marigoldcroft/mcstore"
 )
 
@@ -31,10 +32,12 @@
 	if !ok {
 		return notRun(CodeInternal, "streaming is not possible on this connection")
 	}
+	end := job.Deadline.Add(jobStreamGrace)
+	mcsocket.LimitWrite(x.w, end)
 	out := &streamSink{w: x.w, flusher: flusher, recordFirstToken: func() {}}
 	out.start()
 	x.streamed = true
-	ctx, cancel := context.WithDeadline(x.r.Context(), job.Deadline.Add(jobStreamGrace))
+	ctx, cancel := context.WithDeadline(x.r.Context(), end)
 	defer cancel()
 	if problem := g.followJob(ctx, x, out, job); problem != nil {
 		problem.RequestID = x.id
--- a/mcgateway/service.go
+++ b/mcgateway/service.go
@@ -11,6 +11,7 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcledger"
+	"marigoldcroft/mcsocket"
 )
 
 // maxServiceAttempts bounds the attempts of one repeatable call.
@@ -44,6 +45,7 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), deadline)
 	defer cancel()
+	mcsocket.LimitWrite(x.w, deadline)
 	ctx, span := g.Tracer.Start(ctx, "service call", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("service", s.template.Service())))
 	defer span.End()
--- a/mcsocket/writelimit.go
+++ b/mcsocket/writelimit.go
@@ -10,17 +10,8 @@
 const writeGrace = time.Second
 
 // LimitWrite lets writes of a response fail some time after the deadline, as a caller that stops
-// reading would block them without end. The function that it returns must be called at the end
-// of the handler. It does not remove the limit, which net/http does once it has sent the rest of
-// the response, but leaves time for this.
-func LimitWrite(w http.ResponseWriter, deadline time.Time) (end func()) {
-	control := http.NewResponseController(w)
-	limit := deadline.Add(writeGrace)
-	// Errors are ignored: only response writers of tests do not support deadlines.
-	_ = control.SetWriteDeadline(limit)
-	return func() {
-		if least := time.Now().Add(writeGrace); least.After(limit) {
-			_ = control.SetWriteDeadline(least)
-		}
-	}
+// reading would block them without end. net/http removes the limit once it has sent the response.
+func LimitWrite(w http.ResponseWriter, deadline time.Time) {
+	// The error is ignored: only response writers of tests do not support deadlines.
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace))
 }
--- a/mcstop/connections.go
+++ b/mcstop/connections.go
@@ -18,6 +18,10 @@
 	arrivedWait = 50 * time.Millisecond
 	// closePollInterval is how often Drain checks whether connections are left.
 	closePollInterval = 5 * time.Millisecond
+	// answerTime limits the writes of an answer whose handler sets no limit of its own, and
+	// lastWriteTime is the least time for what is left to write when the handler returns.
+	answerTime    = 10 * time.Second
+	lastWriteTime = time.Second
 	// refusal answers a request whose header did not arrive in time.
 	refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
 )
@@ -51,8 +55,8 @@
 		acceptsOnce sync.Once
 	}
 
-	// callerConn is a connection of a caller. Errors of SetReadDeadline are ignored: reads of an
-	// invalid connection fail.
+	// callerConn is a connection of a caller. Errors of SetReadDeadline and SetWriteDeadline are
+	// ignored: reads and writes of an invalid connection fail.
 	callerConn struct {
 		*net.TCPConn
 
@@ -63,6 +67,8 @@
 		// ahead is true if the server, while it served a request, has read the first byte of
 		// the next one.
 		ahead atomic.Bool
+		// writeBy is the write deadline in Unix nanoseconds, or 0 if there is none.
+		writeBy atomic.Int64
 	}
 
 	// observedBody notices the end of a request's body.
@@ -175,9 +181,9 @@
 	}
 }
 
-// observeRequest follows the end of the handler, and limits what net/http reads for the
-// request without a limit of its own: the rest of a body that the handler did not read, for which it
-// waits before it sends a small answer.
+// observeRequest follows the end of the handler, and limits what net/http reads and writes for the
+// request without a limit of its own: the answer, and the rest of a body that the handler did not
+// read, for which net/http waits before it sends a small answer.
 func observeRequest(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := r.Context().Value(connKey{}).(*callerConn)
@@ -185,6 +191,7 @@
 		if !body.ended {
 			r.Body = body
 		}
+		_ = conn.SetWriteDeadline(time.Now().Add(answerTime))
 		defer func() {
 			conn.setPhase(phaseServed)
 			conn.limitRest(time.Now(), !body.ended)
@@ -207,6 +214,19 @@
 	if bodyLeft {
 		_ = c.SetReadDeadline(now.Add(restTime))
 	}
+	if least := now.Add(lastWriteTime); c.writeBy.Load() < least.UnixNano() {
+		_ = c.SetWriteDeadline(least)
+	}
+}
+
+// SetWriteDeadline sets the write deadline.
+func (c *callerConn) SetWriteDeadline(t time.Time) error {
+	by := int64(0)
+	if !t.IsZero() {
+		by = t.UnixNano()
+	}
+	c.writeBy.Store(by)
+	return c.TCPConn.SetWriteDeadline(t)
 }
 
 // setPhase changes the phase. The read deadline by which endRead woke the connection does not
--- a/mcstop/limits_test.go
+++ b/mcstop/limits_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -108,3 +110,17 @@
 		time.Sleep(1200 * time.Millisecond)
 	}
 }
+
+// Guards against a caller that sends requests and reads no answers: a write of an answer would block
+// without end, and the connection and its goroutine would be lost.
+func TestUnreadAnswersEndTheConnection(t *testing.T) {
+	t.Parallel()
+	conn := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
+	requests := strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 1000)
+	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(40*time.Second)))
+	var err error
+	for err == nil {
+		_, err = io.WriteString(conn, requests)
+	}
+	require.False(t, errors.Is(err, os.ErrDeadlineExceeded), "the connection is still open")
+}
