Limit requests of balancers and operators, and their answers, in time

Callers saw: nothing directly. A client of the balancer's or the operators' port that sends the body of a request a byte at a time, sends a part of it, or reads no answers, held a connection and a descriptor of the instance until it left; an instance has some 4,000 descriptors, which it shares with requests.

Cause: these servers limited only the head of a request and unused connections.

Change: one constructor for both, with limits for the whole request and for the answer: 10 s for the balancer's check and the metrics, 30 s for commands of the chat interface's operators, whose client waits for 20 s.

--- a/mcentry/admin.go
+++ b/mcentry/admin.go
@@ -19,6 +19,14 @@
 	"marigoldcroft/mcstore"
 )
 
+const (
+	// pollTimeout limits the reads of a balancer's check or of the metrics, and the writes of its
+	// answer.
+	pollTimeout = 10 * time.Second
+	// commandTimeout is the same for an operator's command, whose client waits for 20 s.
+	commandTimeout = 30 * time.Second
+)
+
 // stateNames are the member states as the operators' interface shows them.
 var stateNames = map[mcmessage.MemberState]string{
 	mcmessage.MemberState_MEMBER_STATE_LIVE:     "live",
@@ -162,13 +170,22 @@
 		Editor: e.Editor(), Query: &mcconfig.Query{Store: e.store, Follower: e.follower}, Command: o, Instance: o,
 		Jobs: e.gateway.Jobs, JobQuery: e.gateway.JobStatus, Logger: e.logger,
 	}).Handler()
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes}
+	server := newOperationsServer(handler, commandTimeout)
+	server.MaxHeaderBytes = e.Settings.Limits.MaxHeaderBytes
 	if e.credentials != nil {
 		server.TLSConfig = e.credentials.HTTPServer()
 	}
 	return server
 }
 
+// newOperationsServer returns a server for clients other than callers. Each request and its answer have
+// the time limit.
+func newOperationsServer(handler http.Handler, limit time.Duration) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ReadTimeout: limit, WriteTimeout: limit,
+	}
+}
+
 // adminClient returns a client of another instance's operators' interface.
 func (e *Entry) adminClient(address string) *mcadmin.Client {
 	if e.credentials == nil {
--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -336,8 +336,8 @@
 	} {
 		e.tasks.Go(func() { task(taskCtx) })
 	}
-	ready := &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	admin := &http.Server{Handler: e.metrics.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	ready := newOperationsServer(http.HandlerFunc(e.serveReady), pollTimeout)
+	admin := newOperationsServer(e.metrics.Handler(), pollTimeout)
 	callers := &http.Server{
 		Handler: e.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes,
--- a/mcentry/forwarding_test.go
+++ b/mcentry/forwarding_test.go
@@ -33,7 +33,7 @@
 }
 
 type instance struct {
-	callers, ready string
+	callers, ready, admin string
 	stop           context.CancelFunc
 	abort          chan struct{}
 	ended          chan error
@@ -84,7 +84,7 @@
 	change(&settings)
 	require.NoError(s.t, mcsetting.Check(&settings))
 	ctx, stop := context.WithCancel(context.Background())
-	in := &instance{callers: a[2], ready: a[3], stop: stop, abort: make(chan struct{}), ended: make(chan error, 1)}
+	in := &instance{callers: a[2], ready: a[3], admin: a[1], stop: stop, abort: make(chan struct{}), ended: make(chan error, 1)}
 	var output lockedBuffer
 	entry := &mcentry.Forwarding{Settings: settings, Output: &output, Abort: in.abort}
 	go func() { in.ended <- entry.Run(ctx) }()
