End a process although its log output is stuck

Callers saw: nothing; an operator saw a process that had finished its planned stop and did not end (until SIGKILL) if nobody read its standard output.

Cause: BoundedWriter.Close waited for the output without limit. Requests never waited for it, as its queue is bounded.

Change: Close gives up after 1 s.

Result: TestCloseDoesNotWaitForAStuckOutput does not return within 5 s before, after 1 s now.

--- a/mcobserve/writer.go
+++ b/mcobserve/writer.go
@@ -4,10 +4,14 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"marigoldcroft/mcring"
 )
 
+// closeTimeout limits the time for the lines that are queued when the writer is closed.
+const closeTimeout = time.Second
+
 // BoundedWriter writes lines asynchronously through a bounded queue, so that a slow log
 // output never blocks a request. Lines that do not fit in the queue are dropped and
 // counted.
@@ -34,10 +38,14 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines and stops the goroutine. It must be called only once.
+// Close writes the queued lines and stops the goroutine, or gives up after closeTimeout if the output
+// is stuck. It must be called only once.
 func (w *BoundedWriter) Close() {
 	close(w.closed)
-	<-w.done
+	select {
+	case <-w.done:
+	case <-time.After(closeTimeout):
+	}
 }
 
 func (w *BoundedWriter) run() {
