Serve callers of the chat interface while the log output is stuck

Callers saw: no answer from the chat interface once nobody reads the standard output of the instance and its pipe is full: each request waits for its own log line without limit, and so does the stop of the process.

Cause: the forwarding instance writes its log through a bounded queue (mcobserve.BoundedWriter), the chat instance wrote to the output itself.

Change: the chat instance uses the same writer, for spans on the standard output, too.

--- a/mcentry/entry.go
+++ b/mcentry/entry.go
@@ -69,6 +69,7 @@
 	Faults *mcpeer.PartitionInjector
 
 	identity      marigoldcroft.Identity
+	output        *mcobserve.BoundedWriter
 	logger        zerolog.Logger
 	metrics       *mcobserve.Metrics
 	tracing       *sdktrace.TracerProvider
@@ -119,14 +120,20 @@
 	s := e.Settings
 	salt := rand.Uint64()
 	e.identity = marigoldcroft.NewIdentity(s.Deployment, s.Region, s.DataCentre, s.Instance, time.Now(), salt)
-	e.logger = mcobserve.NewLogger(e.Output, s.Log.Level).With().Str("instance", s.Instance).Logger()
+	e.output = mcobserve.NewBoundedWriter(e.Output, logQueueLength)
+	e.logger = mcobserve.NewLogger(e.output, s.Log.Level).With().Str("instance", s.Instance).Logger()
 	e.metrics = mcobserve.NewMetrics()
-	tracing, err := mcobserve.NewTracerProvider(ctx, s.Trace, s.Instance, e.Output)
+	tracing, err := mcobserve.NewTracerProvider(ctx, s.Trace, s.Instance, e.output)
+	if err == nil {
+		e.tracing = tracing
+		err = e.open(salt)
+	} else {
+		err = marigoldcroft.NewFailure("start", KindStart, err)
+	}
 	if err != nil {
-		return marigoldcroft.NewFailure("start", KindStart, err)
+		e.output.Close()
 	}
-	e.tracing = tracing
-	return e.open(salt)
+	return err
 }
 
 // open opens the listeners and builds the components, which need the listeners' addresses.
@@ -165,6 +172,7 @@
 // graceful shutdown has finished. Start must have returned.
 func (e *Entry) Serve(ctx context.Context) error {
 	taskCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
+	defer e.output.Close()
 	defer e.flushSpans()
 	defer e.engine.HTTP.CloseIdleConnections()
 	defer e.membership.pool.Close()
