Take a status below 100 for no answer

Cause: http.ReadResponse accepts such a status, and WriteHeader of the caller's response panics with it.

Change: it is an invalid response, like an answer without a receipt: another attempt follows where the route allows it, or 502.

--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -358,9 +358,12 @@
 		c.mayHaveRun = c.mayHaveRunBefore
 		a.markHelperDown(responseInfo.FaultyAddress)
 		return nil, failure(operation, KindNotRun, errors.Newf("status %d, at fault %q", response.StatusCode, responseInfo.FaultyAddress))
+	case response.StatusCode < http.StatusOK:
+		// net/http has read interim responses; a status below 100 does not exist.
+		return nil, failure(operation, KindInvalidResponse, errors.Newf("its status is %03d", response.StatusCode))
 	case responseInfo.HasContentEncoding:
 		return nil, failure(operation, KindInvalidResponse, errors.New("its body is encoded"))
-	case response.StatusCode < http.StatusOK || response.StatusCode >= 300:
+	case response.StatusCode >= 300:
 		return nil, a.receiveErrorResponse(ctx, response)
 	case !responseInfo.HasReceipt:
 		return nil, failure(operation, KindInvalidResponse, errors.New("it has no receipt"))
