Recognise a crashing request whatever its query

Cause: crashes are counted for a request by its team, method, target with the query, and body. A query that counts retries makes each copy another request. Leaving the query out would take sound requests that differ in it for the same request: they would run one at a time after one crash and be refused for an hour after two.

Change: what a request shares with others but for its query counts as a part, as the parts of prompts do: the request without its query and, for queries with a parameter that is the same in all copies, the request with each parameter alone. Headers are no part of the identity, before and now.

--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -46,9 +46,11 @@
 	// countedBytes is the number of body bytes that count against Forwarder.MaxBodyBytes.
 	countedBytes int64
 	fingerprint  mcquarantine.Fingerprint
-	// parts are the fingerprints of the parts that the prompt shares with others, as returned by
-	// mcquarantine.PartFingerprints for request.SharedParts.
-	parts []mcquarantine.Fingerprint
+	// parts are the fingerprints of what the request shares with others: the first requestParts of
+	// them are those of mcquarantine.RequestParts, the rest those of mcquarantine.PartFingerprints
+	// for request.SharedParts.
+	parts        []mcquarantine.Fingerprint
+	requestParts int
 	class marigoldcroft.Class
 
 	// attempts counts the attempts that sent data to an endpoint, placements counts the
@@ -132,8 +134,11 @@
 		return nil
 	}
 	c.forwarder.Metrics.Refusals.WithLabelValues(string(KindQuarantined)).Inc()
-	i := slices.Index(c.parts, part) % len(c.request.SharedParts)
-	return failure("quarantine", KindQuarantined, errors.Newf("part %s of the prompt crashed endpoints", c.request.SharedParts[i]))
+	i := slices.Index(c.parts, part) - c.requestParts
+	if i < 0 {
+		return failure("quarantine", KindQuarantined, errors.New("requests with this method, path and body crashed endpoints"))
+	}
+	return failure("quarantine", KindQuarantined, errors.Newf("part %s of the prompt crashed endpoints", c.request.SharedParts[i%len(c.request.SharedParts)]))
 }
 
 // handleFailure decides what follows a failed attempt. It returns the result of the call
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -202,7 +202,9 @@
 		return c.refuse(*problem)
 	}
 	c.fingerprint = mcquarantine.FingerprintOf(c.team.Name, append([]byte(c.r.Method+" "+c.r.RequestURI+"\n"), c.body...))
-	c.parts = mcquarantine.PartFingerprints(c.service, c.request.SharedParts)
+	c.parts = mcquarantine.RequestParts(c.service, c.team.Name, c.r.Method, c.r.RequestURI, c.body)
+	c.requestParts = len(c.parts)
+	c.parts = append(c.parts, mcquarantine.PartFingerprints(c.service, c.request.SharedParts)...)
 	f.Retries.CountRequest(c.start, c.service)
 	return c.forward()
 }
