Refuse an unknown key on routes that need none

Cause: authenticate took a key that no team holds for no key at all if the route needs none. A request without a key runs there; one with an unknown key gets 401 everywhere else.

Change: the exception is gone. A caller of such a route that sends a key which it does not need, and which is not known, now gets 401.

--- a/mcforward/forward_test.go
+++ b/mcforward/forward_test.go
@@ -174,6 +174,7 @@
 		{"unknown host", func(r *http.Request) { r.Host = "other.example" }, "/once/x", "", http.StatusNotFound},
 		{"unknown key", func(r *http.Request) { r.Header.Set("Authorization", "Bearer nobody") }, "/once/x", "", http.StatusUnauthorized},
 		{"no key", func(r *http.Request) { r.Header.Del("Authorization") }, "/once/x", "", http.StatusUnauthorized},
+		{"unknown key on an anonymous route", func(r *http.Request) { r.Header.Set("Authorization", "Bearer nobody") }, "/open/x", "", http.StatusUnauthorized},
 		{"no key on an anonymous route", func(r *http.Request) { r.Header.Del("Authorization") }, "/open/x", "", http.StatusOK},
 		{"body too large", func(*http.Request) {}, "/once/x", strings.Repeat("x", 1001), http.StatusRequestEntityTooLarge},
 		{"chunked body too large", func(r *http.Request) { r.ContentLength = -1 }, "/once/x", strings.Repeat("x", 1001), http.StatusRequestEntityTooLarge},
@@ -200,6 +201,8 @@
 	require.Equal(t, http.StatusOK, b.get("/once/x").status)
 	b.forwarder.Router.Update(routingTable(2, "another"), "test")
 	require.Equal(t, http.StatusUnauthorized, b.get("/once/x").status)
+	require.Equal(t, http.StatusUnauthorized, b.get("/open/x").status, "an anonymous route")
+	require.Len(t, b.runs(), 1)
 
 	b = newTestBed(t, 1)
 	b.forwarder.Router.Lease = time.Nanosecond
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -265,16 +265,14 @@
 }
 
 // authenticate finds the team that the key belongs to. Keys are accepted only while the
-// routing table is confirmed to be recent, as a revoked key must not work on any instance.
+// routing table is confirmed to be recent, as a revoked key must not work on any instance. An
+// anonymous route needs no key, but one that is sent must be known there, too.
 func (f *Forwarder) authenticate(c *call, table *marigoldcroft.RoutingTable) *problem {
 	if !table.KeysRequired() || c.route.Anonymous() && c.request.Key == "" {
 		return nil
 	}
 	team, known := table.Team(c.request.Key)
 	if !known {
-		if c.route.Anonymous() {
-			return nil
-		}
 		return &problem{status: http.StatusUnauthorized, reason: "the key is not known"}
 	}
 	if !f.Router.KeysTrusted() {
