Compare the routing with that of peers before a process serves by it

Cause: a starting process takes the store's answer for the newest configuration. Only the next exchange of the membership told it of the newer one.

Change: until its first routing table is compared with those of up to three peers from the list of instances, and of three more if none of these has compared its own, a process is not ready and refuses requests with 503. A peer that has not compared its own table gives no answer. If nobody answers, all have just started or none can be reached, and the store's table counts.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -131,6 +131,8 @@
 	limits    *mclimit.EndpointLimiter
 	// recordMissing holds at most one signal that the listing of the instances lacks this one.
 	recordMissing chan struct{}
+	// firstRecords holds at most one signal that records were read, until the routing is verified.
+	firstRecords chan struct{}
 	tasks         sync.WaitGroup
 	// reportedReady is the readiness that the balancer was told last.
 	reportedReady atomic.Bool
@@ -185,7 +187,7 @@
 
 func (e *Forwarding) build(seed uint64) error {
 	s := e.Settings.Forward
-	e.recordMissing = make(chan struct{}, 1)
+	e.recordMissing, e.firstRecords = make(chan struct{}, 1), make(chan struct{}, 1)
 	tuning := mcscheduler.Default()
 	tuning.Seed, tuning.QueueLength = seed, e.Settings.Limits.QueueLength
 	scheduler, err := mcscheduler.New(e.Settings.Scheduler, tuning)
@@ -195,7 +197,7 @@
 	e.scheduler = scheduler
 	dispatcher := &mcgateway.Dispatcher{Scheduler: scheduler}
 	e.fleet = &mcfleet.Fleet{Logger: e.logger, OnChange: e.endpointsChanged}
-	e.router = &mcroute.Router{Lease: s.KeyLease, Logger: e.logger, Changed: e.routingChanged}
+	e.router = &mcroute.Router{Lease: s.KeyLease, Logger: e.logger, Changed: e.routingChanged, VerifyFirst: true}
 	e.fetcher = &mcroute.PeerFetcher{Router: e.router, Deployment: e.Settings.Deployment, Peers: e.configPeers, Decode: platform.DecodeRouting}
 	e.buildPeers(seed)
 	e.limits = &mclimit.EndpointLimiter{
@@ -287,6 +289,7 @@
 		}
 	}
 	e.confirmRouting(change.CompleteAt)
+	e.signalFirstRecords()
 }
 
 // routingChanged passes a newer table to the endpoints and its version to the peers.
@@ -332,7 +335,7 @@
 	for _, task := range []func(context.Context){
 		e.forwarder.Run, e.forwarder.Dispatcher.Run, e.routing.Run, e.endpoints.Run, e.instances.Run,
 		e.announce, e.watchPeers, e.watchLimitMembers, e.watchSettings, e.maintainRecords, e.runMember, e.runPeers,
-		e.fetcher.Run,
+		e.fetcher.Run, e.verifyRouting,
 	} {
 		e.tasks.Go(func() { task(taskCtx) })
 	}
--- a/mcentry/forwarding_peer.go
+++ b/mcentry/forwarding_peer.go
@@ -94,6 +94,7 @@
 func (e *Forwarding) applyInstances(change mcfollow.Change[marigoldcroft.ListedInstance]) {
 	before := e.roster.has(e.Settings.Instance)
 	e.roster.apply(change)
+	e.signalFirstRecords()
 	if !before || e.roster.has(e.Settings.Instance) {
 		return
 	}
@@ -111,6 +112,21 @@
 	return recorded
 }
 
+// someAddresses returns the addresses of up to n recorded instances other than the given one, drawn at
+// random.
+func (r *roster) someAddresses(except string, n int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var addresses []string
+	for name, i := range r.instances {
+		if name != except {
+			addresses = append(addresses, i.PeerAddress)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(n, len(addresses))]
+}
+
 // isListed reports whether the records have been read.
 func (r *roster) isListed() bool {
 	r.mu.Lock()
--- a/mcentry/forwarding_test.go
+++ b/mcentry/forwarding_test.go
@@ -73,7 +73,14 @@
 	return s
 }
 
+// start starts an instance and waits until it is ready.
 func (s *site) start(i int, store string, change func(*mcsetting.Settings)) {
+	in := s.launch(i, store, change)
+	require.Eventually(s.t, func() bool { return in.isReady() }, 10*time.Second, 10*time.Millisecond)
+}
+
+// launch starts an instance.
+func (s *site) launch(i int, store string, change func(*mcsetting.Settings)) *instance {
 	a := freeAddresses(s.t, 4)
 	settings := mcsetting.Default()
 	settings.Deployment, settings.Region, settings.DataCentre = "d", "r", "z"
@@ -96,7 +103,7 @@
 		}
 	})
 	s.instances = append(s.instances, in)
-	require.Eventually(s.t, func() bool { return in.isReady() }, 10*time.Second, 10*time.Millisecond)
+	return in
 }
 
 func (i *instance) isReady() bool {
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -120,7 +120,7 @@
 	return !f.stop.HasBegun() && f.knowsRouting() && f.Fleet.HasListing() && (f.Isolated == nil || !f.Isolated())
 }
 
-// knowsRouting reports whether a routing table is in force whose keys, if it requires any, have
+// knowsRouting reports whether a verified routing table is in force whose keys, if it requires any, have
 // been confirmed.
 func (f *Forwarder) knowsRouting() bool {
 	table := f.Router.Table()
@@ -128,7 +128,7 @@
 		return false
 	}
 	_, confirmed := f.Router.Age()
-	return confirmed || !table.KeysRequired()
+	return f.Router.Verified() && (confirmed || !table.KeysRequired())
 }
 
 // Drain makes the instance unready. Requests that still arrive, or wait for an endpoint, are
@@ -214,7 +214,7 @@
 func (f *Forwarder) accept(c *call, inFlight int64) *problem {
 	table := f.Router.Table()
 	switch {
-	case table == nil || !f.Fleet.HasListing():
+	case table == nil || !f.Router.Verified() || !f.Fleet.HasListing():
 		return &problem{status: http.StatusServiceUnavailable, reason: "no routing is known yet", retryAfter: notReadyRetryAfter}
 	case f.stop.RefusesNew():
 		return stoppingProblem()
--- a/mcroute/peer.go
+++ b/mcroute/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	fetchTimeout  = 400 * time.Millisecond
 	// peersPerRound limits the peers that are asked in one round.
 	peersPerRound = 3
+	// MaxVerifyPeers limits the peers that Verify asks, which takes two rounds.
+	MaxVerifyPeers = 2 * peersPerRound
 	// wantTime is how long a version that peers know of is wanted.
 	wantTime = 10 * time.Second
 )
@@ -65,8 +68,8 @@
 	// reported for an older one.
 	age, known := s.Router.Age()
 	table := s.Router.Table()
-	if table == nil {
-		return nil, status.Error(codes.Unavailable, "no routing was read yet")
+	if table == nil || !s.Router.Verified() {
+		return nil, status.Error(codes.Unavailable, "no routing is in force yet")
 	}
 	response := &mcmessage.FetchHeadResponse{ConfirmedAgeMs: -1, Unchanged: uint64(table.Version()) == r.GetKnownRevision()}
 	if known {
@@ -113,6 +116,29 @@
 	}
 }
 
+// Verify compares the table with those of peers, in rounds of peersPerRound, until one answers that has
+// verified its own, and takes a newer one. It returns the number of peers that were asked, and whether
+// one answered. Without an answer the table of the store counts all the same: then all peers have just
+// started, too, or cannot be reached.
+func (p *PeerFetcher) Verify(ctx context.Context, peers []mcmessage.ConfigServiceClient) (asked int, answered bool) {
+	defer p.Router.MarkVerified()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for round := range slices.Chunk(peers[:min(len(peers), MaxVerifyPeers)], peersPerRound) {
+		answers := make(chan bool, len(round))
+		for _, peer := range round {
+			go func() { answers <- p.fetchFrom(ctx, peer) }()
+		}
+		asked += len(round)
+		for range round {
+			if <-answers {
+				return asked, true
+			}
+		}
+	}
+	return asked, false
+}
+
 // fetchRound asks up to peersPerRound peers, starting with a different one each time.
 func (p *PeerFetcher) fetchRound(ctx context.Context) {
 	peers := p.Peers()
@@ -122,7 +148,8 @@
 	}
 }
 
-func (p *PeerFetcher) fetchFrom(ctx context.Context, peer mcmessage.ConfigServiceClient) {
+// fetchFrom asks one peer and reports whether it answered.
+func (p *PeerFetcher) fetchFrom(ctx context.Context, peer mcmessage.ConfigServiceClient) bool {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	request := &mcmessage.FetchHeadRequest{Deployment: p.Deployment}
@@ -134,14 +161,14 @@
 	response, err := peer.FetchHead(ctx, request)
 	if err != nil {
 		p.Router.Logger.Debug().Err(err).Msg("peerRoutingFailed")
-		return
+		return false
 	}
 	version := int64(request.GetKnownRevision())
 	if !response.GetUnchanged() {
 		table := p.Decode(response.GetHead())
 		if table == nil {
 			p.Router.Logger.Warn().Msg("peerRoutingMalformed")
-			return
+			return false
 		}
 		version = table.Version()
 		p.Router.Update(table, "peer")
@@ -151,4 +178,5 @@
 		// is never taken for more recent than it is.
 		p.Router.Confirm(version, sentAt-time.Duration(response.GetConfirmedAgeMs())*time.Millisecond)
 	}
+	return true
 }
--- a/mcroute/router.go
+++ b/mcroute/router.go
@@ -20,6 +20,8 @@
 	// store. SetLease replaces it.
 	Lease  time.Duration
 	Logger zerolog.Logger
+	// VerifyFirst makes Verified report false until MarkVerified is called.
+	VerifyFirst bool
 	// Changed is called with each newer table before it is in force, while mu is held, so that
 	// requests on it find what Changed sets. It may be nil.
 	Changed func(table *marigoldcroft.RoutingTable)
@@ -30,6 +32,7 @@
 	// confirmedAt is the time since boot, in ns, at which the table was last known to be
 	// the newest.
 	confirmedAt atomic.Int64
+	verified    atomic.Bool
 	mu          sync.Mutex
 }
 
@@ -93,5 +96,12 @@
 	return known && age < lease
 }
 
+// Verified reports whether the table may be served by. The first table of a process comes from the
+// store, which may have been restored from an older copy, and has to be compared with those of peers.
+func (r *Router) Verified() bool { return !r.VerifyFirst || r.verified.Load() }
+
+// MarkVerified records that the table was compared with those of peers.
+func (r *Router) MarkVerified() { r.verified.Store(true) }
+
 // SetLease replaces Lease while requests are served.
 func (r *Router) SetLease(lease time.Duration) { r.lease.Store(int64(lease)) }
