--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -133,7 +133,7 @@
 	recordMissing chan struct{}
 	// firstRecords holds at most one signal that records were read, until the routing is verified.
 	firstRecords chan struct{}
-	tasks         sync.WaitGroup
+	tasks        sync.WaitGroup
 	// reportedReady is the readiness that the balancer was told last.
 	reportedReady atomic.Bool
 }
--- a/mcentry/forwarding_test.go
+++ b/mcentry/forwarding_test.go
@@ -34,9 +34,9 @@
 
 type instance struct {
 	callers, ready, admin string
-	stop           context.CancelFunc
-	abort          chan struct{}
-	ended          chan error
+	stop                  context.CancelFunc
+	abort                 chan struct{}
+	ended                 chan error
 }
 
 // freeAddresses returns unused addresses of the loopback interface.
