Soak: servers that send without end

Change: a fault lets a server answer up to twelve requests with one of nine senders: nothing that is an answer, heads, interim answers, bodies with and without a length, an error, and a switch of protocols; a byte at times or without a pause. The checks are those of every run.

--- a/mcsoak/backend.go
+++ b/mcsoak/backend.go
@@ -30,6 +30,9 @@
 	link        *proxy
 	// replacing is true once a fault has chosen the server to be replaced.
 	replacing atomic.Bool
+	// endless is the server that answers requests in place of server while endlessLeft is positive.
+	endless     atomic.Pointer[mcstandin.EndlessServer]
+	endlessLeft atomic.Int64
 	// crashed is true once a request with deadlyPart has crashed the server.
 	crashed atomic.Bool
 
@@ -80,6 +83,10 @@
 		b.lateRequests = append(b.lateRequests, r.Header.Get("Request-Id"))
 	}
 	b.mu.Unlock()
+	if endless := b.endless.Load(); endless != nil && b.endlessLeft.Add(-1) >= 0 {
+		endless.ServeHTTP(w, r)
+		return
+	}
 	b.server.ServeHTTP(w, r)
 }
 
--- a/mcsoak/fault.go
+++ b/mcsoak/fault.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"syscall"
 	"time"
@@ -22,6 +23,8 @@
 	// maxFaultRequests is the maximum number of requests that one server fault affects.
 	maxFaultRequests = 12
 	pollInterval     = 100 * time.Millisecond
+	// endlessPause is the time between two bytes of a server that sends them at times.
+	endlessPause = 200 * time.Millisecond
 	// heartbeatTime is the time between two writes of a server's entry.
 	heartbeatTime = 1200 * time.Millisecond
 )
@@ -114,6 +117,31 @@
 		s.pause(heartbeatTime)
 		s.writeEntry(b, mcstandin.PlatformReady)
 	}},
+	{"server sends without end", func(s *Soak, r *rand.Rand) {
+		b := s.anyServer(r)
+		b.endless.Store(endlessServers[r.IntN(len(endlessServers))])
+		b.endlessLeft.Store(1 + r.Int64N(maxFaultRequests))
+	}},
+}
+
+// endlessServers send bytes that are no answer, or an answer without end, until the caller closes.
+var endlessServers = []*mcstandin.EndlessServer{
+	{Rest: "x", Pause: endlessPause},
+	{Rest: "these bytes are no answer "},
+	{Start: endlessStart("200 OK", "X-A: "), Rest: "x", Pause: endlessPause},
+	{Start: endlessStart("200 OK", ""), Rest: "X-A: b\r\n"},
+	{Rest: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+	{Start: endlessStart("101 Switching Protocols", "Connection: Upgrade\r\nUpgrade: x\r\n\r\n"), Rest: "x", Pause: endlessPause},
+	{Start: endlessStart("200 OK", "Response-Seal: s\r\nContent-Length: 1073741824\r\n\r\n"), Rest: "x", Pause: endlessPause},
+	{Start: endlessStart("200 OK", "Response-Seal: s\r\n\r\n"), Rest: "x"},
+	{Start: endlessStart("500 Error", "Content-Length: 1073741824\r\n\r\n"), Rest: "x", Pause: endlessPause},
+}
+
+// endlessStart returns a function that returns the first bytes of an answer to a request.
+func endlessStart(status, fields string) func(r *http.Request) string {
+	return func(r *http.Request) string {
+		return "HTTP/1.1 " + status + "\r\nRequest-Id: " + r.Header.Get("Request-Id") + "\r\n" + fields
+	}
 }
 
 // oddEntries are entries that another program writes in place of a server's own: with a field
