--- a/mcentry/entry.go
+++ b/mcentry/entry.go
@@ -117,23 +117,26 @@
 // Start builds the components and opens the listeners, after which CallerAddress,
 // PeerAddress and AdminAddress are known.
 func (e *Entry) Start(ctx context.Context) error {
+	e.output = mcobserve.NewBoundedWriter(e.Output, logQueueLength)
+	if err := e.start(ctx); err != nil {
+		e.output.Close()
+		return err
+	}
+	return nil
+}
+
+func (e *Entry) start(ctx context.Context) error {
 	s := e.Settings
 	salt := rand.Uint64()
 	e.identity = marigoldcroft.NewIdentity(s.Deployment, s.Region, s.DataCentre, s.Instance, time.Now(), salt)
-	e.output = mcobserve.NewBoundedWriter(e.Output, logQueueLength)
 	e.logger = mcobserve.NewLogger(e.output, s.Log.Level).With().Str("instance", s.Instance).Logger()
 	e.metrics = mcobserve.NewMetrics()
 	tracing, err := mcobserve.NewTracerProvider(ctx, s.Trace, s.Instance, e.output)
-	if err == nil {
-		e.tracing = tracing
-		err = e.open(salt)
-	} else {
-		err = marigoldcroft.NewFailure("start", KindStart, err)
-	}
 	if err != nil {
-		e.output.Close()
+		return marigoldcroft.NewFailure("start", KindStart, err)
 	}
-	return err
+	e.tracing = tracing
+	return e.open(salt)
 }
 
 // open opens the listeners and builds the components, which need the listeners' addresses.
