--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -51,7 +51,7 @@
 	// for request.SharedParts.
 	parts        []mcquarantine.Fingerprint
 	requestParts int
-	class marigoldcroft.Class
+	class        marigoldcroft.Class
 
 	// attempts counts the attempts that sent data to an endpoint, placements counts the
 	// attempts submitted to the scheduler.
