Keep an endpoint in use that has another version than a caller expects

Cause: an endpoint must answer such a request with 421, which also says that another endpoint has its address. Each answer took one endpoint out of use.

Change: for a request that expects a version, 421 says only that it has not run there. An address that another endpoint has shows in the next request without such an expectation.

--- a/forward.go
+++ b/forward.go
@@ -25,6 +25,9 @@
 		SharedParts []string
 		// ResumeAfter is the id of the last event that the caller received, or "".
 		ResumeAfter string
+		// ExpectsVersion is true if only endpoints with a certain version of the model's weights
+		// may run the request. Others answer it with 421.
+		ExpectsVersion bool
 		// Header holds the header fields that are forwarded unchanged.
 		Header http.Header
 	}
--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -353,6 +353,11 @@
 		return nil, failure(operation, KindRequestIDMismatch, errors.Newf("it is for request %q", responseInfo.RequestID))
 	case response.StatusCode == http.StatusMisdirectedRequest:
 		c.mayHaveRun = c.mayHaveRunBefore
+		if c.request.ExpectsVersion {
+			// The endpoint may have another version. Whether its address is still its own
+			// shows in requests that expect none.
+			return nil, failure(operation, KindNotRun, errors.New("it has another version, or another address"))
+		}
 		return nil, failure(operation, KindAddressReused, nil)
 	case responseInfo.NotRun:
 		c.mayHaveRun = c.mayHaveRunBefore
