--- a/mcforward/forward_test.go
+++ b/mcforward/forward_test.go
@@ -305,18 +305,7 @@
 // endpoints.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
 	b := newTestBed(t, 5)
-	var crashed atomic.Int64
-	for i := range b.servers {
-		b.httpServers[i].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/again/poison" {
-				crashed.Add(1)
-				go b.httpServers[i].CloseClientConnections()
-				_ = b.httpServers[i].Listener.Close()
-				panic(http.ErrAbortHandler)
-			}
-			b.servers[i].ServeHTTP(w, r)
-		})
-	}
+	crashed := b.crashOn(func(r *http.Request) bool { return r.URL.Path == "/again/poison" })
 	require.Eventually(t, func() bool {
 		return b.get("/again/poison").status == http.StatusServiceUnavailable && crashed.Load() >= 2
 	}, 10*time.Second, 100*time.Millisecond)
