Decode evacuation, cold phase and home regions, and name them in the shared types

Nothing read the homes of routes and teams, the cold phase of a service or the Cold-Ms header, so no decision could be made by them.

--- a/endpoint.go
+++ b/endpoint.go
@@ -1,5 +1,7 @@
 package marigoldcroft
 
+import "time"
+
 // EndpointKind distinguishes model engines from plain services.
 type EndpointKind string
 
@@ -19,8 +21,14 @@
 	pool string
 	// checksFencing is true if the endpoint rejects orders with a stale fencing token.
 	checksFencing bool
+	// region is the region of dataCentre, or "" if it is not known.
+	region string
 	// leaving is true while the endpoint is draining.
 	leaving bool
+	// evacuated is true while the operator wants nothing more sent to the data centre.
+	evacuated bool
+	// coldUntil is the time until which the endpoint takes few requests after its start, or zero.
+	coldUntil time.Time
 	// slots is the number of requests that the endpoint runs at once, or 0 if unknown.
 	slots int
 	// performance is zero for a plain service and for an engine that publishes no figures.
@@ -36,7 +44,10 @@
 	DataCentre    string
 	Pool          string
 	ChecksFencing bool
+	Region        string
 	Leaving       bool
+	Evacuated     bool
+	ColdUntil     time.Time
 	Slots         int
 	Performance   EnginePerformance
 }
@@ -45,7 +56,8 @@
 func NewEndpoint(spec EndpointSpec) Endpoint {
 	return Endpoint{
 		name: spec.Name, kind: spec.Kind, address: spec.Address, dataCentre: spec.DataCentre,
-		pool: spec.Pool, checksFencing: spec.ChecksFencing, leaving: spec.Leaving,
+		pool: spec.Pool, checksFencing: spec.ChecksFencing, region: spec.Region, leaving: spec.Leaving,
+		evacuated: spec.Evacuated, coldUntil: spec.ColdUntil,
 		slots: spec.Slots, performance: spec.Performance,
 	}
 }
@@ -69,8 +81,19 @@
 // ChecksFencing reports whether the endpoint rejects orders with a stale fencing token.
 func (e Endpoint) ChecksFencing() bool { return e.checksFencing }
 
-// Leaving reports whether the endpoint is draining and must get no new work.
-func (e Endpoint) Leaving() bool { return e.leaving }
+// Region returns the region of the endpoint's data centre, or "" if it is not known.
+func (e Endpoint) Region() string { return e.region }
+
+// Leaving reports whether the endpoint must get no new work, because it is draining or its data
+// centre is evacuated.
+func (e Endpoint) Leaving() bool { return e.leaving || e.evacuated }
+
+// Evacuated reports whether the operator wants nothing more sent to the endpoint's data centre.
+func (e Endpoint) Evacuated() bool { return e.evacuated }
+
+// ColdUntil returns the time until which the endpoint takes only a limited number of requests
+// after its start, or zero if it is not cold.
+func (e Endpoint) ColdUntil() time.Time { return e.coldUntil }
 
 // Slots returns the number of requests that the endpoint runs at once, or 0 if unknown.
 func (e Endpoint) Slots() int { return e.slots }
--- a/forward.go
+++ b/forward.go
@@ -78,6 +78,9 @@
 		RequestsPerSecond float64
 		// Leaving is true if the endpoint is about to end and must get no new work.
 		Leaving bool
+		// HasColdTime is true if the endpoint states for how much longer it is cold, which is ColdTime.
+		HasColdTime bool
+		ColdTime    time.Duration
 		// RetryAfter is how long the endpoint wants no requests from this instance, or 0 if it does
 		// not say so.
 		RetryAfter time.Duration
--- a/mcsetting/reference.go
+++ b/mcsetting/reference.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		value := fmt.Sprint(v.Field(i).Interface())
-		if value == "" {
+		if value == "" || v.Field(i).Kind() == reflect.Map && v.Field(i).Len() == 0 {
 			value = "none"
 		}
 		fmt.Fprintf(b, "| `%s%s` | %s | %s | %s |\n", prefix, name, value, field.Tag.Get("validate"), field.Tag.Get("doc"))
--- a/mcsetting/setting.go
+++ b/mcsetting/setting.go
@@ -73,6 +73,10 @@
 		RetryWindow   time.Duration `yaml:"retryWindow" validate:"min=0,max=10m" doc:"length of the window of the retry budget"`
 		MemoryMB      int           `yaml:"memoryMB" validate:"min=0,max=1048576" doc:"memory of the process in MB; 0: not limited"`
 		Instances     int           `yaml:"instances" validate:"min=0,max=10000" doc:"least number of instances that share the retry budget"`
+		// EvacuationDelay is 0 where the operator does not ask for evacuations.
+		EvacuationDelay   time.Duration     `yaml:"evacuationDelay" validate:"min=0,max=10m" doc:"time within which an evacuation of a data centre is in force; 0: evacuations are not followed"`
+		DataCentreRegions map[string]string `yaml:"dataCentreRegions" validate:"max=256,dive,keys,required,max=128,endkeys,required,max=128" doc:"region of each data centre"`
+		Yield             bool              `yaml:"yield" doc:"refuse or delay first the work that is cheapest to delay when there is too little room"`
 	}
 
 	// Limits bounds the size and the number of requests from callers.
--- a/route.go
+++ b/route.go
@@ -30,6 +30,8 @@
 		Rank int
 		// Anonymous is true if requests need no API key.
 		Anonymous bool
+		// Regions are the only regions in which requests may run. Nil means any region.
+		Regions []string
 	}
 
 	// RouteTarget is a service that receives a weighted share of a route's requests.
@@ -79,7 +81,11 @@
 		// MaxConnections is the largest number of connections that one endpoint accepts from all
 		// instances together.
 		MaxConnections int
-		Engine         EnginePerformance
+		// ColdTime is how long an endpoint is cold after its start, and ColdRequestsPerSecond what a
+		// cold one takes from all instances together. 0 means that the endpoints have no cold phase.
+		ColdTime              time.Duration
+		ColdRequestsPerSecond float64
+		Engine                EnginePerformance
 	}
 
 	// RoutedTeam is the team that owns an API key.
@@ -88,6 +94,8 @@
 		// Rank replaces the route's rank if HasRank is true.
 		Rank    int
 		HasRank bool
+		// Regions are the only regions in which the team's requests may run. Nil means any region.
+		Regions []string
 	}
 
 	// CallerLimits bounds the size of callers' requests and the time that callers may take. A
@@ -152,6 +160,9 @@
 // Resumable reports whether a broken stream may be continued at another endpoint.
 func (r Route) Resumable() bool { return r.spec.Streaming && r.spec.Resumable }
 
+// Regions returns the only regions in which requests may run, or nil for any region.
+func (r Route) Regions() []string { return r.spec.Regions }
+
 // Anonymous reports whether requests need no API key.
 func (r Route) Anonymous() bool { return r.spec.Anonymous }
 
--- a/scheduler.go
+++ b/scheduler.go
@@ -40,6 +40,9 @@
 // means that long work was preempted to return capacity that was lent to it. ReasonStopping
 // means that the work would not end before this instance stops; another instance can run it.
 // ReasonPaused means that no endpoint takes requests before the deadline of the work.
+// ReasonEvacuated means that every endpoint that could run the work is in a data centre that is
+// evacuated, ReasonRegion that none is in a region in which the work may run, and ReasonYielded that
+// the work gave way to other work that is costlier to delay.
 const (
 	ReasonNone          Reason = ""
 	ReasonQueueFull     Reason = "queueFull"
@@ -53,6 +56,9 @@
 	ReasonLongSaturated Reason = "longSaturated"
 	ReasonStopping      Reason = "stopping"
 	ReasonPaused        Reason = "paused"
+	ReasonEvacuated     Reason = "evacuated"
+	ReasonRegion        Reason = "region"
+	ReasonYielded       Reason = "yielded"
 )
 
 // String returns the metric label of the class.
@@ -82,6 +88,11 @@
 	// PrefixHash is the hash of the prompt's first block, a hint for prefix-cache affinity, or
 	// 0 for none.
 	PrefixHash uint64
+	// Rank is the priority of the request under overload, 0 first.
+	Rank int
+	// Regions are the only regions in which the work may run. Nil means any region, an empty slice
+	// none.
+	Regions []string
 	// Exclude lists the endpoints on which earlier attempts failed.
 	Exclude []string
 	// Begun is true if an earlier attempt may have run. A planned stop does not refuse such work
