Report a reset that a write noticed first to the readers of plain services

Callers of the chat interface could get a part of an answer as the whole: a plain service that answers a long upload at once without a length and resets the connection while the upload is being written. The write takes the kernel's only report of the reset and the read then sees a regular end. An answer with status 000 reached the handler too and ended it without an answer; the shared transport now refuses statuses below 100.

--- a/mcforward/unframed_test.go
+++ b/mcforward/unframed_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"marigoldcroft"
 	"marigoldcroft/mcquarantine"
 	"marigoldcroft/mcstandin"
 )
@@ -237,3 +238,35 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that reaches the caller as the whole: the endpoint answers a long
+// upload at once without a length, resets the connection while the upload is still being written, and
+// lives on.
+func TestResetDuringUploadIsNotWhole(t *testing.T) {
+	for _, path := range []string{"/once/x", "/solo/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			b := newTestBed(t, 1)
+			table := routingTable(2, testKey)
+			spec := marigoldcroft.RoutingTableSpec{
+				Version: 2, Routes: routes(), Services: table.Services(), KeysRequired: true,
+				Teams: map[string]marigoldcroft.RoutedTeam{testKey: {Name: "team"}}, Limits: marigoldcroft.CallerLimits{BodyBytes: 16 << 20},
+			}
+			b.forwarder.Router.Update(marigoldcroft.NewRoutingTable(spec), "test")
+			b.forwarder.MaxBodyBytes = 64 << 20
+			b.httpServers[0].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, unframed("HTTP/1.1 200 OK", "", "id: 1\ndata: token 1\n\n")(r))
+				time.Sleep(20 * time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.Close()
+			})
+			for range 10 {
+				got := b.send(b.request(http.MethodPost, path, strings.Repeat("x", 8<<20)))
+				require.True(t, got.broken || got.status == http.StatusBadGateway, "status %d, body %q", got.status, got.body)
+			}
+		})
+	}
+}
--- a/mcservice/service.go
+++ b/mcservice/service.go
@@ -115,7 +115,7 @@
 	setDefault(&cfg.MaxAnswerBytes, defaultMaxAnswerBytes)
 	// The environment's proxy settings are ignored, as services are addressed by IP.
 	var transport http.RoundTripper = &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext,
+		DialContext:         mcsocket.ReportResets((&net.Dialer{Timeout: cfg.DialTimeout}).DialContext),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
--- a/mcsocket/switch.go
+++ b/mcsocket/switch.go
@@ -10,11 +10,15 @@
 // the request's context nor a limit of its transport ends a read of it.
 var ErrSwitched = errors.New("the answer switches to another protocol")
 
-// plainTransport is a transport that refuses answers which switch protocols.
+// errStatus is the error of an answer whose status is below 100. net/http accepts it from a server, but
+// no answer to a caller can have it.
+var errStatus = errors.New("the status of the answer does not exist")
+
+// plainTransport is a transport that refuses answers which switch protocols or have an invalid status.
 type plainTransport struct{ base http.RoundTripper }
 
 // NewClient returns a client for other processes, whose addresses come from a list or from settings.
-// It refuses answers that switch protocols. It returns a redirect as the response: following it would
+// It refuses answers that switch protocols and those whose status does not exist. It returns a redirect as the response: following it would
 // send the request, which may run only once, to an address that nobody has listed.
 func NewClient(base http.RoundTripper) *http.Client {
 	return &http.Client{
@@ -42,6 +46,10 @@
 	if err := RefuseSwitch(response); err != nil {
 		return nil, err
 	}
+	if response.StatusCode < http.StatusContinue {
+		_ = response.Body.Close()
+		return nil, errStatus
+	}
 	return response, nil
 }
 
