Follow evacuations of data centres and keep requests from their endpoints

An operator could not take a data centre out of use: nothing read the entries of the kind evacuations. Where forward.evacuationDelay is set, an instance now follows them with one more watch, whose copy peers confirm like the others, and its endpoints there count as leaving. Peers, restores and reservations are not covered yet. TestEvacuatedDataCentreGetsNoRequests fails without the setting and passes with it (go test -race ./mcentry ./mcfleet ./mcfollow ./platform).

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -17,6 +17,7 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcclock"
+	"marigoldcroft/mcevacuation"
 	"marigoldcroft/mcfleet"
 	"marigoldcroft/mcfollow"
 	"marigoldcroft/mcforward"
@@ -127,8 +128,11 @@
 	routing   *mcfollow.Follower[marigoldcroft.RoutingTable]
 	endpoints *mcfollow.Follower[marigoldcroft.EndpointRecord]
 	instances *mcfollow.Follower[marigoldcroft.ListedInstance]
-	roster    *roster
-	limits    *mclimit.EndpointLimiter
+	// evacuations follows the evacuated data centres; nil where evacuations are not followed.
+	evacuations *mcfollow.Follower[marigoldcroft.Evacuation]
+	evacuation  *mcevacuation.State
+	roster      *roster
+	limits      *mclimit.EndpointLimiter
 	// recordMissing holds at most one signal that the listing of the instances lacks this one.
 	recordMissing chan struct{}
 	// firstRecords holds at most one signal that records were read, until the routing is verified.
@@ -196,7 +200,7 @@
 	}
 	e.scheduler = scheduler
 	dispatcher := &mcgateway.Dispatcher{Scheduler: scheduler}
-	e.fleet = &mcfleet.Fleet{Logger: e.logger, OnChange: e.endpointsChanged}
+	e.fleet = &mcfleet.Fleet{Logger: e.logger, OnChange: e.endpointsChanged, AwaitEvacuations: s.EvacuationDelay > 0}
 	e.router = &mcroute.Router{Lease: s.KeyLease, Logger: e.logger, Changed: e.routingChanged, VerifyFirst: true}
 	e.fetcher = &mcroute.PeerFetcher{Router: e.router, Deployment: e.Settings.Deployment, Peers: e.configPeers, Decode: platform.DecodeRouting}
 	e.buildPeers(seed)
@@ -225,6 +229,7 @@
 		Name: "instances", Feed: platform.Instances(e.store), WatchTimeout: func() time.Duration { return instanceWatchWait }, BatchDelay: e.batchDelay(instanceCallRate, maxInstanceBatchDelay),
 		Apply: e.applyInstances, Logger: e.logger, Gate: gate,
 	}
+	e.buildEvacuations(gate)
 	return nil
 }
 
@@ -335,7 +340,7 @@
 	for _, task := range []func(context.Context){
 		e.forwarder.Run, e.forwarder.Dispatcher.Run, e.routing.Run, e.endpoints.Run, e.instances.Run,
 		e.announce, e.watchPeers, e.watchLimitMembers, e.watchSettings, e.maintainRecords, e.runMember, e.runPeers,
-		e.fetcher.Run, e.verifyRouting,
+		e.fetcher.Run, e.verifyRouting, e.followEvacuations,
 	} {
 		e.tasks.Go(func() { task(taskCtx) })
 	}
--- a/mcentry/forwarding_copy.go
+++ b/mcentry/forwarding_copy.go
@@ -18,18 +18,24 @@
 // whose copy has the same digest as a peer's takes over the time at which that copy was
 // known to be complete.
 const (
-	recordsRouting   = "routing"
-	recordsEndpoints = "endpoints"
+	recordsRouting     = "routing"
+	recordsEndpoints   = "endpoints"
+	recordsEvacuations = "evacuations"
 )
 
 // copyStates returns the digests and ages of the local copies, to be sent to peers.
 func (e *Forwarding) copyStates() []*mcmessage.CopyState {
 	var states []*mcmessage.CopyState
 	now := mcclock.Now()
-	for _, c := range []struct {
+	type copyStatus struct {
 		records string
 		state   func() (digest uint64, complete time.Duration, known bool)
-	}{{recordsRouting, e.routing.CopyStatus}, {recordsEndpoints, e.endpoints.CopyStatus}} {
+	}
+	copies := []copyStatus{{recordsRouting, e.routing.CopyStatus}, {recordsEndpoints, e.endpoints.CopyStatus}}
+	if e.evacuations != nil {
+		copies = append(copies, copyStatus{recordsEvacuations, e.evacuations.CopyStatus})
+	}
+	for _, c := range copies {
 		if digest, complete, known := c.state(); known {
 			states = append(states, &mcmessage.CopyState{
 				Records: c.records, Digest: digest, AgeMs: uint64(max(0, now-complete).Milliseconds()) + 1,
@@ -49,6 +55,10 @@
 			e.routing.ObservePeerCopy(c.GetDigest(), complete)
 		case recordsEndpoints:
 			e.endpoints.ObservePeerCopy(c.GetDigest(), complete)
+		case recordsEvacuations:
+			if e.evacuations != nil {
+				e.evacuations.ObservePeerCopy(c.GetDigest(), complete)
+			}
 		}
 	}
 }
--- a/mcentry/forwarding_peer.go
+++ b/mcentry/forwarding_peer.go
@@ -73,7 +73,9 @@
 	listed := make([]marigoldcroft.ListedEndpoint, 0, len(endpoints))
 	for _, e := range endpoints {
 		listed = append(listed, marigoldcroft.ListedEndpoint{
-			Name: e.Name(), Kind: e.Kind(), Address: e.Address(), DataCentre: r.region, Pool: e.Pool(), Leaving: e.Leaving(),
+			Name: e.Name(), Kind: e.Kind(), Address: e.Address(), DataCentre: r.region, Pool: e.Pool(),
+			// The peers follow the evacuations themselves.
+			Leaving: e.Leaving() && !e.Evacuated(),
 		})
 	}
 	defer r.changed()
--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -2,6 +2,7 @@
 package mcfleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 	// for concurrent use.
 	Fleet struct {
 		Logger zerolog.Logger
+		// AwaitEvacuations is true if no request may be placed before the evacuated data centres are
+		// known.
+		AwaitEvacuations bool
 		// OnChange is called after each change with all endpoints, by one goroutine at a time, so that
 		// no listing follows a newer one. It must not change the fleet.
 		OnChange func(endpoints []marigoldcroft.Endpoint)
@@ -60,6 +64,10 @@
 		removed map[string]removedEndpoint
 		// returned holds the arguments of the calls of OnReturned that are due.
 		returned []returnedEndpoint
+		// evacuated holds the evacuated data centres, sorted, and evacuationsKnown is true once they
+		// were set.
+		evacuated        []string
+		evacuationsKnown bool
 		// keepMissingUntil is the time until which endpoints with missing records are kept
 		// after an outage.
 		keepMissingUntil time.Time
@@ -93,11 +101,11 @@
 )
 
 // HasListing reports whether a full listing has been applied and OnChange has returned for it, so
-// that requests find its endpoints.
+// that requests find its endpoints, and the evacuated data centres are known.
 func (f *Fleet) HasListing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.announced
+	return f.announced && (f.evacuationsKnown || !f.AwaitEvacuations)
 }
 
 // Endpoint returns the endpoint and true, or false if it is unknown or may not get new work.
@@ -387,6 +395,7 @@
 	}
 	return marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
 		Name: r.Name, Kind: kind, Address: r.Address, DataCentre: r.DataCentre, Pool: r.Service,
-		Leaving: r.Leaving || entry.leaving || entry.moved || !entry.unconfirmedUntil.IsZero(), Slots: r.Slots, Performance: figures,
+		Evacuated: slices.Contains(f.evacuated, r.DataCentre),
+		Leaving:   r.Leaving || entry.leaving || entry.moved || !entry.unconfirmedUntil.IsZero(), Slots: r.Slots, Performance: figures,
 	})
 }
--- a/mcfollow/follower.go
+++ b/mcfollow/follower.go
@@ -38,6 +38,8 @@
 		Records []marigoldcroft.Record[T]
 		// Snapshot is true if Records is a full listing, which replaces the copy.
 		Snapshot bool
+		// Revision is the revision of the store at which the change was read.
+		Revision int64
 		// OutageDuration is the length of the last outage of the store, longer than a second, that ended
 		// at OutageEndedAt, after the first failed call since the previous answer; or 0 if there was
 		// none. An outage begins with a failed call and ends with the next answer to any follower that
@@ -168,7 +170,7 @@
 
 // applyAnswer applies a successful answer and ends an outage, if there was one.
 func (f *Follower[T]) applyAnswer(records []marigoldcroft.Record[T], revision int64, snapshot bool, complete time.Duration) {
-	change := Change[T]{Records: records, Snapshot: snapshot, CompleteAt: complete}
+	change := Change[T]{Records: records, Snapshot: snapshot, Revision: revision, CompleteAt: complete}
 	now := time.Now()
 	f.outages().succeeded(now)
 	if f.Gate != nil {
