Limit the requests of all instances to a cold endpoint

Cause: nothing limited the requests to an endpoint in its cold phase, in which it takes cold-per-s requests a second from all instances together and crashes well above that.

The fleet keeps what is known of each endpoint's cold phase: its record, the answers to health checks, the start of a process (a new incarnation, or a host that refused connections and accepts them again) and the end of an evacuation (MarkCold). EndpointLimiter takes it as a second source of limits: while an endpoint is cold, each attempt and health check needs a grant of the owner, which learns of the phase from the request for the grant. A grant is valid for 250 ms, an endpoint that became cold after the placement gets nothing without one, and a cold endpoint prefills no parts of prompts of other engines.

In mclimit/endpointlimiter_test.go only the signatures of Ask and Grant follow the change.

--- a/endpoint.go
+++ b/endpoint.go
@@ -29,6 +29,9 @@
 	evacuated bool
 	// coldUntil is the time until which the endpoint takes few requests after its start, or zero.
 	coldUntil time.Time
+	// coldRequestsPerSecond is what a cold endpoint takes from all instances together, or 0 for no
+	// limit.
+	coldRequestsPerSecond float64
 	// slots is the number of requests that the endpoint runs at once, or 0 if unknown.
 	slots int
 	// performance is zero for a plain service and for an engine that publishes no figures.
@@ -50,6 +53,8 @@
 	ColdUntil     time.Time
 	Slots         int
 	Performance   EnginePerformance
+
+	ColdRequestsPerSecond float64
 }
 
 // NewEndpoint returns an endpoint with the fields of spec.
@@ -57,7 +62,7 @@
 	return Endpoint{
 		name: spec.Name, kind: spec.Kind, address: spec.Address, dataCentre: spec.DataCentre,
 		pool: spec.Pool, checksFencing: spec.ChecksFencing, region: spec.Region, leaving: spec.Leaving,
-		evacuated: spec.Evacuated, coldUntil: spec.ColdUntil,
+		evacuated: spec.Evacuated, coldUntil: spec.ColdUntil, coldRequestsPerSecond: spec.ColdRequestsPerSecond,
 		slots: spec.Slots, performance: spec.Performance,
 	}
 }
@@ -95,6 +100,10 @@
 // after its start, or zero if it is not cold.
 func (e Endpoint) ColdUntil() time.Time { return e.coldUntil }
 
+// ColdRequestsPerSecond returns the number of requests a second that the endpoint takes from all
+// instances together while it is cold, or 0 for no limit.
+func (e Endpoint) ColdRequestsPerSecond() float64 { return e.coldRequestsPerSecond }
+
 // Slots returns the number of requests that the endpoint runs at once, or 0 if unknown.
 func (e Endpoint) Slots() int { return e.slots }
 
--- a/endpointlimit.go
+++ b/endpointlimit.go
@@ -1,5 +1,7 @@
 package marigoldcroft
 
+import "time"
+
 // MaxRequestsPerSecond is the largest limit that an endpoint can state; a larger one counts as this.
 const MaxRequestsPerSecond = 1e6
 
@@ -14,6 +16,13 @@
 		perSecond float64
 	}
 
+	// ColdPhase is the time after the start of an endpoint in which it takes only PerSecond requests a
+	// second from all instances together. 0 means no limit.
+	ColdPhase struct {
+		PerSecond float64
+		Until     time.Time
+	}
+
 	// EndpointLimitSpec holds the arguments of NewEndpointLimit. The methods of EndpointLimit
 	// describe the fields.
 	EndpointLimitSpec struct {
@@ -44,6 +53,9 @@
 // PerSecond returns the number of requests a second, or 0 if the endpoint states no limit.
 func (l EndpointLimit) PerSecond() float64 { return l.perSecond }
 
+// Limits reports whether the endpoint is cold at the time and limits its requests.
+func (c ColdPhase) Limits(now time.Time) bool { return c.PerSecond > 0 && now.Before(c.Until) }
+
 // Newer reports whether l replaces other, a limit of the same endpoint. It is a total order, so
 // that all instances pick the same one of two limits that were written at the same time.
 func (l EndpointLimit) Newer(other EndpointLimit) bool {
--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -201,7 +201,7 @@
 	e.fetcher = &mcroute.PeerFetcher{Router: e.router, Deployment: e.Settings.Deployment, Peers: e.configPeers, Decode: platform.DecodeRouting}
 	e.buildPeers(seed)
 	e.limits = &mclimit.EndpointLimiter{
-		Ownership: &mclimit.Ownership{Self: e.Settings.Instance}, Ask: e.askLimitOwner, Announce: e.announceLimit, Logger: e.logger,
+		Ownership: &mclimit.Ownership{Self: e.Settings.Instance}, Ask: e.askLimitOwner, Cold: e.fleet.ColdPhase, Announce: e.announceLimit, Logger: e.logger,
 	}
 	e.forwarder = &mcforward.Forwarder{
 		Codec: platform.Codec{}, Reservations: platform.NewReservationClient(), Router: e.router, Fleet: e.fleet, Dispatcher: dispatcher,
--- a/mcentry/forwarding_limit.go
+++ b/mcentry/forwarding_limit.go
@@ -14,9 +14,13 @@
 	"marigoldcroft/mcmessage"
 )
 
-// limitMembersInterval is the time between two updates of the members that share the limits of
-// endpoints. It is well below the time in which a new owner takes over.
-const limitMembersInterval = 250 * time.Millisecond
+const (
+	// limitMembersInterval is the time between two updates of the members that share the limits of
+	// endpoints. It is well below the time in which a new owner takes over.
+	limitMembersInterval = 250 * time.Millisecond
+	// maxColdLeft bounds the remaining cold time on the wire. Cold phases last for seconds.
+	maxColdLeft = time.Hour
+)
 
 // limitServer grants requests to limited endpoints to other instances.
 type limitServer struct {
@@ -30,12 +34,14 @@
 	if r.GetDeployment() != s.deployment {
 		return nil, status.Errorf(codes.PermissionDenied, "deployment %q is not %q", r.GetDeployment(), s.deployment)
 	}
-	g := s.limits.Grant(time.Now(), r.GetInstance(), limitFromWire(r.GetLimit()))
+	now := time.Now()
+	cold := marigoldcroft.ColdPhase{PerSecond: r.GetColdPerSecond(), Until: now.Add(time.Duration(r.GetColdLeftMs()) * time.Millisecond)}
+	g := s.limits.Grant(now, r.GetInstance(), limitFromWire(r.GetLimit()), cold)
 	return &mcmessage.AcquireResponse{Granted: g.Granted, WaitMs: uint32(g.Wait.Milliseconds()), Limit: limitOnWire(g.Limit)}, nil
 }
 
 // askLimitOwner asks the owner of a limited endpoint for a grant.
-func (e *Forwarding) askLimitOwner(ctx context.Context, owner string, limit marigoldcroft.EndpointLimit) (mclimit.Grant, error) {
+func (e *Forwarding) askLimitOwner(ctx context.Context, owner string, limit marigoldcroft.EndpointLimit, cold marigoldcroft.ColdPhase) (mclimit.Grant, error) {
 	contact, known := e.member.Contact(owner)
 	if !known {
 		return mclimit.Grant{}, errors.Newf("the owner %s is not a known member", owner)
@@ -46,6 +52,7 @@
 	}
 	response, err := mcmessage.NewLimitServiceClient(conn).Acquire(ctx, &mcmessage.AcquireRequest{
 		Deployment: e.Settings.Deployment, Instance: e.Settings.Instance, Limit: limitOnWire(limit),
+		ColdPerSecond: cold.PerSecond, ColdLeftMs: uint32(min(max(0, time.Until(cold.Until).Milliseconds()), maxColdLeft.Milliseconds())),
 	})
 	if err != nil {
 		return mclimit.Grant{}, err
--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -51,6 +51,8 @@
 		// performance holds the engine performance figures of the services that the routing table or
 		// an endpoint names.
 		performance map[string]marigoldcroft.EnginePerformance
+		// cold holds what the same services state about their cold endpoints.
+		cold map[string]coldSettings
 		// known is true once a full listing has been applied, and announced once OnChange has
 		// returned for it.
 		known, announced bool
@@ -79,6 +81,8 @@
 		unconfirmedUntil time.Time
 		// moved is true once another endpoint has answered at the address of the record.
 		moved bool
+		// cold is what is known of the cold phase of the process.
+		cold coldState
 		// older is the last record, if it is that of an older incarnation.
 		older *marigoldcroft.EndpointRecord
 		// adopted is true if the record took the place of one with a newer incarnation.
@@ -194,15 +198,17 @@
 // on the table before may still reach it.
 func (f *Fleet) SetRoutingTable(table *marigoldcroft.RoutingTable) {
 	f.mu.Lock()
-	previous := f.performance
-	f.performance = make(map[string]marigoldcroft.EnginePerformance)
+	previous, previousCold := f.performance, f.cold
+	f.performance, f.cold = make(map[string]marigoldcroft.EnginePerformance), make(map[string]coldSettings)
 	for _, entry := range f.entries {
 		if figures, known := previous[entry.record.Service]; known {
 			f.performance[entry.record.Service] = figures
+			f.cold[entry.record.Service] = previousCold[entry.record.Service]
 		}
 	}
 	for _, s := range table.Services() {
 		f.performance[s.Name] = s.Engine
+		f.cold[s.Name] = coldSettings{time: s.ColdTime, perSecond: s.ColdRequestsPerSecond}
 	}
 	for _, entry := range f.entries {
 		entry.endpoint = f.buildEndpoint(entry)
@@ -329,6 +335,7 @@
 	if previous == nil {
 		f.recallRemoved(now, entry)
 	}
+	f.observeRecordCold(now, previous, entry)
 	entry.endpoint = f.buildEndpoint(entry)
 	f.entries[record.Name] = entry
 	return ended
@@ -388,5 +395,6 @@
 	return marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
 		Name: r.Name, Kind: kind, Address: r.Address, DataCentre: r.DataCentre, Pool: r.Service,
 		Leaving: r.Leaving || entry.leaving || entry.moved || !entry.unconfirmedUntil.IsZero(), Slots: r.Slots, Performance: figures,
+		ColdUntil: entry.cold.until(f.cold[r.Service].time), ColdRequestsPerSecond: f.cold[r.Service].perSecond,
 	})
 }
--- a/mcfleet/returned.go
+++ b/mcfleet/returned.go
@@ -23,6 +23,7 @@
 		incarnation uint64
 		// leaving is true if the endpoint had announced that it was leaving.
 		leaving bool
+		cold    coldState
 		at      time.Time
 	}
 
@@ -75,6 +76,7 @@
 		return
 	}
 	entry := &fleetEntry{record: *held, adopted: true, leaving: held.Leaving}
+	f.observeRecordCold(time.Now(), previous, entry)
 	f.Logger.Info().Str("endpoint", held.Name).Uint64("incarnation", held.Incarnation).Uint64("previous", previous.record.Incarnation).
 		Bool("leaving", held.Leaving).Msg("olderRecordAdopted")
 	if !held.Leaving {
@@ -144,6 +146,6 @@
 		f.removed = make(map[string]removedEndpoint)
 	}
 	if len(f.removed) < maxRemoved {
-		f.removed[name] = removedEndpoint{incarnation: entry.record.Incarnation, leaving: entry.record.Leaving || entry.leaving, at: now}
+		f.removed[name] = removedEndpoint{incarnation: entry.record.Incarnation, leaving: entry.record.Leaving || entry.leaving, cold: entry.cold, at: now}
 	}
 }
--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -46,6 +46,8 @@
 	// sent is true once a part of the request may have reached the endpoint.
 	sent   bool
 	sentAt time.Time
+	// grantedAt is when the owner of the limit of a cold endpoint granted the request, or zero.
+	grantedAt time.Time
 	// reusedConnection is true if the connection of the attempt had carried an earlier request.
 	reusedConnection bool
 	// progress follows the output of the answer.
@@ -196,7 +198,7 @@
 	case KindAddressReused:
 		f.Fleet.MarkMoved(endpoint.Name())
 	case KindConnectionRefused:
-		f.health.markDown(now, endpoint.Name())
+		f.health.markEnded(now, endpoint.Name())
 		f.health.recordRefused(now, endpoint)
 	case KindUnreachable:
 		f.health.markDown(now, endpoint.Name())
@@ -327,7 +329,7 @@
 func (a *attempt) helpers() []marigoldcroft.ForwardHelper {
 	helpers := a.reservations
 	for _, name := range a.decision.Helpers[len(a.reservations):] {
-		if endpoint, ok := a.call.forwarder.Fleet.Endpoint(name); ok {
+		if endpoint, ok := a.call.forwarder.Fleet.Endpoint(name); ok && a.mayHelp(name) {
 			helpers = append(helpers, marigoldcroft.ForwardHelper{Address: endpoint.Address()})
 		}
 	}
--- a/mcforward/confirm.go
+++ b/mcforward/confirm.go
@@ -61,10 +61,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
+	if !f.acquireCheck(ctx, endpoint) {
+		return failure(operation, KindLimited, errors.New("the endpoint is cold and no check was granted"))
+	}
 	conn, err := f.pool.get(ctx, endpoint)
 	if err != nil {
 		return err
 	}
+	sentAt := time.Now()
 	r := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: endpoint.Address(), Path: service.HealthPath}, Header: http.Header{"User-Agent": {""}}}
 	response, err := conn.conn.RoundTrip(r.WithContext(ctx))
 	if err != nil {
@@ -82,6 +86,9 @@
 	} else {
 		f.pool.put(conn, info.KeepAliveTimeout)
 	}
+	if info.HasColdTime && info.Endpoint == endpoint.Name() {
+		f.Fleet.ObserveCold(endpoint.Name(), sentAt, time.Now(), info.ColdTime)
+	}
 	switch {
 	case info.Endpoint != endpoint.Name():
 		return failure(operation, KindAddressReused, errors.Newf("the answer is that of %q", info.Endpoint))
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -108,6 +108,7 @@
 				return wanted
 			})
 			f.stated.retain(now, f.Fleet.Known)
+			f.Metrics.ColdEndpoints.Set(float64(f.Fleet.ColdCount(now)))
 			if f.Limits != nil {
 				f.Limits.Retain(f.Fleet.Known)
 			}
--- a/mcforward/health.go
+++ b/mcforward/health.go
@@ -69,6 +69,8 @@
 		count int
 		last  time.Time
 		down  bool
+		// ended is true once the host refused a connection, which shows that the process has ended.
+		ended bool
 	}
 )
 
@@ -102,6 +104,17 @@
 	time.AfterFunc(wait, func() { h.recheck(endpoint) })
 }
 
+// markEnded takes the endpoint out of rotation because its host refused a connection. When it accepts
+// connections again, another process runs there.
+func (h *healthTracker) markEnded(now time.Time, endpoint string) {
+	h.markDown(now, endpoint)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.failures[endpoint]; s != nil {
+		s.ended = true
+	}
+}
+
 // recordSilent records an endpoint that did not acknowledge anything.
 func (h *healthTracker) recordSilent(now time.Time, endpoint marigoldcroft.Endpoint) {
 	h.recordUnreachable(now, endpoint, silentThreshold)
@@ -174,10 +187,14 @@
 		h.mu.Unlock()
 		return
 	}
-	s.down = false
+	ended := reached && s.ended
+	s.down, s.ended = false, s.ended && !reached
 	h.mu.Unlock()
 	switch {
 	case reached:
+		if ended {
+			h.fleet.MarkRestarted(endpoint, time.Now())
+		}
 		h.scheduler.ObserveReport(time.Now(), marigoldcroft.LoadReport{Endpoint: endpoint, Incarnation: h.fleet.Incarnation(endpoint)})
 		h.logger.Info().Str("endpoint", endpoint).Msg("endpointBack")
 	case ok:
@@ -227,8 +244,10 @@
 			return
 		}
 		now := time.Now()
-		f.health.markDown(now, endpoint.Name())
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			f.health.markDown(now, endpoint.Name())
+		} else {
+			f.health.markEnded(now, endpoint.Name())
 			f.announce(endpoint.Name(), f.Quarantine.ConnectionRefused(now, endpoint.Name()))
 		}
 	})
--- a/mcforward/reserve.go
+++ b/mcforward/reserve.go
@@ -53,6 +53,10 @@
 	if !ok {
 		return failure(operation, KindUnreachable, errors.New("the endpoint has left"))
 	}
+	if !a.mayHelp(name) {
+		a.completion.NotSent = true
+		return failure(operation, KindLimited, errors.New("the endpoint has become cold"))
+	}
 	// The engine may carry out a reservation whose response is lost, so it is listed first
 	// and released with the others.
 	helper := marigoldcroft.ForwardHelper{Address: endpoint.Address(), Reservation: uuid.NewString()}
--- a/mcforward/statement.go
+++ b/mcforward/statement.go
@@ -101,12 +101,19 @@
 	if f.Limits == nil {
 		return nil
 	}
+	cold := f.Fleet.ColdPhase(a.endpoint).Limits(time.Now())
 	granted, wait := f.Limits.Acquire(ctx, a.endpoint)
+	now := time.Now()
+	if cold {
+		f.countColdGrant(granted)
+	}
 	if granted {
+		if cold {
+			a.grantedAt = now
+		}
 		return nil
 	}
 	a.completion.NotSent = true
-	now := time.Now()
 	f.Dispatcher.Scheduler.PauseEndpoint(now, a.endpoint, now.Add(wait))
 	if ctx.Err() != nil {
 		return a.contextError(ctx, "wait for the limit of "+a.endpoint)
@@ -127,7 +134,7 @@
 		a.call.forwarder.Dispatcher.Scheduler.PauseEndpoint(now, a.endpoint, until)
 		return failure("dispatch to "+a.endpoint, KindLimited, errors.New("the endpoint wants no requests"))
 	}
-	return nil
+	return a.checkCold(now)
 }
 
 // observeStatements records what the endpoint states about itself. An answer to another request, or
--- a/mclimit/endpointlimiter.go
+++ b/mclimit/endpointlimiter.go
@@ -35,13 +35,16 @@
 
 type (
 	// EndpointLimiter keeps the limits that endpoints state on the requests of all instances
-	// together. One instance, the owner, grants the requests to an endpoint; the others ask it
+	// together, and those of cold endpoints; the smaller one applies. One instance, the owner, grants the requests to an endpoint; the others ask it
 	// before each request. Without the owner's answer no request is sent. Exported fields are set
 	// before use. It is safe for concurrent use.
 	EndpointLimiter struct {
 		Ownership *Ownership
 		// Ask asks the owner for a grant.
-		Ask func(ctx context.Context, owner string, limit marigoldcroft.EndpointLimit) (Grant, error)
+		Ask func(ctx context.Context, owner string, limit marigoldcroft.EndpointLimit, cold marigoldcroft.ColdPhase) (Grant, error)
+		// Cold returns the cold phase of the endpoint as this instance knows it. Nil means that no
+		// endpoint is cold.
+		Cold func(endpoint string) marigoldcroft.ColdPhase
 		// Announce sends a changed limit to the other instances; it must not block.
 		Announce func(limit marigoldcroft.EndpointLimit)
 		Logger   zerolog.Logger
@@ -62,6 +65,9 @@
 	// endpointLimit is the limit of one endpoint.
 	endpointLimit struct {
 		limit marigoldcroft.EndpointLimit
+		// cold is the cold phase that the owner applies: the longest of those that it and the
+		// instances that asked it know.
+		cold marigoldcroft.ColdPhase
 		// learnedAt is when this instance last learned that the limit holds.
 		learnedAt time.Time
 		// grants is the number of unused grants at refilledAt. The bucket is empty when this
@@ -156,41 +162,44 @@
 // Acquire asks for permission to send one request to the endpoint. It returns false and the time
 // after which to ask again if none may be sent now.
 func (l *EndpointLimiter) Acquire(ctx context.Context, endpoint string) (granted bool, wait time.Duration) {
-	limit, limited := l.limit(endpoint)
-	if !limited {
+	now := time.Now()
+	cold := l.coldPhase(endpoint)
+	limit := l.limit(endpoint)
+	if !limit.Limited() && !cold.Limits(now) {
 		return true, 0
 	}
 	owner := l.Ownership.Owner(endpoint)
 	if owner == l.Ownership.Self || owner == "" {
-		g := l.Grant(time.Now(), owner, limit)
+		g := l.Grant(now, owner, limit, cold)
 		return g.Granted, g.Wait
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	g, err := l.Ask(ctx, owner, limit)
+	g, err := l.Ask(ctx, owner, limit, cold)
 	if err != nil {
 		l.Logger.Info().Str("endpoint", endpoint).Str("owner", owner).Err(err).Msg("limitOwnerUnreachable")
 		return false, unansweredWait
 	}
-	if g.Limit.Endpoint() == endpoint {
+	if g.Limit.Endpoint() == endpoint && g.Limit.Version() > 0 {
 		l.Merge(time.Now(), []marigoldcroft.EndpointLimit{g.Limit})
 	}
 	return g.Granted, max(g.Wait, minGrantWait)
 }
 
-func (l *EndpointLimiter) limit(endpoint string) (marigoldcroft.EndpointLimit, bool) {
+// limit returns the limit that the endpoint stated last, or one of version 0 if it stated none.
+func (l *EndpointLimiter) limit(endpoint string) marigoldcroft.EndpointLimit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.limits[endpoint]
-	if e == nil {
-		return marigoldcroft.EndpointLimit{}, false
+	if e := l.limits[endpoint]; e != nil {
+		return e.limit
 	}
-	return e.limit, e.limit.Limited()
+	return marigoldcroft.NewEndpointLimit(marigoldcroft.EndpointLimitSpec{Endpoint: endpoint})
 }
 
 // Grant answers an instance that wants to send a request to an endpoint of which this instance is
-// the owner. limit is the limit as the instance knows it.
-func (l *EndpointLimiter) Grant(now time.Time, instance string, limit marigoldcroft.EndpointLimit) Grant {
+// the owner. limit and cold are what the instance knows.
+func (l *EndpointLimiter) Grant(now time.Time, instance string, limit marigoldcroft.EndpointLimit, cold marigoldcroft.ColdPhase) Grant {
+	known := l.coldPhase(limit.Endpoint())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.put(now, limit, "peer")
@@ -198,7 +207,10 @@
 	if e == nil {
 		return Grant{Wait: maxGrantWait, Limit: limit}
 	}
-	if !e.limit.Limited() {
+	e.observeCold(now, cold)
+	e.observeCold(now, known)
+	rate, burst, limited := e.rate(now)
+	if !limited {
 		return Grant{Granted: true, Limit: e.limit}
 	}
 	share, wait := l.Ownership.Share(now, limit.Endpoint())
@@ -206,8 +218,8 @@
 		e.grants, e.refilledAt, e.askers = 0, time.Time{}, nil
 		return Grant{Wait: min(max(wait, minGrantWait), maxGrantWait), Limit: e.limit}
 	}
-	rate := max(e.limit.PerSecond()*share, minGrantRate)
-	e.refill(now, rate)
+	rate = max(rate*share, minGrantRate)
+	e.refill(now, rate, burst)
 	if e.grants >= 1 {
 		e.grants--
 		delete(e.askers, instance)
@@ -220,11 +232,11 @@
 }
 
 // refill adds the grants since the last call.
-func (e *endpointLimit) refill(now time.Time, rate float64) {
+func (e *endpointLimit) refill(now time.Time, rate float64, burst time.Duration) {
 	if !e.refilledAt.IsZero() {
 		e.grants += now.Sub(e.refilledAt).Seconds() * rate
 	}
-	e.grants = max(0, min(e.grants, max(1, rate*grantBurst.Seconds())))
+	e.grants = max(0, min(e.grants, max(1, rate*burst.Seconds())))
 	e.refilledAt = now
 }
 
--- a/mclimit/endpointlimiter_test.go
+++ b/mclimit/endpointlimiter_test.go
@@ -165,7 +165,7 @@
 	in.limiter.Ownership.SetMembers(time.Now(), members, len(in.gone))
 }
 
-func (in *limitInstance) ask(ctx context.Context, owner string, limit marigoldcroft.EndpointLimit) (mclimit.Grant, error) {
+func (in *limitInstance) ask(ctx context.Context, owner string, limit marigoldcroft.EndpointLimit, cold marigoldcroft.ColdPhase) (mclimit.Grant, error) {
 	time.Sleep(2 * time.Millisecond)
 	s := in.sim
 	s.mu.Lock()
@@ -175,7 +175,7 @@
 		<-ctx.Done()
 		return mclimit.Grant{}, errors.New("no answer")
 	}
-	return process.limiter.Grant(time.Now(), in.name, limit), nil
+	return process.limiter.Grant(time.Now(), in.name, limit, cold), nil
 }
 
 func (in *limitInstance) announce(limit marigoldcroft.EndpointLimit) {
--- a/mcobserve/metrics.go
+++ b/mcobserve/metrics.go
@@ -31,6 +31,10 @@
 	Refusals *prometheus.CounterVec
 	// Attempts counts attempts on endpoints by result.
 	Attempts *prometheus.CounterVec
+	// ColdGrants counts the requests to cold endpoints by what the owner of their limit answered.
+	ColdGrants *prometheus.CounterVec
+	// ColdEndpoints is the number of endpoints that are cold and limit their requests.
+	ColdEndpoints prometheus.Gauge
 	// Mismatches counts stream events that were discarded because they belong to another
 	// request or attempt.
 	Mismatches prometheus.Counter
@@ -58,6 +62,8 @@
 	m.HeadOfLine = m.histograms("head_of_line_seconds", "Queue wait of short work while long work was dispatched.").WithLabelValues().(prometheus.Histogram)
 	m.Refusals = m.counters("refusals_total", "Refused requests.", "reason")
 	m.Attempts = m.counters("attempts_total", "Attempts on endpoints.", "result")
+	m.ColdGrants = m.counters("cold_grants_total", "Requests to cold endpoints by the answer of the owner of the limit.", "result")
+	m.ColdEndpoints = m.gauge("cold_endpoints", "Endpoints that are cold and limit their requests.")
 	m.Mismatches = m.counters("stream_mismatches_total", "Discarded events of other requests or attempts.").WithLabelValues()
 	m.Joined = m.counters("joined_requests_total", "Requests that joined a running twin.").WithLabelValues()
 	m.ConfigRevision = m.gauge("config_revision", "Configuration revision in force.")
