Place work with regard to cold endpoints

Cause: the scheduler did not know which endpoints are cold. Short questions were placed on them although warm ones had room, and a long prompt was divided among them without grants.

A cold endpoint now gets work with a second or more to its objective, work that misses its objective, and short questions once warm engines have more than two thirds of their slots taken. It prefills no part of a prompt of another engine, and one instance places no more on it than its limit gives all together. The set of engines for short work is sized by the warm ones.

The tests fail without the penalty for cold engines, without the bound on placements, and if a listing resets it.

--- a/mcscheduler/passmodel.go
+++ b/mcscheduler/passmodel.go
@@ -86,7 +86,7 @@
 		it.lane = laneLong
 	}
 	if it.pool.publishesFigures() {
-		it.expiry -= seconds(it.prefillSeconds / float64(max(1, min(len(it.pool.live), maxHelpers))))
+		it.expiry -= seconds(it.prefillSeconds / float64(max(1, min(it.pool.warmCount(now), maxHelpers))))
 	}
 	it.objective = it.deadline
 	if !it.work.Objective.IsZero() {
@@ -108,7 +108,7 @@
 func (m *passModel) missesObjective(now time.Duration, it *item) bool {
 	least := it.prefillSeconds
 	if it.class != marigoldcroft.ClassShort {
-		least /= float64(max(1, min(len(it.pool.live), maxHelpers)))
+		least /= float64(max(1, min(it.pool.warmCount(now), maxHelpers)))
 	} else if it.pool.publishesFigures() {
 		least += passesBeforeFirstToken*it.pool.passSeconds() + lateMarginSeconds
 	}
@@ -137,7 +137,7 @@
 	switch {
 	case it.excludes(e) || e.capacity < it.kv:
 		return noEndpoint
-	case e.isPaused(now) || e.slotsFull(now) || e.free(now) < it.kv:
+	case e.isPaused(now) || e.coldFull(now) || e.slotsFull(now) || e.free(now) < it.kv:
 		return noMemory
 	case it.work.IsolateSuspect && e.suspectsInFlight > 0:
 		return endpointsBusy
@@ -156,6 +156,9 @@
 			continue
 		}
 		p.scores[i] = (float64(e.requests(now)) + 1) / float64(max(1, e.slots)) * e.currentSlowdown(now)
+		if e.isCold(now) {
+			p.scores[i] += coldCallPenalty
+		}
 		least = min(least, p.scores[i])
 	}
 	if math.IsInf(least, 1) {
@@ -210,11 +213,10 @@
 		ahead += p.lanes[it.lane].prefillSeconds[level]
 	}
 	if it.class == marigoldcroft.ClassShort {
-		slots := 0
+		slots, residence := 0, p.residenceSeconds(it)
 		for _, e := range p.live {
-			slots += e.slots
+			slots += e.usableSlots(now, residence)
 		}
-		residence := p.residenceSeconds(it)
 		return float64(p.lanes[it.lane].count+1) * residence / float64(max(1, slots)), it.prefillSeconds
 	}
 	for _, e := range p.live {
--- a/mcscheduler/passmodel_long.go
+++ b/mcscheduler/passmodel_long.go
@@ -65,6 +65,8 @@
 		// fitsPrompt is true if the engine has room to hold the prompt, or its own
 		// share of a divided one, and the output.
 		fitsPrompt bool
+		// cold is true for a cold engine, which takes no part of a prompt for another one.
+		cold bool
 		// streamWeight is the weight of the streams on the engine, and stallLimit the
 		// longest prefill in seconds that keeps their pauses within their bounds.
 		streamWeight int
@@ -136,7 +138,7 @@
 			continue
 		}
 		reason := m.eligibility(now, it, e)
-		c := candidate{endpoint: e, rate: e.rate(), wait: m.wait(now, e), fitsPrompt: reason == placed}
+		c := candidate{endpoint: e, rate: e.rate(), wait: m.wait(now, e), fitsPrompt: reason == placed, cold: e.isCold(now)}
 		c.describeStreams()
 		c.score = c.wait + typicalPart/c.rate
 		if c.streamWeight > 0 {
@@ -193,7 +195,7 @@
 			break
 		}
 	}
-	if best.engines > 0 && (best.firstToken <= left || m.missesObjective(now, it) && it.partSeconds(best) <= it.latePartLimit()) {
+	if best.engines > 0 && (best.firstToken <= left || m.missesObjective(now, it) && it.partSeconds(best) <= it.latePartLimit(now)) {
 		return m.selectEngines(now, it, best.engines, false)
 	}
 	// No plan without stalls is usable. The work stays queued until engines become free,
@@ -222,8 +224,8 @@
 func (it *item) partSeconds(pl plan) float64 { return it.prefillSeconds / float64(pl.engines) }
 
 // latePartLimit returns the longest part in seconds for work that misses its objective.
-func (it *item) latePartLimit() float64 {
-	maxEngines := max(1, min(len(it.pool.live), maxHelpers+1))
+func (it *item) latePartLimit(now time.Duration) float64 {
+	maxEngines := max(1, min(it.pool.warmCount(now), maxHelpers+1))
 	return max(latePartLimitSeconds, latePartFactor*it.prefillSeconds/float64(maxEngines))
 }
 
@@ -232,7 +234,7 @@
 // takes only engines whose streams tolerate the prefill.
 func (m *passModel) selectEngines(now time.Duration, it *item, engines int, allowStalls bool) (plan, bool) {
 	part := float64(it.prefill) / float64(engines)
-	decoder := m.selectDecoder(part, allowStalls)
+	decoder := m.selectDecoder(part, allowStalls, it.bearsGrant(now))
 	if decoder < 0 {
 		return plan{}, false
 	}
@@ -242,7 +244,7 @@
 			break
 		}
 		holdsShard := len(m.chosen) < it.kvShards
-		if i == decoder || !allowStalls && !c.withinStallLimit(part) || holdsShard && c.endpoint.free(now) < it.kvPerShard {
+		if i == decoder || c.cold || !allowStalls && !c.withinStallLimit(part) || holdsShard && c.endpoint.free(now) < it.kvPerShard {
 			continue
 		}
 		m.chosen = append(m.chosen, c)
@@ -254,8 +256,8 @@
 }
 
 // selectDecoder returns the index of the best candidate for decoding, or -1 if none has
-// room.
-func (m *passModel) selectDecoder(part float64, allowStalls bool) int {
+// room. Work that bears the wait for a grant prefers a cold engine to an idle warm one.
+func (m *passModel) selectDecoder(part float64, allowStalls, bearsGrant bool) int {
 	best, least := -1, math.Inf(1)
 	for i := range m.candidates {
 		c := &m.candidates[i]
@@ -263,7 +265,7 @@
 			continue
 		}
 		score := c.wait + part/c.rate + float64(c.stalledWeight(part))
-		if c.streamWeight == 0 {
+		if c.streamWeight == 0 && !(c.cold && bearsGrant) {
 			score += idlePenaltySeconds
 		}
 		if score < least {
--- a/mcscheduler/passmodel_short.go
+++ b/mcscheduler/passmodel_short.go
@@ -49,7 +49,7 @@
 // set.
 func (m *passModel) placeShort(now time.Duration, it *item) (placement, placementResult) {
 	p, result, least := it.pool, noEndpoint, math.Inf(1)
-	outside := len(p.live) - m.shortSetSize(p)
+	outside := m.shortSetStart(now, p)
 	for i, e := range p.live {
 		p.scores[i] = math.Inf(1)
 		if reason := m.eligibility(now, it, e); reason != placed {
@@ -67,7 +67,10 @@
 			continue
 		}
 		p.scores[i] = wait + m.firstTokenDelay(now, it, e) + m.crowdingDelay(now, e)
-		if i < outside {
+		switch {
+		case e.isCold(now):
+			p.scores[i] += coldPenalty(it)
+		case i < outside:
 			p.scores[i] += outsideSetPenaltySeconds
 		}
 		least = min(least, p.scores[i])
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -60,6 +60,8 @@
 	holdingItem *item
 	// pausedUntil is the end of the longest pause of an endpoint.
 	pausedUntil time.Duration
+	// coldUntil is the end of the longest cold phase of an endpoint.
+	coldUntil time.Duration
 	// dirty is set by each change that may allow queued work to run.
 	dirty bool
 	// nextDispatchAt is the time of the next dispatch attempt if no such change occurs.
--- a/mcscheduler/scheduler.go
+++ b/mcscheduler/scheduler.go
@@ -277,6 +277,7 @@
 	tokens := float64(it.work.PromptTokens) + float64(it.work.OutputTokens)*p.cost.outputShare.value
 	p.lanes[it.lane].charge(now, it, tokens)
 	at.endpoint.add(now, it)
+	at.endpoint.chargeCold(now)
 	if p.plainService {
 		p.calls.Begin(now, at.endpoint.name)
 	}
--- a/mcscheduler/scheduler_command.go
+++ b/mcscheduler/scheduler_command.go
@@ -371,6 +371,7 @@
 		}
 		e.leaving = listed.Leaving()
 		e.applyListing(listed)
+		e.applyCold(listed, s.since)
 		kept[e.name] = e
 	}
 	for name, e := range s.endpoints {
