Test the limit of cold endpoints over all instances, and its sources

TestColdLimitHoldsForAllInstancesTogether counts the requests in each second that 6 and 82 instances send to a cold endpoint while it becomes cold under four times its limit, in a cut, and with restarts of instances and of the owner; requests travel for up to 100 ms. TestColdPhaseIsKnown has a case for each source of what the fleet knows.

--- a/mclimit/endpointlimiter_test.go
+++ b/mclimit/endpointlimiter_test.go
@@ -54,6 +54,10 @@
 		arrivals []time.Time
 		// counted are the arrivals that count towards the limit.
 		counted []time.Time
+		// cold is the last cold phase of the endpoint, and coldArrivals are the requests that were sent
+		// and received in a cold phase, by instances that knew of it.
+		cold         marigoldcroft.ColdPhase
+		coldArrivals []time.Time
 	}
 
 	// limitInstance is one process of an instance.
@@ -67,6 +71,8 @@
 		// updating is true while an update of the limiter's view is due.
 		updating bool
 		told     time.Time
+		// cold is the cold phase that the instance knows of.
+		cold marigoldcroft.ColdPhase
 	}
 )
 
@@ -96,8 +102,9 @@
 	ctx, stop := context.WithCancel(ctx)
 	in := &limitInstance{sim: s, name: name, stop: stop, seen: map[string]bool{name: true}, gone: make(map[string]bool)}
 	in.limiter = &mclimit.EndpointLimiter{
-		Ownership: &mclimit.Ownership{Self: name}, Ask: in.ask, Announce: in.announce, Logger: zerolog.Nop(),
+		Ownership: &mclimit.Ownership{Self: name}, Ask: in.ask, Cold: in.coldPhase, Announce: in.announce, Logger: zerolog.Nop(),
 	}
+	in.cold = s.cold
 	s.instances[name] = in
 	for other, process := range s.instances {
 		if known {
@@ -214,6 +221,7 @@
 			continue
 		}
 		sentAt := time.Now()
+		in.travel(sentAt)
 		limited := s.arrive(in)
 		time.Sleep(50 * time.Millisecond)
 		in.limiter.Observe(time.Now(), sentAt, limitedEndpoint, limited, s.perSecond)
