Test the forwarding path to cold endpoints

The test bed now has an EndpointLimiter, as instances have. The stand-in server states Cold-Ms in answers to health checks.

--- a/mcforward/harness_test.go
+++ b/mcforward/harness_test.go
@@ -101,7 +101,10 @@
 	b.forwarder = &mcforward.Forwarder{
 		Codec: platform.Codec{}, Router: router, Fleet: fleet, Dispatcher: &mcgateway.Dispatcher{Scheduler: scheduler},
 		Retries:    &mclimit.RetryBudget{Limits: func(time.Time) mclimit.RetryLimits { return mclimit.RetryLimits{Floor: 1000} }},
-		Quarantine: &mcquarantine.Guard{}, Announce: b.announce, OnLoadChange: func() {}, Metrics: mcobserve.NewMetrics(),
+		Quarantine: &mcquarantine.Guard{}, Limits: &mclimit.EndpointLimiter{
+			Ownership: &mclimit.Ownership{Self: "self"}, Cold: fleet.ColdPhase, Announce: func(marigoldcroft.EndpointLimit) {}, Logger: zerolog.Nop(),
+		},
+		Announce: b.announce, OnLoadChange: func() {}, Metrics: mcobserve.NewMetrics(),
 		Logger: zerolog.Nop(), MaxInFlight: 100, MaxBodyBytes: 1 << 20,
 	}
 	fleet.OnReturned = b.forwarder.ConfirmReturned
--- a/mcforward/health_test.go
+++ b/mcforward/health_test.go
@@ -146,3 +146,22 @@
 		time.Sleep(maxDownTime)
 	})
 }
+
+// Guards against an endpoint whose process was replaced and that counts as warm until its record is
+// read, and against one that counts as cold because the network failed for a moment.
+func TestReplacedProcessCountsAsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker, recorder := newHealthTracker(func(marigoldcroft.Endpoint) bool { return true })
+		tracker.fleet.SetRoutingTable(marigoldcroft.NewRoutingTable(marigoldcroft.RoutingTableSpec{
+			Services: []marigoldcroft.RoutedService{{Name: "s", ColdTime: time.Minute, ColdRequestsPerSecond: 17}},
+		}))
+		tracker.markEnded(time.Now(), "a-0")
+		tracker.markDown(time.Now(), "a-1")
+		require.Equal(t, []string{"a-0", "a-1"}, recorder.sorted())
+		time.Sleep(maxDownTime)
+		synctest.Wait()
+		require.Empty(t, recorder.sorted())
+		require.True(t, tracker.fleet.ColdPhase("a-0").Limits(time.Now()))
+		require.False(t, tracker.fleet.ColdPhase("a-1").Limits(time.Now()))
+	})
+}
--- a/mcstandin/platformserver.go
+++ b/mcstandin/platformserver.go
@@ -81,6 +81,8 @@
 		Leaving bool
 		// RetryAfter is for how many seconds it wants no request from an instance that it refuses.
 		RetryAfter string
+		// Cold is for how many milliseconds it is cold, which it states in answers to health checks.
+		Cold string
 	}
 
 	// PlatformRun is a request that a PlatformServer started to run.
@@ -203,6 +205,9 @@
 	s.mu.Lock()
 	s.checks++
 	leaving := s.statement.Leaving
+	if s.statement.Cold != "" {
+		w.Header().Set("Cold-Ms", s.statement.Cold)
+	}
 	s.mu.Unlock()
 	if leaving {
 		w.WriteHeader(http.StatusServiceUnavailable)
