--- a/mcfleet/evacuation.go
+++ b/mcfleet/evacuation.go
@@ -29,11 +29,13 @@
 }
 
 // evacuationsEnded is called with the data centres whose evacuation has ended, before their endpoints
-// get new work. mu must be held.
+// get new work. The endpoints count as cold from now on, until they state otherwise: they may have been
+// restarted shortly before. mu must be held.
 func (f *Fleet) evacuationsEnded(now time.Time, dataCentres []string) {
 	for _, name := range dataCentres {
 		f.Logger.Info().Str("dataCentre", name).Time("at", now).Msg("evacuationEnded")
 	}
+	f.assumeColdLocked(now, "evacuation", func(entry *fleetEntry) bool { return slices.Contains(dataCentres, entry.record.DataCentre) })
 }
 
 // Evacuated reports whether the data centre is evacuated.
