Spread short requests by free slots, and keep instances within subsets

Instances are now divided into subsets of about 20, which push their work to each other and prefer their own engines; within these an engine is drawn by the share that the requests not yet reported would take there (Dahlin, 1999).

--- a/mcemulate/run.go
+++ b/mcemulate/run.go
@@ -59,6 +59,12 @@
 		// ReportInterval is the interval at which each instance reports its in-flight work to
 		// the others; 0 disables the reports.
 		ReportInterval time.Duration
+		// FarReportInterval is the interval at which it reports to instances of other subsets; 0 means
+		// ReportInterval.
+		FarReportInterval time.Duration
+		// Callers is the number of callers, each of which is connected to an instance drawn at random;
+		// 0 means that all instances get the same load.
+		Callers int
 		// Length is the time during which requests arrive.
 		Length  time.Duration
 		Classes []Class
@@ -130,6 +136,10 @@
 		requests     map[marigoldcroft.StreamID]*request
 		results      []Result
 		requestCount int
+		// callerInstances holds the instance of each caller.
+		callerInstances []int
+		// farReportAt is when each instance reports to other subsets next.
+		farReportAt []time.Duration
 	}
 )
 
@@ -186,6 +196,14 @@
 			Name: name, Kind: marigoldcroft.EndpointEngine, Pool: poolName, Slots: r.Figures.Slots, Performance: r.Figures,
 		}))
 	}
+	names := make([]string, r.Instances)
+	for i := range names {
+		names[i] = fmt.Sprintf("instance-%04d", i)
+	}
+	r.farReportAt = make([]time.Duration, r.Instances)
+	for range r.Callers {
+		r.callerInstances = append(r.callerInstances, r.rng.IntN(r.Instances))
+	}
 	for i := range r.Instances {
 		tuning := mcscheduler.Default()
 		tuning.Seed = r.Seed + uint64(i)
@@ -195,6 +213,7 @@
 			return err
 		}
 		s.SetEndpoints(r.epoch, endpoints)
+		s.SetMembers(r.epoch, names[i], names)
 		r.schedulers = append(r.schedulers, s)
 		r.schedule(pollInterval, func() { r.pollScheduler(i) })
 		if r.ReportInterval > 0 {
@@ -251,7 +270,7 @@
 	c := r.Classes[class]
 	r.requestCount++
 	q := &request{
-		id: marigoldcroft.NewStreamID(fmt.Sprintf("r%d", r.requestCount), 1), class: class, instance: r.rng.IntN(r.Instances),
+		id: marigoldcroft.NewStreamID(fmt.Sprintf("r%d", r.requestCount), 1), class: class, instance: r.drawInstance(),
 		arrived: r.now, shortestPause: math.MaxInt64, promptTokens: r.sampleTokens(c.Prompt, c.LogDeviation, c.MaxPrompt), outputTokens: r.sampleTokens(c.Output, c.LogDeviation, 3*c.Output),
 	}
 	r.requests[q.id] = q
@@ -269,6 +288,14 @@
 	})
 }
 
+// drawInstance draws the instance at which a request arrives.
+func (r *simulation) drawInstance() int {
+	if r.Callers == 0 {
+		return r.rng.IntN(r.Instances)
+	}
+	return r.callerInstances[r.rng.IntN(r.Callers)]
+}
+
 // execute carries out a scheduling decision. Decisions for requests that have ended are
 // ignored.
 func (r *simulation) execute(d marigoldcroft.Decision) {
@@ -404,8 +431,13 @@
 func (r *simulation) reportInFlight(instance int) {
 	work := r.schedulers[instance].InFlight()
 	name := fmt.Sprintf("instance-%d", instance)
+	far := r.now >= r.farReportAt[instance]
+	if far {
+		r.farReportAt[instance] = r.now + r.FarReportInterval
+	}
+	subsets := marigoldcroft.SubsetCount(r.Instances)
 	for i, s := range r.schedulers {
-		if i == instance {
+		if i == instance || !far && i%subsets != instance%subsets {
 			continue
 		}
 		for endpoint := range r.engineByName {
--- a/mcmember/member.go
+++ b/mcmember/member.go
@@ -30,7 +30,8 @@
 	// urgentSpacing because relay calls cross data centres.
 	relaySpacing = time.Second
 	// inFlightPushFanout limits the members that one PushInFlight calls; the others get the
-	// in-flight record by the regular exchanges.
+	// in-flight record by the regular exchanges. Members of the own subset are called, as they use
+	// the same endpoints.
 	inFlightPushFanout = 12
 	// inFlightPushSpacing is the minimum time between two pushes of the in-flight record.
 	inFlightPushSpacing = 80 * time.Millisecond
@@ -311,7 +312,7 @@
 		inFlight := m.InFlight()
 		m.withTable(func(t *Table, now time.Time) {
 			t.SetInFlight(now, inFlight)
-			peers = t.shuffledLive()
+			peers = t.shuffledSubset()
 			peers = peers[:min(len(peers), inFlightPushFanout)]
 			t.pendingPushes.inFlight = max(t.pendingPushes.inFlight, len(peers))
 		})
--- a/mcmember/table.go
+++ b/mcmember/table.go
@@ -713,8 +713,22 @@
 			names = append(names, name)
 		}
 	}
-	contacts := make([]Contact, 0, min(len(names), maxFullMesh))
-	for _, name := range partners(t.self.Identity.Instance(), names) {
+	return t.shuffledContacts(partners(t.self.Identity.Instance(), names))
+}
+
+// shuffledSubset returns the live members of the own subset in random order, or all partners if this
+// member is not live.
+func (t *Table) shuffledSubset() []Contact {
+	subset := marigoldcroft.SubsetMembers(t.self.Identity.Instance(), t.Candidates())
+	if len(subset) == 0 {
+		return t.shuffledLive()
+	}
+	return t.shuffledContacts(subset)
+}
+
+func (t *Table) shuffledContacts(names []string) []Contact {
+	contacts := make([]Contact, 0, len(names))
+	for _, name := range names {
 		contacts = append(contacts, contactOf(t.members[name].record))
 	}
 	t.random.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
--- a/mcscheduler/passmodel_short.go
+++ b/mcscheduler/passmodel_short.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -73,30 +72,18 @@
 		case i < outside:
 			p.scores[i] += outsideSetPenaltySeconds
 		}
+		if !m.s.inSubset(i) {
+			p.scores[i] += outsideSubsetPenaltySeconds
+		}
 		least = min(least, p.scores[i])
 	}
 	if math.IsInf(least, 1) {
 		return placement{}, result
 	}
-	limit := max(least*(1+nearBestMargin)+nearBestTolerance, min(m.peerSpreadLimit(it), least+peerSpreadSeconds))
-	e := m.drawWithin(now, p, limit)
+	e := m.drawByFreeSlots(now, it, least)
 	return placement{endpoint: e, wait: m.wait(now, e), prefill: it.prefill, firstTokenDelay: m.firstTokenDelay(now, it, e)}, placed
 }
 
-// peerSpreadLimit returns the score up to which engines are drawn at random. The draw
-// covers as many engines as peers are expected to have chosen since their last report,
-// as all of them see the same best engine.
-func (m *passModel) peerSpreadLimit(it *item) float64 {
-	p := it.pool
-	unreported := int(math.Ceil(float64(p.peerShortInFlight) / max(p.residenceSeconds(it), peerViewAgeSeconds) * peerViewAgeSeconds))
-	if unreported == 0 {
-		return 0
-	}
-	p.sortedScores = append(p.sortedScores[:0], p.scores...)
-	slices.Sort(p.sortedScores)
-	return p.sortedScores[min(unreported, len(p.sortedScores)-1)]
-}
-
 // crowdingDelay returns the expected delay in seconds on an engine whose slots are
 // almost all taken.
 func (m *passModel) crowdingDelay(now time.Duration, e *endpoint) float64 {
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -165,7 +165,11 @@
 // residenceSeconds predicts how long work holds its memory: the mean over finished
 // work, or the item's predicted service time when nothing has finished yet.
 func (p *pool) residenceSeconds(it *item) float64 {
-	if p.residence.samples == 0 {
+	switch {
+	case p.residence.samples > 0:
+	case p.publishesFigures():
+		return it.prefillSeconds + p.streamSeconds(&it.work)
+	default:
 		return it.prefillSeconds + p.decodeSeconds(it.work.OutputTokens)
 	}
 	return p.residence.value
