Let the owner of a limit tell the other instances of a cold phase

Cause: an instance that had not read the record of a cold endpoint sent to it without a grant. The owner of the limit, which learns of the phase from its own fleet or from a request for a grant, now announces it in the record of the endpoint's limit (cold_per_second, cold_until_unix_ms). Instances apply it and ask for grants, but do not pass it on as their own knowledge, as clocks that differ would make it grow.

TestPeersLearnOfColdPhaseFromTheOwner covers the announcement. site of mcentry's tests gets a field for the address of its server; nothing else changes in existing tests.

--- a/endpointlimit.go
+++ b/endpointlimit.go
@@ -14,6 +14,7 @@
 		version   uint64
 		limited   bool
 		perSecond float64
+		cold      ColdPhase
 	}
 
 	// ColdPhase is the time after the start of an endpoint in which it takes only PerSecond requests a
@@ -30,6 +31,7 @@
 		Version   uint64
 		Limited   bool
 		PerSecond float64
+		Cold      ColdPhase
 	}
 )
 
@@ -37,7 +39,7 @@
 func NewEndpointLimit(spec EndpointLimitSpec) EndpointLimit {
 	return EndpointLimit{
 		endpoint: spec.Endpoint, version: spec.Version, limited: spec.Limited,
-		perSecond: min(max(0, spec.PerSecond), MaxRequestsPerSecond),
+		perSecond: min(max(0, spec.PerSecond), MaxRequestsPerSecond), cold: spec.Cold,
 	}
 }
 
@@ -53,6 +55,10 @@
 // PerSecond returns the number of requests a second, or 0 if the endpoint states no limit.
 func (l EndpointLimit) PerSecond() float64 { return l.perSecond }
 
+// Cold returns the cold phase of the endpoint that was known when the limit was written. It applies
+// whether the endpoint states a limit or not.
+func (l EndpointLimit) Cold() ColdPhase { return l.cold }
+
 // Limits reports whether the endpoint is cold at the time and limits its requests.
 func (c ColdPhase) Limits(now time.Time) bool { return c.PerSecond > 0 && now.Before(c.Until) }
 
@@ -65,5 +71,8 @@
 	case l.limited != other.limited:
 		return l.limited
 	}
-	return l.perSecond < other.perSecond
+	if l.perSecond != other.perSecond {
+		return l.perSecond < other.perSecond
+	}
+	return l.cold.Until.After(other.cold.Until)
 }
--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -316,6 +316,7 @@
 	e.roster.setEndpoints(endpoints)
 	// Peers may have sent limits of endpoints before their records were read.
 	e.mergeLimits()
+	e.announceColdPhases(endpoints)
 }
 
 func (e *Forwarding) announceSuspects(entries []*mcmessage.QuarantineEntry) {
--- a/mcentry/forwarding_limit.go
+++ b/mcentry/forwarding_limit.go
@@ -79,6 +79,14 @@
 	e.limits.Merge(time.Now(), limits)
 }
 
+// announceColdPhases tells peers of the cold phases of the endpoints whose limits this instance owns.
+func (e *Forwarding) announceColdPhases(endpoints []marigoldcroft.Endpoint) {
+	now := time.Now()
+	for _, endpoint := range endpoints {
+		e.limits.AnnounceCold(now, endpoint.Name(), marigoldcroft.ColdPhase{PerSecond: endpoint.ColdRequestsPerSecond(), Until: endpoint.ColdUntil()})
+	}
+}
+
 // watchLimitMembers keeps the members that share the limits of endpoints up to date.
 func (e *Forwarding) watchLimitMembers(ctx context.Context) {
 	ticker := time.NewTicker(limitMembersInterval)
@@ -112,11 +120,17 @@
 }
 
 func limitOnWire(l marigoldcroft.EndpointLimit) *mcmessage.EndpointLimit {
-	return &mcmessage.EndpointLimit{Endpoint: l.Endpoint(), Version: l.Version(), Limited: l.Limited(), PerSecond: l.PerSecond()}
+	r := &mcmessage.EndpointLimit{Endpoint: l.Endpoint(), Version: l.Version(), Limited: l.Limited(), PerSecond: l.PerSecond()}
+	if cold := l.Cold(); cold.PerSecond > 0 {
+		r.ColdPerSecond, r.ColdUntilUnixMs = cold.PerSecond, uint64(max(0, cold.Until.UnixMilli()))
+	}
+	return r
 }
 
 func limitFromWire(l *mcmessage.EndpointLimit) marigoldcroft.EndpointLimit {
-	return marigoldcroft.NewEndpointLimit(marigoldcroft.EndpointLimitSpec{
-		Endpoint: l.GetEndpoint(), Version: l.GetVersion(), Limited: l.GetLimited(), PerSecond: l.GetPerSecond(),
-	})
+	spec := marigoldcroft.EndpointLimitSpec{Endpoint: l.GetEndpoint(), Version: l.GetVersion(), Limited: l.GetLimited(), PerSecond: l.GetPerSecond()}
+	if l.GetColdPerSecond() > 0 {
+		spec.Cold = marigoldcroft.ColdPhase{PerSecond: l.GetColdPerSecond(), Until: time.UnixMilli(int64(l.GetColdUntilUnixMs()))}
+	}
+	return marigoldcroft.NewEndpointLimit(spec)
 }
--- a/mcentry/forwarding_test.go
+++ b/mcentry/forwarding_test.go
@@ -27,9 +27,10 @@
 	t     *testing.T
 	store *mcstandin.PlatformStore
 	// storeAddress is the address of store.
-	storeAddress string
-	server       *mcstandin.PlatformServer
-	instances    []*instance
+	storeAddress  string
+	server        *mcstandin.PlatformServer
+	serverAddress string
+	instances     []*instance
 }
 
 type instance struct {
@@ -61,12 +62,13 @@
 	s := &site{t: t, store: mcstandin.NewPlatformStore(1), server: &mcstandin.PlatformServer{ID: "i-1"}}
 	back := httptest.NewServer(s.server)
 	t.Cleanup(back.Close)
+	s.serverAddress = strings.TrimPrefix(back.URL, "http://")
 	shared := httptest.NewServer(s.store)
 	t.Cleanup(shared.CloseClientConnections)
 	s.storeAddress = strings.TrimPrefix(shared.URL, "http://")
 	s.store.Put("config", "main", configuration(1, `"key"`))
 	s.store.Put("servers", "i-1", fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","batch-slots":8,"state":"ready","born":5}`,
-		strings.TrimPrefix(back.URL, "http://")))
+		s.serverAddress))
 	for i := range n {
 		s.start(i, s.storeAddress, change)
 	}
--- a/mclimit/coldphase.go
+++ b/mclimit/coldphase.go
@@ -6,10 +6,15 @@
 	"marigoldcroft"
 )
 
-// coldGrantBurst is grantBurst for cold endpoints, whose bound holds for each second: at most
-// 1.25 times the rate is granted in one, which leaves the rest of the bound to requests that are
-// delayed on their way.
-const coldGrantBurst = 250 * time.Millisecond
+const (
+	// coldGrantBurst is grantBurst for cold endpoints, whose bound holds for each second: at most
+	// 1.25 times the rate is granted in one, which leaves the rest of the bound to requests that are
+	// delayed on their way.
+	coldGrantBurst = 250 * time.Millisecond
+	// announcedColdStep is the least extension of a cold phase that peers are told. Each instance that reads
+	// a record states the end a little differently.
+	announcedColdStep = 500 * time.Millisecond
+)
 
 // coldPhase returns the cold phase of the endpoint as this instance knows it. mu must not be held.
 func (l *EndpointLimiter) coldPhase(endpoint string) marigoldcroft.ColdPhase {
@@ -19,6 +24,47 @@
 	return l.Cold(endpoint)
 }
 
+// AnnounceCold tells the other instances of the endpoint's cold phase if this instance is the owner.
+// Only the owner does, as all instances together would send as many records as there are of them.
+func (l *EndpointLimiter) AnnounceCold(now time.Time, endpoint string, phase marigoldcroft.ColdPhase) {
+	if !phase.Limits(now) || l.Ownership.Owner(endpoint) != l.Ownership.Self {
+		return
+	}
+	l.mu.Lock()
+	e := l.limits[endpoint]
+	if e == nil && len(l.limits) < maxLimits {
+		e = &endpointLimit{limit: marigoldcroft.NewEndpointLimit(marigoldcroft.EndpointLimitSpec{Endpoint: endpoint})}
+		if l.limits == nil {
+			l.limits = make(map[string]*endpointLimit)
+		}
+		l.limits[endpoint] = e
+	}
+	if e != nil {
+		e.observeCold(now, phase)
+	}
+	l.mu.Unlock()
+	l.announceCold(now, endpoint)
+}
+
+// announceCold announces the phase that the owner applies unless the last record has it. Instances do
+// not pass on what such a record says as their own knowledge: with clocks that differ, the phase would
+// grow with each exchange. mu must not be held.
+func (l *EndpointLimiter) announceCold(now time.Time, endpoint string) {
+	l.mu.Lock()
+	e := l.limits[endpoint]
+	if e == nil || !e.cold.Limits(now) || e.cold.Until.Sub(e.limit.Cold().Until) < announcedColdStep {
+		l.mu.Unlock()
+		return
+	}
+	next := marigoldcroft.NewEndpointLimit(marigoldcroft.EndpointLimitSpec{
+		Endpoint: endpoint, Version: max(uint64(max(0, now.UnixMilli())), e.limit.Version()+1),
+		Limited: e.limit.Limited(), PerSecond: e.limit.PerSecond(), Cold: e.cold,
+	})
+	e.limit = next
+	l.mu.Unlock()
+	l.Announce(next)
+}
+
 // observeCold extends the cold phase that the owner applies. An instance that learns late of the end
 // of a phase only delays requests. When a phase begins the bucket is emptied, because requests that
 // were sent without a grant may still arrive.
--- a/mclimit/coldphase_test.go
+++ b/mclimit/coldphase_test.go
@@ -170,3 +170,44 @@
 		}
 	})
 }
+
+// Guards against an instance that has not read an endpoint's record and sends to it without grants
+// although the owner of the limit knows that it is cold, and against a phase that grows as instances
+// with different clocks tell each other of it.
+func TestPeersLearnOfColdPhaseFromTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 3
+		ctx, stop := context.WithCancel(t.Context())
+		s := newLimitSim(n, 0, 1)
+		for i := range n {
+			s.start(ctx, instanceName(i), time.Hour, true)
+		}
+		time.Sleep(5 * time.Second)
+		stop()
+		s.processes.Wait()
+		owner := s.instances[mcmember.Home(limitedEndpoint, []string{instanceName(0), instanceName(1), instanceName(2)})]
+		phase := marigoldcroft.ColdPhase{PerSecond: coldPerSecond, Until: time.Now().Add(coldTime)}
+		var others []*limitInstance
+		for _, in := range s.instances {
+			if in != owner {
+				others = append(others, in)
+			}
+		}
+		others[0].cold = phase
+		others[0].limiter.Acquire(t.Context(), limitedEndpoint)
+		time.Sleep(learnAtMost)
+		granted, begun := 0, time.Now()
+		for range 200 {
+			if ok, _ := others[1].limiter.Acquire(t.Context(), limitedEndpoint); ok {
+				granted++
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		require.InDelta(t, coldPerSecond*time.Since(begun).Seconds(), granted, coldSlack, "the limit applies")
+		time.Sleep(time.Until(phase.Until) + 100*time.Millisecond)
+		for range 100 {
+			ok, _ := others[1].limiter.Acquire(t.Context(), limitedEndpoint)
+			require.True(t, ok, "the phase has ended")
+		}
+	})
+}
--- a/mclimit/endpointlimiter.go
+++ b/mclimit/endpointlimiter.go
@@ -103,7 +103,7 @@
 		spec.PerSecond = perSecond
 	}
 	if e != nil {
-		spec.Version = max(spec.Version, e.limit.Version()+1)
+		spec.Version, spec.Cold = max(spec.Version, e.limit.Version()+1), e.limit.Cold()
 	}
 	next := marigoldcroft.NewEndpointLimit(spec)
 	if known && limited && next.PerSecond() == e.limit.PerSecond() {
@@ -163,9 +163,9 @@
 // after which to ask again if none may be sent now.
 func (l *EndpointLimiter) Acquire(ctx context.Context, endpoint string) (granted bool, wait time.Duration) {
 	now := time.Now()
-	cold := l.coldPhase(endpoint)
 	limit := l.limit(endpoint)
-	if !limit.Limited() && !cold.Limits(now) {
+	cold := l.coldPhase(endpoint)
+	if !limit.Limited() && !cold.Limits(now) && !limit.Cold().Limits(now) {
 		return true, 0
 	}
 	owner := l.Ownership.Owner(endpoint)
@@ -200,6 +200,7 @@
 // the owner. limit and cold are what the instance knows.
 func (l *EndpointLimiter) Grant(now time.Time, instance string, limit marigoldcroft.EndpointLimit, cold marigoldcroft.ColdPhase) Grant {
 	known := l.coldPhase(limit.Endpoint())
+	defer l.announceCold(now, limit.Endpoint())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.put(now, limit, "peer")
@@ -209,6 +210,7 @@
 	}
 	e.observeCold(now, cold)
 	e.observeCold(now, known)
+	e.observeCold(now, e.limit.Cold())
 	rate, burst, limited := e.rate(now)
 	if !limited {
 		return Grant{Granted: true, Limit: e.limit}
--- a/mcmember/apply.go
+++ b/mcmember/apply.go
@@ -321,7 +321,7 @@
 		return
 	}
 	t.limits[r.GetEndpoint()] = r
-	stamp := hashOf(r.GetEndpoint(), r.GetVersion(), bit(r.GetLimited()), math.Float64bits(r.GetPerSecond()))
+	stamp := hashOf(r.GetEndpoint(), r.GetVersion(), bit(r.GetLimited()), math.Float64bits(r.GetPerSecond()), r.GetColdUntilUnixMs())
 	if t.updateStamp(now, recordID{recordLimit, r.GetEndpoint()}, stamp, push) {
 		t.emit(Event{Kind: EventLimit, Name: r.GetEndpoint()})
 		t.urgent = t.urgent || push
@@ -334,6 +334,7 @@
 		cmp.Compare(a.GetVersion(), b.GetVersion()),
 		cmp.Compare(bit(a.GetLimited()), bit(b.GetLimited())),
 		cmp.Compare(b.GetPerSecond(), a.GetPerSecond()),
+		cmp.Compare(a.GetColdUntilUnixMs(), b.GetColdUntilUnixMs()),
 	) > 0
 }
 
