Bound the fields of cold phases in messages of peers

TestEveryMemberFieldHasALimit failed after cold_per_second and cold_until_unix_ms were added to EndpointLimit: fields without a bound are not accepted by intention. They and the fields of AcquireRequest now have bounds of a million requests a second, 47 bits of Unix time and an hour. All tests of mcpeer pass with -race.

--- a/mcpeer/limit.go
+++ b/mcpeer/limit.go
@@ -25,7 +25,9 @@
 	// maxRevision limits counters that grow in steps of one.
 	maxRevision = 1 << 53
 	maxUnixMs   = 1 << 47
-	maxTokens   = 1 << 40
+	// maxColdLeftMs is an hour; cold phases last for seconds.
+	maxColdLeftMs = 3_600_000
+	maxTokens     = 1 << 40
 	// maxKiTokens limits token counts in units of 1,024 tokens.
 	maxKiTokens     = 1 << 30
 	maxRequests     = 1 << 20
@@ -91,9 +93,11 @@
 	"QuarantineEntry.version":         maxNumber(maxVersion),
 	"QuarantineEntry.expires_unix_ms": maxNumber(maxUnixMs),
 
-	"EndpointLimit.endpoint":   byteSize(1, maxName),
-	"EndpointLimit.version":    maxNumber(maxUnixMs),
-	"EndpointLimit.per_second": maxNumber(marigoldcroft.MaxRequestsPerSecond),
+	"EndpointLimit.endpoint":           byteSize(1, maxName),
+	"EndpointLimit.version":            maxNumber(maxUnixMs),
+	"EndpointLimit.per_second":         maxNumber(marigoldcroft.MaxRequestsPerSecond),
+	"EndpointLimit.cold_per_second":    maxNumber(marigoldcroft.MaxRequestsPerSecond),
+	"EndpointLimit.cold_until_unix_ms": maxNumber(maxUnixMs),
 
 	"MemberSummary.instance":        byteSize(1, maxName),
 	"MemberSummary.data_centre":     byteSize(1, maxName),
@@ -186,9 +190,11 @@
 	"RelayResponse.position":        maxNumber(maxRevision),
 	"RelayResponse.config_revision": maxNumber(maxRevision),
 
-	"AcquireRequest.deployment": byteSize(1, maxName),
-	"AcquireRequest.instance":   byteSize(1, maxName),
-	"AcquireResponse.wait_ms":   maxNumber(60_000),
+	"AcquireRequest.deployment":      byteSize(1, maxName),
+	"AcquireRequest.instance":        byteSize(1, maxName),
+	"AcquireRequest.cold_per_second": maxNumber(marigoldcroft.MaxRequestsPerSecond),
+	"AcquireRequest.cold_left_ms":    maxNumber(maxColdLeftMs),
+	"AcquireResponse.wait_ms":        maxNumber(60_000),
 
 	"JoinRequest.deployment":         byteSize(1, maxName),
 	"JoinRequest.team":               byteSize(1, maxName),
