--- a/mcsoak/backend.go
+++ b/mcsoak/backend.go
@@ -39,6 +39,10 @@
 	mu sync.Mutex
 	// leavingAt is the time at which the store had accepted the leaving state; zero before.
 	leavingAt time.Time
+	// isCold is true if the server takes only coldPerSecond requests a second until coldTime after its
+	// start, and coldArrivals are the times of the requests that it got until then.
+	isCold       bool
+	coldArrivals []time.Time
 	// lateRequests are the IDs of requests that arrived more than leavingLimit after leavingAt.
 	lateRequests []string
 }
@@ -53,7 +57,7 @@
 	if id == "" {
 		id = fmt.Sprintf("i-%s-%d", service, n)
 	}
-	b := &backend{id: id, service: service, started: time.Now()}
+	b := &backend{id: id, service: service, started: time.Now(), isCold: service == coldService && len(s.instances) == s.Instances}
 	b.server = &mcstandin.PlatformServer{
 		ID: b.id, Events: streamEvents, EventInterval: eventInterval, CallTime: serverWorkTime,
 		CrashOnPart: deadlyPart, CrashAfterEvents: n % 3, CrashAfterBytes: 5 * (n % 4), Crash: func() { s.crashOnPart(b) },
@@ -79,6 +83,7 @@
 // and serves all requests. Health checks may reach it until its end.
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
+	b.countCold(r)
 	if r.URL.Path != mcstandin.PlatformHealthPath && !b.leavingAt.IsZero() && time.Since(b.leavingAt) > leavingLimit {
 		b.lateRequests = append(b.lateRequests, r.Header.Get("Request-Id"))
 	}
@@ -93,7 +98,8 @@
 // writeEntry writes the entry of the server with the given state to the store.
 func (s *Soak) writeEntry(b *backend, state string) {
 	s.store.PutEntry(b.id, mcstandin.PlatformEntry{
-		Service: b.service, Address: b.link.address, DataCentre: dataCentre, Slots: serverSlots, State: state, Started: b.started.UnixMilli(),
+		ColdLeftMs: b.coldLeft().Milliseconds(),
+		Service:    b.service, Address: b.link.address, DataCentre: dataCentre, Slots: serverSlots, State: state, Started: b.started.UnixMilli(),
 	})
 }
 
@@ -129,12 +135,5 @@
 	s.store.RemoveEntry(b.id)
 	b.link.close()
 	b.listener.CloseClientConnections()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, other := range s.servers {
-		if other == b {
-			s.servers = append(s.servers[:i:i], s.servers[i+1:]...)
-			s.removedServers = append(s.removedServers, b)
-		}
-	}
+	s.moveToRemoved(b)
 }
--- a/mcsoak/check.go
+++ b/mcsoak/check.go
@@ -116,6 +116,7 @@
 			}
 		}
 		s.checkLeaving(b)
+		s.checkCold(b)
 	}
 	s.checkRunCounts(runs)
 	s.checkDeadlyRuns(deadlyRuns)
--- a/mcsoak/proxy.go
+++ b/mcsoak/proxy.go
@@ -40,6 +40,8 @@
 		changed chan struct{}
 		conns   map[net.Conn]bool
 		closed  bool
+		// held are the intervals in which the link held back or delayed bytes; the last one may last.
+		held []interval
 	}
 )
 
@@ -142,11 +144,30 @@
 func (p *proxy) setLink(state linkState, delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
+	if n := len(p.held); n > 0 && p.held[n-1].to.IsZero() {
+		p.held[n-1].to = now
+	}
+	if state == linkStalled || state == linkOneWay || delay > 0 {
+		p.held = append(p.held, interval{from: now})
+	}
 	p.state, p.delay = state, delay
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
+// heldBetween reports whether the link held back or delayed bytes at any time from from to to.
+func (p *proxy) heldBetween(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.held {
+		if h.from.Before(to) && (h.to.IsZero() || h.to.After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
 // resetAll resets all open connections.
 func (p *proxy) resetAll() {
 	p.mu.Lock()
--- a/mcsoak/soak.go
+++ b/mcsoak/soak.go
@@ -228,7 +228,7 @@
 		s.rotatingKey = fmt.Sprintf("key-%d", s.version)
 	}
 	c := mcstandin.PlatformConfig{
-		Version: s.version, Services: []mcstandin.PlatformService{{Name: "plain"}, {Name: "pool"}},
+		Version: s.version, Services: []mcstandin.PlatformService{{Name: coldService, ColdStartS: coldTime.Seconds(), ColdPerS: coldPerSecond}, {Name: "pool"}},
 		Teams: []mcstandin.PlatformTeam{{Name: team, Keys: []string{steadyKey, s.rotatingKey}}},
 	}
 	for n, k := range requestKinds {
--- a/mcsoak/soak_test.go
+++ b/mcsoak/soak_test.go
@@ -203,3 +203,32 @@
 	}
 	return false
 }
+
+// Guards against a check of cold servers that never fails.
+func TestTooManyRequestsToColdServerAreReported(t *testing.T) {
+	const allowed = coldOverage*coldPerSecond + coldSlack
+	for name, c := range map[string]struct {
+		change  func(b *backend)
+		n       int
+		promise string
+	}{
+		"valid":         {func(*backend) {}, allowed, ""},
+		"too many":      {func(*backend) {}, allowed + 1, "cold servers"},
+		"warm":          {func(b *backend) { b.isCold = false }, allowed + 1, ""},
+		"started early": {func(b *backend) { b.started = b.started.Add(-coldTime) }, allowed + 1, ""},
+		"other server":  {func(b *backend) { b.id = "i-2" }, allowed + 1, ""},
+		"held back":     {func(b *backend) { b.link.setLink(linkStalled, 0) }, allowed + 1, ""},
+	} {
+		s := newSoak()
+		b := &backend{id: "i-1", service: coldService, started: time.Now(), isCold: true, server: &mcstandin.PlatformServer{ID: "i-1"}, link: &proxy{changed: make(chan struct{})}}
+		s.servers = append(s.servers, b)
+		c.change(b)
+		r := httptest.NewRequest(http.MethodPost, "/read/1", nil)
+		r.Header.Set("Target-Instance", "i-1")
+		for range c.n {
+			b.serve(httptest.NewRecorder(), r)
+		}
+		s.checkCold(b)
+		requireViolation(t, s, name, c.promise)
+	}
+}
--- a/mcstandin/platformtypes.go
+++ b/mcstandin/platformtypes.go
@@ -37,6 +37,8 @@
 		State      string `json:"state"`
 		// Started is the Unix time in ms of the server's start.
 		Started int64 `json:"born"`
+		// ColdLeftMs is for how much longer the server is cold, in ms.
+		ColdLeftMs int64 `json:"cold-left-ms,omitempty"`
 	}
 
 	// PlatformConfig is the configuration of the platform in the metadata store.
@@ -64,6 +66,10 @@
 	// PlatformService is a service of a PlatformConfig.
 	PlatformService struct {
 		Name string `json:"name"`
+		// ColdStartS is how long a server is cold after its start, in seconds, and ColdPerS how many
+		// requests a second it takes meanwhile; 0 means no limit.
+		ColdStartS float64 `json:"cold-start-s,omitempty"`
+		ColdPerS   float64 `json:"cold-per-s,omitempty"`
 	}
 
 	// PlatformTeam is a team of a PlatformConfig, with its API keys.
