--- a/mcforward/doc.go
+++ b/mcforward/doc.go
@@ -30,8 +30,8 @@
 	// KindLeft means that the endpoint left, or stated that it is leaving, after the request was
 	// placed there; nothing was sent.
 	KindLeft Kind = "endpoint left"
-	// KindLimited means that the limit that the endpoint states allowed no request at the moment,
-	// or that the endpoint asked for none; nothing was sent.
+	// KindLimited means that the limit that the endpoint states, or its limit while it is cold, allowed
+	// no request at the moment, or that the endpoint asked for none; nothing was sent.
 	KindLimited Kind = "endpoint limited"
 	// KindAddressReused means that the address now belongs to another endpoint.
 	KindAddressReused Kind = "another endpoint has the address"
--- a/mcsoak/fault.go
+++ b/mcsoak/fault.go
@@ -123,7 +123,7 @@
 		b.endlessLeft.Store(1 + r.Int64N(maxFaultRequests))
 	}},
 	{"server restarts", func(s *Soak, r *rand.Rand) { s.restartBackend(s.anyServer(r), r) }},
-	{"all servers of a service restart", func(s *Soak, r *rand.Rand) {
+	{"all servers of a service restart", func(s *Soak, _ *rand.Rand) {
 		for _, b := range s.currentServers() {
 			if b.service == coldService {
 				s.activeFaults.Go(func() { s.restartBackend(b, rand.New(rand.NewPCG(s.Seed, uint64(b.started.UnixNano())))) })
