--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -17,7 +17,6 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcclock"
-	"marigoldcroft/mcevacuation"
 	"marigoldcroft/mcfleet"
 	"marigoldcroft/mcfollow"
 	"marigoldcroft/mcforward"
@@ -128,9 +127,8 @@
 	routing   *mcfollow.Follower[marigoldcroft.RoutingTable]
 	endpoints *mcfollow.Follower[marigoldcroft.EndpointRecord]
 	instances *mcfollow.Follower[marigoldcroft.ListedInstance]
-	// evacuations follows the evacuated data centres; nil where evacuations are not followed.
-	evacuations *mcfollow.Follower[marigoldcroft.Evacuation]
-	evacuation  *mcevacuation.State
+	// evacuations is nil where evacuations are not followed.
+	evacuations *evacuationFollower
 	roster      *roster
 	limits      *mclimit.EndpointLimiter
 	// recordMissing holds at most one signal that the listing of the instances lacks this one.
@@ -319,6 +317,7 @@
 	e.scheduler.SetEndpoints(time.Now(), endpoints)
 	e.logger.Info().Int("endpoints", len(endpoints)).Msg("endpointsScheduled")
 	e.roster.setEndpoints(endpoints)
+	e.forwarder.CloseUnused(time.Now())
 	// Peers may have sent limits of endpoints before their records were read.
 	e.mergeLimits()
 }
--- a/mcentry/forwarding_copy.go
+++ b/mcentry/forwarding_copy.go
@@ -56,9 +56,7 @@
 		case recordsEndpoints:
 			e.endpoints.ObservePeerCopy(c.GetDigest(), complete)
 		case recordsEvacuations:
-			if e.evacuations != nil {
-				e.evacuations.ObservePeerCopy(c.GetDigest(), complete)
-			}
+			e.observePeerEvacuations(c.GetDigest(), complete)
 		}
 	}
 }
--- a/mcentry/forwarding_evacuation_test.go
+++ b/mcentry/forwarding_evacuation_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,3 +58,111 @@
 		}, 10*time.Second, time.Millisecond)
 	}
 }
+
+// storeFront is an address of the store of a site that can be made unreachable for one instance.
+type storeFront struct {
+	address string
+	silent  atomic.Bool
+}
+
+func (s *site) newStoreFront() *storeFront {
+	f := &storeFront{}
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.silent.Load() {
+			<-r.Context().Done()
+			return
+		}
+		s.store.ServeHTTP(w, r)
+		if f.silent.Load() {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	s.t.Cleanup(front.CloseClientConnections)
+	f.address = strings.TrimPrefix(front.URL, "http://")
+	return f
+}
+
+// mustNotReach sends requests through the instances for a time and fails if one reaches the server.
+func (s *site) mustNotReach(server *mcstandin.PlatformServer, duration time.Duration, instances ...*instance) {
+	s.t.Helper()
+	before := len(server.Runs())
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		for _, in := range instances {
+			require.Equal(s.t, http.StatusOK, in.get(s.t, "/v1/x", "key"))
+		}
+		require.Len(s.t, server.Runs(), before)
+	}
+}
+
+// Guards against an instance that has lost the store, but not its peers, and neither learns of an
+// evacuation nor of its end.
+func TestEvacuationIsLearnedFromPeers(t *testing.T) {
+	s := newSite(t, 2, followEvacuations)
+	other := s.addServer("i-2", "y")
+	front := s.newStoreFront()
+	s.start(2, front.address, followEvacuations)
+	cut := s.instances[2]
+	reach := func() bool {
+		before := len(other.Runs())
+		require.Equal(t, http.StatusOK, cut.get(t, "/v1/x", "key"))
+		return len(other.Runs()) > before
+	}
+	require.Eventually(t, reach, 10*time.Second, time.Millisecond)
+	front.silent.Store(true)
+	s.store.Put("evacuations", "y", []byte(`{}`))
+	time.Sleep(1500 * time.Millisecond)
+	s.mustNotReach(other, time.Second, s.instances...)
+	s.store.Remove("evacuations", "y")
+	require.Eventually(t, reach, 3*time.Second, time.Millisecond)
+}
+
+// Guards against an instance that starts during an evacuation and sends requests before it knows of it,
+// also if the store came back from a copy without the entry just before.
+func TestInstanceThatStartsKnowsTheEvacuations(t *testing.T) {
+	s := newSite(t, 2, followEvacuations)
+	other := s.addServer("i-2", "y")
+	older := s.store.Copy()
+	s.store.Put("evacuations", "y", []byte(`{}`))
+	time.Sleep(500 * time.Millisecond)
+	s.start(2, s.storeAddress, followEvacuations)
+	s.mustNotReach(other, 200*time.Millisecond, s.instances[2])
+	s.store.Restore(older)
+	s.start(3, s.storeAddress, followEvacuations)
+	s.mustNotReach(other, 2*time.Second, s.instances...)
+	s.store.Put("evacuations", "y", []byte(`{}`))
+	s.mustNotReach(other, 5*time.Second, s.instances...)
+}
+
+// Guards against a store that comes back from an older copy and brings back an evacuation that was
+// withdrawn.
+func TestRestoredStoreBringsBackNoEvacuation(t *testing.T) {
+	s := newSite(t, 2, followEvacuations)
+	s.store.Put("evacuations", "z", []byte(`{}`))
+	refused := func(in *instance) bool { return in.get(t, "/v1/x", "key") == http.StatusServiceUnavailable }
+	for _, in := range s.instances {
+		require.Eventually(t, func() bool { return refused(in) }, 2*time.Second, time.Millisecond)
+	}
+	older := s.store.Copy()
+	s.store.Remove("evacuations", "z")
+	for _, in := range s.instances {
+		require.Eventually(t, func() bool { return !refused(in) }, 2*time.Second, time.Millisecond)
+	}
+	s.store.Restore(older)
+	s.mustNotReach(&mcstandin.PlatformServer{}, 2*time.Second, s.instances...)
+	s.store.Remove("evacuations", "z")
+	s.mustNotReach(&mcstandin.PlatformServer{}, 5*time.Second, s.instances...)
+}
+
+// Guards against evacuations that multiply the calls to the store while nothing changes.
+func TestEvacuationsAddFewCalls(t *testing.T) {
+	s := newSite(t, 3, followEvacuations)
+	time.Sleep(2 * time.Second)
+	before := s.store.Calls()
+	time.Sleep(6 * time.Second)
+	calls := 0
+	for kind, n := range s.store.Calls() {
+		calls += n - before[kind]
+	}
+	t.Log("store calls in 6 s:", calls)
+	require.LessOrEqual(t, calls, 18+3, "one watch of 1.2 s for each of three kinds, and a few long ones")
+}
--- a/mcentry/forwarding_peer.go
+++ b/mcentry/forwarding_peer.go
@@ -192,6 +192,7 @@
 	// Peers may have sent entries before.
 	e.forwarder.MergeSuspects(e.member.QuarantineEntries())
 	e.mergeLimits()
+	e.mergeEvacuations()
 	e.fetcher.Want(int64(e.member.NewestRevision()))
 	reported := make(peerWork)
 	for {
@@ -219,11 +220,14 @@
 		e.fetcher.Want(int64(event.Revision))
 	case mcmember.EventLimit:
 		e.mergeLimits()
+	case mcmember.EventEvacuation:
+		e.mergeEvacuations()
 	case mcmember.EventQuarantine:
 		e.forwarder.MergeSuspects(e.member.QuarantineEntries())
 	case mcmember.EventDropped, mcmember.EventResumed:
 		e.forwarder.MergeSuspects(e.member.QuarantineEntries())
 		e.mergeLimits()
+		e.mergeEvacuations()
 		e.fetcher.Want(int64(e.member.NewestRevision()))
 	case mcmember.EventSelfRemoved:
 		// Peers take over no work from a forwarding instance, so it may continue to run.
--- a/mcevacuation/state.go
+++ b/mcevacuation/state.go
@@ -45,15 +45,86 @@
 	era, revision int64
 	// settled is when the content of the store counts even where older statements differ.
 	settled time.Time
-	// confirmed is true once a peer's content was found equal to what peers had stated.
-	confirmed bool
+	// provisional holds the data centres whose statements come from a listing that was read while the
+	// store settled.
+	provisional map[string]bool
+	// compared is true once peers had the time to state what the first listing may lack, and confirmed
+	// once what peers have stated was found equal to the copy of one of them.
+	compared, confirmed bool
+}
+
+func (s *State) init() {
+	if s.statements == nil {
+		s.statements, s.provisional = make(map[string]marigoldcroft.EvacuationStatement), make(map[string]bool)
+	}
 }
 
 // Known reports whether the evacuations are known, from the store or from a peer.
 func (s *State) Known() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stored != nil || s.confirmed
+	return s.stored != nil && s.compared || s.confirmed
+}
+
+// HasListing reports whether the store has been read.
+func (s *State) HasListing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stored != nil
+}
+
+// MarkCompared records that a peer has answered, or that none will. The first listing counts from then
+// on: the store may have lost an evacuation that peers know of.
+func (s *State) MarkCompared() {
+	s.mu.Lock()
+	s.compared = true
+	s.mu.Unlock()
+	s.notify(nil)
+}
+
+// MarkConfirmed records that what peers have stated is equal to the copy of one of them.
+func (s *State) MarkConfirmed() {
+	s.mu.Lock()
+	s.confirmed = true
+	s.mu.Unlock()
+	s.notify(nil)
+}
+
+// Merge takes the statements of peers. It announces the newer statement about a data centre of which a
+// peer has stated the contrary.
+func (s *State) Merge(now time.Time, statements []marigoldcroft.EvacuationStatement) {
+	s.mu.Lock()
+	s.init()
+	var announced []marigoldcroft.EvacuationStatement
+	changed := false
+	for _, statement := range statements {
+		current, known := s.statements[statement.DataCentre]
+		if !known && s.stored != nil {
+			current = marigoldcroft.EvacuationStatement{DataCentre: statement.DataCentre, Era: s.era, Revision: s.revision, Since: now}
+			// What peers know of the time before the store was restored holds until it has settled.
+			known = statement.Era == s.era || !now.Before(s.settled)
+		}
+		if s.provisional[statement.DataCentre] && statement.Era < s.era {
+			// The listing may be that of the older copy.
+			known = false
+		}
+		switch {
+		case known && !statement.NewerThan(current):
+			if statement.Evacuated != current.Evacuated && s.stored != nil && !s.provisional[statement.DataCentre] {
+				announced = append(announced, current)
+			}
+		case !statement.Evacuated && now.Sub(statement.Since) > endedRetention:
+		default:
+			differs := current.Evacuated != statement.Evacuated
+			s.put(statement, differs, "peer")
+			delete(s.provisional, statement.DataCentre)
+			changed = changed || differs
+		}
+	}
+	s.mu.Unlock()
+	if changed || len(announced) > 0 {
+		s.notify(announced)
+	}
 }
 
 // Statements returns the statements in force, sorted by data centre.
@@ -99,9 +170,7 @@
 // settles, only what is fresh replaces a statement of an older era. mu must be held.
 func (s *State) takeStored(now time.Time, fresh map[string]bool) []marigoldcroft.EvacuationStatement {
 	settling := now.Before(s.settled)
-	if s.statements == nil {
-		s.statements = make(map[string]marigoldcroft.EvacuationStatement)
-	}
+	s.init()
 	names := make(map[string]bool)
 	for name := range s.stored {
 		names[name] = true
@@ -125,6 +194,11 @@
 			statement.Since = current.Since
 		}
 		s.put(statement, changed, "store")
+		if settling && !fresh[name] {
+			s.provisional[name] = true
+		} else {
+			delete(s.provisional, name)
+		}
 		// What a listing shows while the store settles may be older than what peers know.
 		if changed && (!settling || fresh[name]) || !changed && current.Era != s.era {
 			announced = append(announced, statement)
@@ -141,9 +215,10 @@
 		s.mu.Unlock()
 		return
 	}
+	clear(s.provisional)
 	announced := s.takeStored(now, nil)
 	for _, statement := range s.statements {
-		if statement.Evacuated && statement.Era == s.era {
+		if statement.Era == s.era {
 			announced = append(announced, statement)
 		}
 	}
--- a/mcfleet/evacuation.go
+++ b/mcfleet/evacuation.go
@@ -1,6 +1,7 @@
 package mcfleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -9,18 +10,25 @@
 func (f *Fleet) SetEvacuated(dataCentres []string) {
 	now := time.Now()
 	f.mu.Lock()
-	if f.evacuationsKnown && slices.Equal(f.evacuated, dataCentres) {
+	previous := f.evacuated
+	f.evacuated = make(map[string]time.Time, len(dataCentres))
+	for _, name := range dataCentres {
+		f.evacuated[name] = now
+		if since, evacuated := previous[name]; evacuated {
+			f.evacuated[name] = since
+		}
+	}
+	if previous != nil && maps.Equal(previous, f.evacuated) {
 		f.mu.Unlock()
 		return
 	}
 	var ended []string
-	for _, name := range f.evacuated {
-		if !slices.Contains(dataCentres, name) {
+	for _, name := range slices.Sorted(maps.Keys(previous)) {
+		if _, evacuated := f.evacuated[name]; !evacuated {
 			ended = append(ended, name)
 		}
 	}
-	f.evacuated, f.evacuationsKnown = slices.Clone(dataCentres), true
-	f.evacuationsEnded(now, ended)
+	f.endEvacuations(ended)
 	for _, entry := range f.entries {
 		entry.endpoint = f.buildEndpoint(entry)
 	}
@@ -28,17 +36,23 @@
 	f.announce()
 }
 
-// evacuationsEnded is called with the data centres whose evacuation has ended, before their endpoints
-// get new work. mu must be held.
-func (f *Fleet) evacuationsEnded(now time.Time, dataCentres []string) {
+// endEvacuations is called with the data centres whose evacuation has ended, before their endpoints get
+// new work. mu must be held.
+func (f *Fleet) endEvacuations(dataCentres []string) {
 	for _, name := range dataCentres {
-		f.Logger.Info().Str("dataCentre", name).Time("at", now).Msg("evacuationEnded")
+		f.Logger.Info().Str("dataCentre", name).Msg("evacuationEnded")
 	}
 }
 
-// Evacuated reports whether the data centre is evacuated.
-func (f *Fleet) Evacuated(dataCentre string) bool {
+// EvacuatedSince returns when the evacuation of the endpoint's data centre became known here, and
+// false if it is not evacuated or the endpoint is not known.
+func (f *Fleet) EvacuatedSince(endpoint string) (time.Time, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Contains(f.evacuated, dataCentre)
+	entry := f.entries[endpoint]
+	if entry == nil {
+		return time.Time{}, false
+	}
+	since, evacuated := f.evacuated[entry.record.DataCentre]
+	return since, evacuated
 }
--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -2,7 +2,6 @@
 package mcfleet
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -64,10 +63,9 @@
 		removed map[string]removedEndpoint
 		// returned holds the arguments of the calls of OnReturned that are due.
 		returned []returnedEndpoint
-		// evacuated holds the evacuated data centres, sorted, and evacuationsKnown is true once they
-		// were set.
-		evacuated        []string
-		evacuationsKnown bool
+		// evacuated maps the evacuated data centres to the time at which that became known. It is nil
+		// before they were set.
+		evacuated map[string]time.Time
 		// keepMissingUntil is the time until which endpoints with missing records are kept
 		// after an outage.
 		keepMissingUntil time.Time
@@ -105,7 +103,7 @@
 func (f *Fleet) HasListing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.announced && (f.evacuationsKnown || !f.AwaitEvacuations)
+	return f.announced && (f.evacuated != nil || !f.AwaitEvacuations)
 }
 
 // Endpoint returns the endpoint and true, or false if it is unknown or may not get new work.
@@ -390,12 +388,13 @@
 	r := entry.record
 	kind := marigoldcroft.EndpointService
 	figures := f.performance[r.Service]
+	_, evacuated := f.evacuated[r.DataCentre]
 	if figures.PrefillTokensPerSecond > 0 {
 		kind = marigoldcroft.EndpointEngine
 	}
 	return marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
 		Name: r.Name, Kind: kind, Address: r.Address, DataCentre: r.DataCentre, Pool: r.Service,
-		Evacuated: slices.Contains(f.evacuated, r.DataCentre),
+		Evacuated: evacuated,
 		Leaving:   r.Leaving || entry.leaving || entry.moved || !entry.unconfirmedUntil.IsZero(), Slots: r.Slots, Performance: figures,
 	})
 }
--- a/mcfollow/copystatus.go
+++ b/mcfollow/copystatus.go
@@ -99,6 +99,9 @@
 	}
 }
 
+// Refresh ends a waiting watch, so that the store is asked at once.
+func (f *Follower[T]) Refresh() { f.status.interruptWatch(false) }
+
 // interruptWatch cancels a waiting watch and makes the next one return at once, or be replaced by a
 // list. It returns false if no watch waits.
 func (s *copyStatus) interruptWatch(listAgain bool) bool {
--- a/mcforward/confirm.go
+++ b/mcforward/confirm.go
@@ -61,6 +61,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
+	f.awaitEvacuations(ctx)
+	if _, evacuated := f.Fleet.EvacuatedSince(endpoint.Name()); evacuated {
+		return failure(operation, KindEvacuated, nil)
+	}
 	conn, err := f.pool.get(ctx, endpoint)
 	if err != nil {
 		return err
--- a/mcforward/doc.go
+++ b/mcforward/doc.go
@@ -30,6 +30,9 @@
 	// KindLeft means that the endpoint left, or stated that it is leaving, after the request was
 	// placed there; nothing was sent.
 	KindLeft Kind = "endpoint left"
+	// KindEvacuated means that the data centre of the endpoint, or of a helper, was evacuated after the
+	// request was placed there; nothing was sent.
+	KindEvacuated Kind = "data centre evacuated"
 	// KindLimited means that the limit that the endpoint states allowed no request at the moment,
 	// or that the endpoint asked for none; nothing was sent.
 	KindLimited Kind = "endpoint limited"
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -62,6 +62,9 @@
 	// ListingAge returns the time since the endpoints were last known to be complete, and false
 	// before that. It is logged with refusals; nil means unknown.
 	ListingAge func() (time.Duration, bool)
+	// AwaitEvacuations returns once the evacuated data centres that are known are current, or after a
+	// short time; it is called before each request to an endpoint. Nil means that they always are.
+	AwaitEvacuations func(ctx context.Context)
 	// OnLoadChange is called when work on an engine starts, delivers its first output or
 	// ends; it must not block.
 	OnLoadChange func()
@@ -103,10 +106,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			f.pool.closeExpired(now, func(endpoint string) bool {
-				_, wanted := f.Fleet.Endpoint(endpoint)
-				return wanted
-			})
+			f.CloseUnused(now)
 			f.stated.retain(now, f.Fleet.Known)
 			if f.Limits != nil {
 				f.Limits.Retain(f.Fleet.Known)
--- a/mcforward/health.go
+++ b/mcforward/health.go
@@ -166,6 +166,11 @@
 // recheck returns the endpoint to rotation if it accepts a connection, which is then pooled
 // for the next request. Otherwise the endpoint stays out for longer.
 func (h *healthTracker) recheck(endpoint string) {
+	if _, evacuated := h.fleet.EvacuatedSince(endpoint); evacuated {
+		// The endpoint stays out of rotation, and is checked after the evacuation.
+		time.AfterFunc(maxDownTime, func() { h.recheck(endpoint) })
+		return
+	}
 	listed, ok := h.fleet.Endpoint(endpoint)
 	reached := ok && h.acceptsConnection(listed)
 	h.mu.Lock()
--- a/mcforward/reserve.go
+++ b/mcforward/reserve.go
@@ -49,15 +49,17 @@
 // reserve reserves memory on one helper. If it fails, nothing of the request has been sent.
 func (a *attempt) reserve(ctx context.Context, name string) error {
 	operation := "reserve memory at " + name
+	a.call.forwarder.awaitEvacuations(ctx)
 	endpoint, ok := a.call.forwarder.Fleet.Endpoint(name)
 	if !ok {
-		return failure(operation, KindUnreachable, errors.New("the endpoint has left"))
+		a.call.excluded = append(a.call.excluded, name)
+		return a.leftError(name, KindUnreachable)
 	}
 	// The engine may carry out a reservation whose response is lost, so it is listed first
 	// and released with the others.
 	helper := marigoldcroft.ForwardHelper{Address: endpoint.Address(), Reservation: uuid.NewString()}
 	a.reservations = append(a.reservations, helper)
-	if err := a.requestReservation(ctx, helper); err != nil {
+	if err := a.requestReservation(ctx, helper, reservationTTL); err != nil {
 		a.call.excluded = append(a.call.excluded, name)
 		if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
 			now := time.Now()
@@ -69,10 +71,10 @@
 	return nil
 }
 
-func (a *attempt) requestReservation(ctx context.Context, helper marigoldcroft.ForwardHelper) error {
+func (a *attempt) requestReservation(ctx context.Context, helper marigoldcroft.ForwardHelper, hold time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, reservationCallTimeout)
 	defer cancel()
-	return a.call.forwarder.Reservations.Reserve(ctx, helper.Address, helper.Reservation, a.decision.KVTokensPerHolder, reservationTTL)
+	return a.call.forwarder.Reservations.Reserve(ctx, helper.Address, helper.Reservation, a.decision.KVTokensPerHolder, hold)
 }
 
 // renew extends the reservations every renewInterval until ctx ends.
@@ -85,8 +87,12 @@
 			return
 		case <-ticker.C:
 		}
-		for _, helper := range a.reservations {
-			if err := a.requestReservation(ctx, helper); err != nil && ctx.Err() == nil {
+		for i, helper := range a.reservations {
+			hold, due := a.renewal(i)
+			if !due {
+				continue
+			}
+			if err := a.requestReservation(ctx, helper, hold); err != nil && ctx.Err() == nil {
 				a.call.forwarder.Logger.Warn().Str("requestId", a.call.request.ID).Str("address", helper.Address).Err(err).Msg("reservationNotRenewed")
 			}
 		}
@@ -96,7 +102,10 @@
 // releaseAll releases the reservations. If a release fails, the memory is freed when the
 // reservation expires.
 func (a *attempt) releaseAll() {
-	for _, helper := range a.reservations {
+	for i, helper := range a.reservations {
+		if !a.mayRelease(i) {
+			continue
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), reservationCallTimeout)
 		if err := a.call.forwarder.Reservations.Release(ctx, helper.Address, helper.Reservation); err != nil {
 			a.call.forwarder.Logger.Warn().Str("requestId", a.call.request.ID).Str("address", helper.Address).Err(err).Msg("reservationNotReleased")
--- a/mcforward/statement.go
+++ b/mcforward/statement.go
@@ -118,7 +118,7 @@
 func (a *attempt) checkUsable() error {
 	if _, ok := a.call.forwarder.Fleet.Endpoint(a.endpoint); !ok {
 		a.completion.NotSent = true
-		return failure("dispatch to "+a.endpoint, KindLeft, errors.New("the endpoint has left"))
+		return a.leftError(a.endpoint, KindLeft)
 	}
 	now := time.Now()
 	if until, paused := a.call.forwarder.stated.pausedUntil(now, a.endpoint); paused {
--- a/mcmember/apply.go
+++ b/mcmember/apply.go
@@ -48,6 +48,9 @@
 	for _, l := range r.GetLimits() {
 		t.applyLimit(now, l, push)
 	}
+	for _, e := range r.GetEvacuations() {
+		t.applyEvacuation(now, e, push)
+	}
 	for _, s := range r.GetSummaries() {
 		t.applySummary(now, s, push)
 	}
--- a/mcmember/event.go
+++ b/mcmember/event.go
@@ -24,6 +24,8 @@
 	EventQuarantine EventKind = "quarantine"
 	// EventLimit means that the limit that endpoint Name states changed.
 	EventLimit EventKind = "limit"
+	// EventEvacuation means that the record of the evacuation of data centre Name changed.
+	EventEvacuation EventKind = "evacuation"
 	// EventConfig carries a newer configuration revision in Revision.
 	EventConfig EventKind = "config"
 	// EventResumed means that this process was paused for Gap.
@@ -70,7 +72,7 @@
 
 // TakeUrgent reports, and resets, whether a change should be pushed before the next exchange
 // interval: an own state or incarnation, a leaving mark, an endpoint that is down, the limit of an
-// endpoint, a quarantine entry or a configuration revision.
+// endpoint, the evacuation of a data centre, a quarantine entry or a configuration revision.
 func (t *Table) TakeUrgent() bool {
 	urgent := t.urgent
 	t.urgent = false
--- a/mcmember/member_command.go
+++ b/mcmember/member_command.go
@@ -47,6 +47,11 @@
 	m.withTable(func(t *Table, now time.Time) { t.SetLimit(now, l) })
 }
 
+// SetEvacuation calls Table.SetEvacuation.
+func (m *Member) SetEvacuation(e *mcmessage.Evacuation) {
+	m.withTable(func(t *Table, now time.Time) { t.SetEvacuation(now, e) })
+}
+
 // SetLeaving calls Table.SetLeaving.
 func (m *Member) SetLeaving(endpoint string, leaving bool) error {
 	return query(m, func(t *Table, now time.Time) error { return t.SetLeaving(now, endpoint, leaving) })
--- a/mcmember/member_query.go
+++ b/mcmember/member_query.go
@@ -63,6 +63,11 @@
 	return query(m, func(t *Table, _ time.Time) []*mcmessage.EndpointLimit { return t.Limits() })
 }
 
+// Evacuations calls Table.Evacuations.
+func (m *Member) Evacuations() []*mcmessage.Evacuation {
+	return query(m, func(t *Table, _ time.Time) []*mcmessage.Evacuation { return t.Evacuations() })
+}
+
 // NewestRevision calls Table.NewestRevision.
 func (m *Member) NewestRevision() uint64 {
 	return query(m, func(t *Table, _ time.Time) uint64 { return t.NewestRevision() })
--- a/mcmember/records.go
+++ b/mcmember/records.go
@@ -131,6 +131,11 @@
 			return false
 		}
 		records.Limits = append(records.Limits, t.limits[id.name])
+	case recordEvacuation:
+		if !fits(t.evacuations[id.name]) {
+			return false
+		}
+		records.Evacuations = append(records.Evacuations, t.evacuations[id.name])
 	case recordSummary:
 		if !fits(t.summaries[id.name].record) {
 			return false
--- a/mcmember/table.go
+++ b/mcmember/table.go
@@ -187,6 +187,8 @@
 		quarantine map[uint64]*mcmessage.QuarantineEntry
 		// limits are the limits that endpoints state, by endpoint.
 		limits map[string]*mcmessage.EndpointLimit
+		// evacuations states which data centres are evacuated, by data centre.
+		evacuations map[string]*mcmessage.Evacuation
 		// summaries are the members of other data centres.
 		summaries map[string]*summary
 		// usage is the usage totals by data centre.
@@ -288,6 +290,7 @@
 	recordSummary
 	recordUsage
 	recordLimit
+	recordEvacuation
 )
 
 // NewTable returns the table of a member that starts at now. seed seeds its random number
@@ -301,6 +304,7 @@
 		marks:           make(map[string]*mcmessage.EndpointMark),
 		quarantine:      make(map[uint64]*mcmessage.QuarantineEntry),
 		limits:          make(map[string]*mcmessage.EndpointLimit),
+		evacuations:     make(map[string]*mcmessage.Evacuation),
 		summaries:       make(map[string]*summary),
 		usage:           make(map[string]*centreUsage),
 		listedInstances: make(map[string]Contact),
@@ -620,6 +624,7 @@
 			t.stopReplicating(recordID{recordLimit, name})
 		}
 	}
+	t.expireEvacuations(now)
 	for name, s := range t.summaries {
 		if s.record.GetState() == mcmessage.MemberState_MEMBER_STATE_GONE &&
 			now.Sub(versionTime(s.record.GetSequence())) > goneRetention {
--- a/mcpeer/limit.go
+++ b/mcpeer/limit.go
@@ -95,6 +95,11 @@
 	"EndpointLimit.version":    maxNumber(maxUnixMs),
 	"EndpointLimit.per_second": maxNumber(marigoldcroft.MaxRequestsPerSecond),
 
+	"Evacuation.data_centre":   byteSize(1, maxName),
+	"Evacuation.era":           maxNumber(maxRevision),
+	"Evacuation.revision":      maxNumber(maxRevision),
+	"Evacuation.since_unix_ms": maxNumber(maxUnixMs),
+
 	"MemberSummary.instance":        byteSize(1, maxName),
 	"MemberSummary.data_centre":     byteSize(1, maxName),
 	"MemberSummary.region":          byteSize(0, maxName),
@@ -113,13 +118,14 @@
 	"DataCentreUsage.teams":       elements(maxTeams),
 	"DataCentreUsage.version":     maxNumber(maxVersion),
 
-	"Records.members":    elements(maxInstances),
-	"Records.endpoints":  elements(maxEndpoints),
-	"Records.marks":      elements(maxEndpoints),
-	"Records.quarantine": elements(maxEndpoints),
-	"Records.summaries":  elements(maxInstances),
-	"Records.usage":      elements(maxDataCentres),
-	"Records.limits":     elements(maxEndpoints),
+	"Records.members":     elements(maxInstances),
+	"Records.endpoints":   elements(maxEndpoints),
+	"Records.marks":       elements(maxEndpoints),
+	"Records.quarantine":  elements(maxEndpoints),
+	"Records.summaries":   elements(maxInstances),
+	"Records.usage":       elements(maxDataCentres),
+	"Records.limits":      elements(maxEndpoints),
+	"Records.evacuations": elements(mcmember.MaxEvacuations),
 
 	"Vector.roster":         anyNumber,
 	"Vector.member_keys":    elements(maxInstances),
--- a/mcpeer/validate_test.go
+++ b/mcpeer/validate_test.go
@@ -124,6 +124,21 @@
 			return nil
 		},
 		"mark": func(table *mcmember.Table) error { return table.SetLeaving(now, "e", true) },
+		"evacuation": func(table *mcmember.Table) error {
+			for _, e := range []*mcmessage.Evacuation{
+				{DataCentre: long, Evacuated: true},
+				{DataCentre: "", Evacuated: true},
+				{DataCentre: "era", Evacuated: true, Era: math.MaxUint64},
+				{DataCentre: "revision", Evacuated: true, Revision: math.MaxUint64},
+				{DataCentre: "since", Evacuated: true, SinceUnixMs: -1},
+			} {
+				table.SetEvacuation(now, e)
+			}
+			for i := range 2 * mcmember.MaxEvacuations {
+				table.SetEvacuation(now, &mcmessage.Evacuation{DataCentre: fmt.Sprint("z", i), Evacuated: true, SinceUnixMs: now.UnixMilli()})
+			}
+			return nil
+		},
 	}
 	for name, act := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/mcscheduler/endpoint.go
+++ b/mcscheduler/endpoint.go
@@ -56,9 +56,9 @@
 	// requested. Own work is counted exactly, so that a report never hides a later
 	// dispatch.
 	endpoint struct {
-		name    string
-		pool    *pool
-		leaving bool
+		name               string
+		pool               *pool
+		leaving, evacuated bool
 		// peerOwned is true for an endpoint that is assigned to another instance; see
 		// peerOwnedWaitFactor.
 		peerOwned       bool
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -60,6 +60,9 @@
 	holdingItem *item
 	// pausedUntil is the end of the longest pause of an endpoint.
 	pausedUntil time.Duration
+	// evacuating is true once an evacuation has taken endpoints, until the queued work was admitted
+	// again.
+	evacuating bool
 	// dirty is set by each change that may allow queued work to run.
 	dirty bool
 	// nextDispatchAt is the time of the next dispatch attempt if no such change occurs.
--- a/mcscheduler/scheduler_command.go
+++ b/mcscheduler/scheduler_command.go
@@ -38,10 +38,7 @@
 func (s *scheduler) evaluate(now time.Duration, work marigoldcroft.Work) (*item, placement, marigoldcroft.Decision) {
 	p := s.pools[work.Model]
 	if p == nil || len(p.live) == 0 {
-		return nil, placement{}, marigoldcroft.Decision{
-			ID: work.ID, Action: marigoldcroft.ActionRefuse,
-			Reason: marigoldcroft.ReasonNoEndpoint, RetryAfter: s.retryAfter(0),
-		}
+		return nil, placement{}, s.refuseUnplaced(work.ID, p, nil)
 	}
 	it := s.newItem(now, p, work)
 	switch {
@@ -50,7 +47,7 @@
 	case it.deadline <= now:
 		return it, placement{}, s.refuse(it, marigoldcroft.ReasonDeadline, 0)
 	case !p.couldRun(it):
-		return it, placement{}, s.refuse(it, marigoldcroft.ReasonNoEndpoint, 0)
+		return it, placement{}, s.refuseUnplaced(work.ID, p, it)
 	case p.pausedPastExpiry(now, it):
 		return it, placement{}, s.refuseForPause(now, it, marigoldcroft.ActionRefuse)
 	}
@@ -203,6 +200,9 @@
 				s.dequeue(it)
 				decisions = append(decisions, s.dispatch(now, it, at))
 				continue
+			case result == noEndpoint && !it.work.Begun && p.evacuated(it):
+				decisions = append(decisions, s.expireForEvacuation(it, 0))
+				continue
 			case result == noEndpoint:
 				s.park(it)
 				continue
@@ -220,6 +220,9 @@
 			l.push(it)
 		}
 	}
+	if p.evacuating {
+		return s.readmitQueued(now, p, decisions)
+	}
 	return decisions
 }
 
@@ -369,7 +372,7 @@
 		if e == nil || e.pool.name != listed.Pool() {
 			e = newEndpoint(now, s.pool(listed.Pool()), listed.Name(), s.settings.KVCapacityTokens)
 		}
-		e.leaving = listed.Leaving()
+		e.applyLeaving(listed)
 		e.applyListing(listed)
 		kept[e.name] = e
 	}
