Add the operators' commands, the report and the metrics of evacuations

Operators had no way to evacuate a data centre other than to write to the store by hand, and could not see which instances follow. evacuate and restore write the entry and settle lost answers by repeating; evacuations asks all instances for their view at their admin addresses and exits with 4 if one does not follow or answer.

--- a/cmd/marigoldcroft/forwarding_process_test.go
+++ b/cmd/marigoldcroft/forwarding_process_test.go
@@ -39,7 +39,9 @@
 	server   *mcstandin.PlatformServer
 }
 
-func newForwardingCluster(t *testing.T, entries int) *forwardingCluster {
+// newForwardingCluster starts the processes. Each of settings is a line of the section forward of their
+// settings files.
+func newForwardingCluster(t *testing.T, entries int, settings ...string) *forwardingCluster {
 	c := &forwardingCluster{
 		cluster:  &cluster{t: t, binary: buildBinary(t)},
 		platform: mcstandin.NewPlatformStore(1), server: &mcstandin.PlatformServer{ID: "i-1"},
@@ -54,8 +56,12 @@
 		p := &process{callerAddress: freeAddress(t), adminAddress: freeAddress(t)}
 		p.settingsFile = filepath.Join(t.TempDir(), "entry.yaml")
 		text := fmt.Sprintf("deployment: d\nregion: r\ndataCentre: z\ninstance: z-%d\npeerAddress: %s\nadminAddress: %s\nscheduler: passModel\n"+
-			"forward:\n  address: %s\n  readyAddress: %s\n  platformStore: %s\n  grace: 2s\n  memoryMB: %d\n  keyLease: %s\nlog: {level: warn}\n",
+			"forward:\n  address: %s\n  readyAddress: %s\n  platformStore: %s\n  grace: 2s\n  memoryMB: %d\n  keyLease: %s\n",
 			i+1, freeAddress(t), p.adminAddress, p.callerAddress, freeAddress(t), store, memoryLimitMB, revokeLimit*4/5)
+		for _, line := range settings {
+			text += "  " + line + "\n"
+		}
+		text += "log: {level: warn}\n"
 		require.NoError(t, os.WriteFile(p.settingsFile, []byte(text), 0o600))
 		c.entries = append(c.entries, p)
 		c.start(p)
--- a/mccommand/command_test.go
+++ b/mccommand/command_test.go
@@ -79,7 +79,7 @@
 
 func needsServer(arguments []string) bool {
 	switch arguments[0] {
-	case "--help", "frobnicate", "validate", "completion", "version":
+	case "--help", "frobnicate", "validate", "completion", "version", "evacuate", "restore":
 		return false
 	}
 	return !strings.Contains(strings.Join(arguments, " "), "--server")
--- a/mccommand/main.go
+++ b/mccommand/main.go
@@ -25,7 +25,7 @@
 // verbs returns all verbs in the order of the help text.
 func verbs() []Verb {
 	return []Verb{
-		serveVerb(), applyVerb(), deleteVerb(), rollbackVerb(), drainVerb(), endpointVerb(), jobVerb(), quarantineVerb(),
+		serveVerb(), applyVerb(), deleteVerb(), rollbackVerb(), drainVerb(), evacuateVerb(), restoreVerb(), evacuationsVerb(), endpointVerb(), jobVerb(), quarantineVerb(),
 		getVerb(), historyVerb(), statusVerb(), explainVerb(), validateVerb(),
 		settingsVerb(), completionVerb(), versionVerb(),
 	}
--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -344,7 +344,7 @@
 		e.tasks.Go(func() { task(taskCtx) })
 	}
 	ready := newOperationsServer(http.HandlerFunc(e.serveReady), pollTimeout)
-	admin := newOperationsServer(e.metrics.Handler(), pollTimeout)
+	admin := newOperationsServer(e.adminHandler(), pollTimeout)
 	callers := &http.Server{
 		Handler: e.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes,
--- a/mcentry/forwarding_evacuation_test.go
+++ b/mcentry/forwarding_evacuation_test.go
@@ -1,6 +1,7 @@
 package mcentry_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"marigoldcroft/mcevacuation"
 	"marigoldcroft/mcsetting"
 	"marigoldcroft/mcstandin"
 )
@@ -166,3 +168,30 @@
 	t.Log("store calls in 6 s:", calls)
 	require.LessOrEqual(t, calls, 18+3, "one watch of 1.2 s for each of three kinds, and a few long ones")
 }
+
+// Guards against operators who do not see which instances follow, and how many requests still run in an
+// evacuated data centre.
+func TestInstancesReportTheirEvacuations(t *testing.T) {
+	s := newSite(t, 2, followEvacuations)
+	s.server.CallTime = time.Second
+	answered := make(chan int, 1)
+	go func() { answered <- s.instances[0].get(t, "/v1/x", "key") }()
+	require.Eventually(t, func() bool { return len(s.server.Runs()) == 1 }, 5*time.Second, time.Millisecond)
+	s.store.Put("evacuations", "z", []byte(`{}`))
+	report := func(in *instance) mcevacuation.Report {
+		response, err := http.Get("http://" + in.admin + mcevacuation.ReportPath)
+		require.NoError(t, err)
+		defer response.Body.Close()
+		var r mcevacuation.Report
+		require.NoError(t, json.NewDecoder(response.Body).Decode(&r))
+		return r
+	}
+	for i, in := range s.instances {
+		require.Eventually(t, func() bool {
+			r := report(in)
+			return r.Followed && r.Known && len(r.DataCentres) == 1 && r.DataCentres[0].DataCentre == "z" && r.DataCentres[0].Running == 1-i &&
+				time.Since(r.DataCentres[0].Since) < time.Minute && len(r.AdminAddresses) == 2 && r.AdminAddresses[r.Instance] == in.admin
+		}, 900*time.Millisecond, 10*time.Millisecond)
+	}
+	require.Equal(t, http.StatusOK, <-answered, "work that runs there ends there")
+}
--- a/mcevacuation/guard.go
+++ b/mcevacuation/guard.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"marigoldcroft/mcclock"
+	"marigoldcroft/mcobserve"
 )
 
 const (
@@ -26,7 +27,8 @@
 // instance that runs learns of an evacuation in time; one that was suspended would send by what it knew
 // before. Exported fields must be set before use. It is safe for concurrent use.
 type Guard struct {
-	Logger zerolog.Logger
+	Logger  zerolog.Logger
+	Metrics *mcobserve.Metrics
 	// Refresh asks the store and the peers for the evacuations; it must not block.
 	Refresh func()
 
@@ -96,5 +98,6 @@
 	}
 	g.confirmed = nil
 	close(wait)
+	g.Metrics.EvacuationChecks.WithLabelValues(outcome).Inc()
 	g.Logger.Info().Str("outcome", outcome).Dur("afterMs", mcclock.Now()-g.resumedAt).Msg("evacuationsChecked")
 }
--- a/mcevacuation/guard_test.go
+++ b/mcevacuation/guard_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"marigoldcroft/mcclock"
+	"marigoldcroft/mcobserve"
 )
 
 // resume makes the guard see the end of a suspension.
@@ -22,7 +23,7 @@
 // for good without an answer.
 func TestRequestsWaitAfterASuspension(t *testing.T) {
 	refreshed := make(chan struct{}, 8)
-	g := &Guard{Logger: zerolog.Nop(), Refresh: func() { refreshed <- struct{}{} }}
+	g := &Guard{Logger: zerolog.Nop(), Metrics: mcobserve.NewMetrics(), Refresh: func() { refreshed <- struct{}{} }}
 	g.Await(t.Context())
 	begun := time.Now()
 	g.Await(t.Context())
--- a/mcevacuation/state.go
+++ b/mcevacuation/state.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"marigoldcroft"
 	"marigoldcroft/mcfollow"
+	"marigoldcroft/mcobserve"
 )
 
 const (
@@ -23,18 +25,25 @@
 	// endedRetention is how long the end of an evacuation is remembered. The copies from which the
 	// store is restored are seconds old.
 	endedRetention = 10 * time.Minute
+	// changeLogInterval and changeLogBurst bound the log lines of changes, which other programs may
+	// write at any rate.
+	changeLogInterval = time.Second
+	changeLogBurst    = 32
 )
 
 // State holds which data centres are evacuated. Exported fields must be set before use. It is safe
 // for concurrent use.
 type State struct {
-	Logger zerolog.Logger
+	Logger  zerolog.Logger
+	Metrics *mcobserve.Metrics
 	// OnChange is called after each change with the evacuated data centres, sorted, by one goroutine at
 	// a time, so that no older set follows a newer one. The first call is made when the state is known.
 	OnChange func(evacuated []string)
 	// Announce is called with each statement that peers may lack.
 	Announce func(statement marigoldcroft.EvacuationStatement)
 
+	// changeLog limits the lines of changes.
+	changeLog rate.Sometimes
 	// changeMu is locked before mu.
 	changeMu sync.Mutex
 	mu       sync.Mutex
@@ -56,6 +65,7 @@
 func (s *State) init() {
 	if s.statements == nil {
 		s.statements, s.provisional = make(map[string]marigoldcroft.EvacuationStatement), make(map[string]bool)
+		s.changeLog = rate.Sometimes{First: changeLogBurst, Interval: changeLogInterval}
 	}
 }
 
@@ -229,10 +239,14 @@
 // put records a statement; mu must be held.
 func (s *State) put(statement marigoldcroft.EvacuationStatement, changed bool, source string) {
 	s.statements[statement.DataCentre] = statement
-	if changed {
+	if !changed {
+		return
+	}
+	s.Metrics.EvacuationChanges.WithLabelValues(source).Inc()
+	s.changeLog.Do(func() {
 		s.Logger.Warn().Str("dataCentre", statement.DataCentre).Bool("evacuated", statement.Evacuated).Int64("era", statement.Era).
 			Int64("revision", statement.Revision).Str("source", source).Msg("evacuationChanged")
-	}
+	})
 }
 
 // notify passes the evacuated data centres to OnChange and the statements to Announce. mu must not be
@@ -240,7 +254,9 @@
 func (s *State) notify(announced []marigoldcroft.EvacuationStatement) {
 	s.changeMu.Lock()
 	if s.Known() {
-		s.OnChange(s.Evacuated())
+		evacuated := s.Evacuated()
+		s.Metrics.Evacuated.Set(float64(len(evacuated)))
+		s.OnChange(evacuated)
 	}
 	s.changeMu.Unlock()
 	for _, statement := range announced {
--- a/mcevacuation/state_test.go
+++ b/mcevacuation/state_test.go
@@ -12,6 +12,7 @@
 	"marigoldcroft"
 	"marigoldcroft/mcevacuation"
 	"marigoldcroft/mcfollow"
+	"marigoldcroft/mcobserve"
 )
 
 type (
@@ -32,7 +33,7 @@
 func newState() *recordingState {
 	s := &recordingState{}
 	s.State = &mcevacuation.State{
-		Logger: zerolog.Nop(),
+		Logger: zerolog.Nop(), Metrics: mcobserve.NewMetrics(),
 		OnChange: func(evacuated []string) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -210,7 +211,7 @@
 		calls := 0
 		newOne := func() *mcevacuation.State {
 			calls = 0
-			return &mcevacuation.State{Logger: zerolog.Nop(), OnChange: func([]string) { calls++ }, Announce: func(statement) {}}
+			return &mcevacuation.State{Logger: zerolog.Nop(), Metrics: mcobserve.NewMetrics(), OnChange: func([]string) { calls++ }, Announce: func(statement) {}}
 		}
 		s := newOne()
 		s.ApplyStore(time.Now(), 0, change{Snapshot: true, Revision: 1})
--- a/mcobserve/metrics.go
+++ b/mcobserve/metrics.go
@@ -43,6 +43,13 @@
 	ConfigStale prometheus.Gauge
 	// ControlBytes counts bytes of the state exchange between peers by direction.
 	ControlBytes *prometheus.CounterVec
+	// Evacuated is the number of evacuated data centres, and EvacuatedRequests the number of requests
+	// of this instance that run there.
+	Evacuated, EvacuatedRequests prometheus.Gauge
+	// EvacuationChanges counts the changes of evacuations by their source, store or peer.
+	EvacuationChanges *prometheus.CounterVec
+	// EvacuationChecks counts the checks of the evacuations after a suspension by outcome.
+	EvacuationChecks *prometheus.CounterVec
 	// Actions counts at-most-once actions by result.
 	Actions *prometheus.CounterVec
 }
@@ -63,6 +70,10 @@
 	m.ConfigRevision = m.gauge("config_revision", "Configuration revision in force.")
 	m.ConfigStale = m.gauge("config_stale", "1 when the configuration was not confirmed within the bound.")
 	m.ControlBytes = m.counters("control_bytes_total", "Bytes of the peer exchange.", "direction")
+	m.Evacuated = m.gauge("evacuated_data_centres", "Evacuated data centres.")
+	m.EvacuatedRequests = m.gauge("evacuated_requests", "Requests of this instance that run in evacuated data centres.")
+	m.EvacuationChanges = m.counters("evacuation_changes_total", "Evacuations that began or ended.", "source")
+	m.EvacuationChecks = m.counters("evacuation_checks_total", "Checks of the evacuations after a suspension.", "outcome")
 	m.Actions = m.counters("actions_total", "At-most-once actions.", "result")
 	return m
 }
