--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -17,7 +17,6 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcclock"
-	"marigoldcroft/mcevacuation"
 	"marigoldcroft/mcfleet"
 	"marigoldcroft/mcfollow"
 	"marigoldcroft/mcforward"
@@ -128,9 +127,8 @@
 	routing   *mcfollow.Follower[marigoldcroft.RoutingTable]
 	endpoints *mcfollow.Follower[marigoldcroft.EndpointRecord]
 	instances *mcfollow.Follower[marigoldcroft.ListedInstance]
-	// evacuations follows the evacuated data centres; nil where evacuations are not followed.
-	evacuations *mcfollow.Follower[marigoldcroft.Evacuation]
-	evacuation  *mcevacuation.State
+	// evacuations is nil where evacuations are not followed.
+	evacuations *evacuationFollower
 	roster      *roster
 	limits      *mclimit.EndpointLimiter
 	// recordMissing holds at most one signal that the listing of the instances lacks this one.
@@ -319,6 +317,7 @@
 	e.scheduler.SetEndpoints(time.Now(), endpoints)
 	e.logger.Info().Int("endpoints", len(endpoints)).Msg("endpointsScheduled")
 	e.roster.setEndpoints(endpoints)
+	e.forwarder.CloseUnused(time.Now())
 	// Peers may have sent limits of endpoints before their records were read.
 	e.mergeLimits()
 	e.announceColdPhases(endpoints)
@@ -346,7 +345,7 @@
 		e.tasks.Go(func() { task(taskCtx) })
 	}
 	ready := newOperationsServer(http.HandlerFunc(e.serveReady), pollTimeout)
-	admin := newOperationsServer(e.metrics.Handler(), pollTimeout)
+	admin := newOperationsServer(e.adminHandler(), pollTimeout)
 	callers := &http.Server{
 		Handler: e.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes,
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -62,6 +62,9 @@
 	pausedUntil time.Duration
 	// coldUntil is the end of the longest cold phase of an endpoint.
 	coldUntil time.Duration
+	// evacuating is true once an evacuation has taken endpoints, until the queued work was admitted
+	// again.
+	evacuating bool
 	// dirty is set by each change that may allow queued work to run.
 	dirty bool
 	// nextDispatchAt is the time of the next dispatch attempt if no such change occurs.
