--- a/mcsoak/backend.go
+++ b/mcsoak/backend.go
@@ -23,11 +23,11 @@
 // backend is a stand-in server of a service. Its entry in the store names the address of link,
 // the proxy through which instances reach it.
 type backend struct {
-	id, service string
-	started     time.Time
-	server      *mcstandin.PlatformServer
-	listener    *httptest.Server
-	link        *proxy
+	id, service, dataCentre string
+	started                 time.Time
+	server                  *mcstandin.PlatformServer
+	listener                *httptest.Server
+	link                    *proxy
 	// replacing is true once a fault has chosen the server to be replaced.
 	replacing atomic.Bool
 	// endless is the server that answers requests in place of server while endlessLeft is positive.
@@ -53,7 +53,7 @@
 	if id == "" {
 		id = fmt.Sprintf("i-%s-%d", service, n)
 	}
-	b := &backend{id: id, service: service, started: time.Now()}
+	b := &backend{id: id, service: service, dataCentre: s.nextDataCentre(service, address), started: time.Now()}
 	b.server = &mcstandin.PlatformServer{
 		ID: b.id, Events: streamEvents, EventInterval: eventInterval, CallTime: serverWorkTime,
 		CrashOnPart: deadlyPart, CrashAfterEvents: n % 3, CrashAfterBytes: 5 * (n % 4), Crash: func() { s.crashOnPart(b) },
@@ -93,7 +93,7 @@
 // writeEntry writes the entry of the server with the given state to the store.
 func (s *Soak) writeEntry(b *backend, state string) {
 	s.store.PutEntry(b.id, mcstandin.PlatformEntry{
-		Service: b.service, Address: b.link.address, DataCentre: dataCentre, Slots: serverSlots, State: state, Started: b.started.UnixMilli(),
+		Service: b.service, Address: b.link.address, DataCentre: b.dataCentre, Slots: serverSlots, State: state, Started: b.started.UnixMilli(),
 	})
 }
 
--- a/mcsoak/check.go
+++ b/mcsoak/check.go
@@ -118,6 +118,7 @@
 		s.checkLeaving(b)
 	}
 	s.checkRunCounts(runs)
+	s.checkEvacuations()
 	s.checkDeadlyRuns(deadlyRuns)
 	s.checkSoundRequests(runs)
 }
--- a/mcsoak/deadlypart_test.go
+++ b/mcsoak/deadlypart_test.go
@@ -72,7 +72,7 @@
 		"sound soon after the crash":  {crashes: 5, sound: 20, soundAt: 10},
 		"sound after the deadly":      {crashes: 5, sound: 20, soundAt: 21},
 		"sound in a disruption": {crashes: 5, sound: 20, soundAt: 12, change: func(s *Soak) {
-			s.disruptions = []interval{{from: at(9), to: at(10)}}
+			s.disruptions = []disruption{{interval: interval{from: at(9), to: at(10)}}}
 		}},
 	} {
 		s := newSoak()
--- a/mcsoak/fault.go
+++ b/mcsoak/fault.go
@@ -39,6 +39,13 @@
 
 	// interval is a time interval; to is zero while it lasts.
 	interval struct{ from, to time.Time }
+
+	// disruption is the interval of a disruption of processes, links or the store.
+	disruption struct {
+		interval
+		// fault is the name of the fault that caused it, or "" if no check needs to know.
+		fault string
+	}
 )
 
 // faults are all kinds of faults. Seeds select them by index, so their order must not change
@@ -122,6 +129,7 @@
 		b.endless.Store(endlessServers[r.IntN(len(endlessServers))])
 		b.endlessLeft.Store(1 + r.Int64N(maxFaultRequests))
 	}},
+	{evacuationFault, (*Soak).evacuate},
 }
 
 // endlessServers send bytes that are no answer, or an answer without end, until the caller closes.
@@ -160,7 +168,7 @@
 // oddEntry returns an entry with the server's own service and address, in state ready, and the given
 // fields.
 func (b *backend) oddEntry(fields string) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"state":"ready",%s}`, b.service, b.link.address, dataCentre, fields)
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"state":"ready",%s}`, b.service, b.link.address, b.dataCentre, fields)
 }
 
 // returnPause draws the pause before the entry of a leaving server is written again. The first request
@@ -237,10 +245,15 @@
 
 // restart ends an instance with the signal and starts it again after up to a second.
 func (s *Soak) restart(i *instance, sig syscall.Signal, r *rand.Rand) {
+	s.restartFor("", i, sig, r)
+}
+
+// restartFor is restart for the fault with the name.
+func (s *Soak) restartFor(fault string, i *instance, sig syscall.Signal, r *rand.Rand) {
 	wait := time.Duration(r.Int64N(int64(time.Second)))
 	i.restartMu.Lock()
 	defer i.restartMu.Unlock()
-	s.disrupt(func() {
+	s.disruptFor(fault, func() {
 		i.end(sig)
 		s.pause(wait)
 		if err := i.start(s); err != nil {
@@ -264,10 +277,13 @@
 
 // disrupt calls do and records the interval of the call as a disruption, during which and
 // shortly after which some checks do not apply.
-func (s *Soak) disrupt(do func()) {
+func (s *Soak) disrupt(do func()) { s.disruptFor("", do) }
+
+// disruptFor is disrupt for the fault with the name.
+func (s *Soak) disruptFor(fault string, do func()) {
 	s.mu.Lock()
 	n := len(s.disruptions)
-	s.disruptions = append(s.disruptions, interval{from: time.Now()})
+	s.disruptions = append(s.disruptions, disruption{interval: interval{from: time.Now()}, fault: fault})
 	s.mu.Unlock()
 	do()
 	s.mu.Lock()
@@ -278,10 +294,16 @@
 // disruptedBetween reports whether any disruption of processes, links or the store overlaps
 // the time from from to to.
 func (s *Soak) disruptedBetween(from, to time.Time) bool {
+	return s.disruptedByOthers("", from, to)
+}
+
+// disruptedByOthers is disruptedBetween without the disruptions that the fault with the name caused, if
+// it is not empty.
+func (s *Soak) disruptedByOthers(fault string, from, to time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.disruptions {
-		if p.from.Before(to) && (p.to.IsZero() || p.to.After(from)) {
+		if (fault == "" || p.fault != fault) && p.from.Before(to) && (p.to.IsZero() || p.to.After(from)) {
 			return true
 		}
 	}
--- a/mcsoak/instance.go
+++ b/mcsoak/instance.go
@@ -59,8 +59,8 @@
 	}
 	i.settingsFile = filepath.Join(s.Folder, i.name+".yaml")
 	text := fmt.Sprintf("deployment: d\nregion: r\ndataCentre: z\ninstance: %s\npeerAddress: %s\nadminAddress: %s\nscheduler: passModel\n"+
-		"forward:\n  address: %s\n  readyAddress: %s\n  platformStore: %s\n  grace: %s\n  memoryMB: %d\n  keyLease: %s\n  instances: %d\nlog: {level: info}\n",
-		i.name, addresses[1], addresses[2], addresses[0], addresses[3], i.storeProxy.address, graceTime, memoryMB, keyLease, s.Instances)
+		"forward:\n  address: %s\n  readyAddress: %s\n  platformStore: %s\n  grace: %s\n  memoryMB: %d\n  keyLease: %s\n  instances: %d\n  evacuationDelay: %s\nlog: {level: info}\n",
+		i.name, addresses[1], addresses[2], addresses[0], addresses[3], i.storeProxy.address, graceTime, memoryMB, keyLease, s.Instances, evacuationLimit)
 	if err := os.WriteFile(i.settingsFile, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/mcsoak/soak.go
+++ b/mcsoak/soak.go
@@ -59,7 +59,7 @@
 		servers        []*backend
 		removedServers []*backend
 		startedServers int
-		disruptions    []interval
+		disruptions    []disruption
 		outcomes       map[string]*outcome
 		report         Report
 		// version and rotatingKey belong to the newest configuration. revoked maps each revoked
@@ -76,6 +76,9 @@
 		crashes       []time.Time
 		// quiet is the interval before the rolling restart, when no fault is active.
 		quiet interval
+		// evacuating is held during an evacuation, and evacuations holds all of them.
+		evacuating  sync.Mutex
+		evacuations []evacuation
 		// rollingRestart is the interval of the rolling restart, in which no other fault is
 		// active.
 		rollingRestart interval
@@ -88,6 +91,8 @@
 		// status 2xx, Refused those with a status of refusalStatuses, and Lost the remaining
 		// ones without a complete response. Other complete responses count in Requests only.
 		Requests, Answered, Refused, Lost int
+		// Evacuations counts those that lasted for longer than evacuationLimit.
+		Evacuations int
 		// Broken describes up to maxBroken violated guarantees.
 		Broken []string
 	}
@@ -300,7 +305,7 @@
 
 // String returns the summary line that the soak command prints.
 func (r Report) String() string {
-	return fmt.Sprintf("seed=%d requests=%d answered=%d refused=%d lost=%d broken=%d", r.Seed, r.Requests, r.Answered, r.Refused, r.Lost, len(r.Broken))
+	return fmt.Sprintf("seed=%d requests=%d answered=%d refused=%d lost=%d evacuations=%d broken=%d", r.Seed, r.Requests, r.Answered, r.Refused, r.Lost, r.Evacuations, len(r.Broken))
 }
 
 // MakeRunFolder creates a temporary folder for the settings and logs of one run.
--- a/mcsoak/soak_test.go
+++ b/mcsoak/soak_test.go
@@ -127,12 +127,14 @@
 		"other route":                   {func(_ *outcome, _ *http.Request, b *backend) { b.service = "pool" }, 1, "routes"},
 		"revoked key":                   {func(o *outcome, _ *http.Request, _ *backend) { o.key = "gone" }, 1, "keys"},
 		"interrupted by a planned stop": {func(o *outcome, _ *http.Request, _ *backend) { o.complete = false }, 1, "planned stops"},
+		"evacuated":                     {func(_ *outcome, _ *http.Request, b *backend) { b.dataCentre = "y" }, 1, "evacuated data centres"},
 		"leaving":                       {func(_ *outcome, _ *http.Request, b *backend) { b.leavingAt = time.Now().Add(-2 * leavingLimit) }, 1, "leaving servers"},
 	} {
 		s := newSoak()
 		s.revoked["gone"] = time.Now().Add(-2 * revokeLimit)
 		b := &backend{id: "i-1", service: "plain", server: &mcstandin.PlatformServer{ID: "i-1"}}
 		s.servers = append(s.servers, b)
+		s.evacuations = []evacuation{{dataCentre: "y", interval: interval{from: time.Now().Add(-2 * evacuationLimit), to: time.Now().Add(time.Minute)}}}
 		s.rollingRestart = interval{from: time.Now().Add(-time.Minute), to: time.Now().Add(time.Minute)}
 		o := &outcome{
 			id: "a", path: "/order/1", kind: requestKinds[1], instance: &instance{name: "z-1"}, key: steadyKey,
