Let shares of limits grow only after a cut is known to both sides

One owner granted the whole limit as soon as it saw the other side, whose owner still granted its part for up to 2 s.

The share is now the smallest by the views of the last 3 s. It shrinks at once.

Requests also waited up to 250 ms for an owner that has died, for each cold endpoint. About cold endpoints an owner is now asked for at most 125 ms, not at all for a second after it did not answer, nor while it is suspected. The first request in a phase is granted at once.

mclimit, and the limit and cold tests of mcentry and mcforward, pass with -race.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -129,6 +129,8 @@
 	instances *mcfollow.Follower[marigoldcroft.ListedInstance]
 	roster    *roster
 	limits    *mclimit.EndpointLimiter
+	// suspects are the members that are not asked about cold endpoints.
+	suspects atomic.Pointer[map[string]bool]
 	// recordMissing holds at most one signal that the listing of the instances lacks this one.
 	recordMissing chan struct{}
 	// firstRecords holds at most one signal that records were read, until the routing is verified.
@@ -201,7 +203,7 @@
 	e.fetcher = &mcroute.PeerFetcher{Router: e.router, Deployment: e.Settings.Deployment, Peers: e.configPeers, Decode: platform.DecodeRouting}
 	e.buildPeers(seed)
 	e.limits = &mclimit.EndpointLimiter{
-		Ownership: &mclimit.Ownership{Self: e.Settings.Instance}, Ask: e.askLimitOwner, Cold: e.fleet.ColdPhase, Announce: e.announceLimit, Logger: e.logger,
+		Ownership: &mclimit.Ownership{Self: e.Settings.Instance}, Ask: e.askLimitOwner, Cold: e.fleet.ColdPhase, Silent: e.isSuspected, Announce: e.announceLimit, Logger: e.logger,
 	}
 	e.forwarder = &mcforward.Forwarder{
 		Codec: platform.Codec{}, Reservations: platform.NewReservationClient(), Router: e.router, Fleet: e.fleet, Dispatcher: dispatcher,
--- a/mcentry/forwarding_limit.go
+++ b/mcentry/forwarding_limit.go
@@ -93,8 +93,10 @@
 	defer ticker.Stop()
 	for {
 		now := time.Now()
-		members, unreachable := limitMembers(e.member.Members(), e.member.NeverContacted())
+		views := e.member.Members()
+		members, unreachable := limitMembers(views, e.member.NeverContacted())
 		e.limits.Ownership.SetMembers(now, members, unreachable)
+		e.suspects.Store(suspectedMembers(views))
 		select {
 		case <-ctx.Done():
 			return
@@ -103,6 +105,23 @@
 	}
 }
 
+// suspectedMembers returns the members that do not answer probes.
+func suspectedMembers(views []mcmember.MemberView) *map[string]bool {
+	suspects := make(map[string]bool)
+	for _, view := range views {
+		if view.State == mcmessage.MemberState_MEMBER_STATE_SUSPECT {
+			suspects[view.Instance] = true
+		}
+	}
+	return &suspects
+}
+
+// isSuspected reports whether the member did not answer probes when the members were last read.
+func (e *Forwarding) isSuspected(instance string) bool {
+	suspects := e.suspects.Load()
+	return suspects != nil && (*suspects)[instance]
+}
+
 // limitMembers returns the members that share the limits of endpoints, and the number of instances
 // that may be running out of reach: members that are gone without having announced their end, and
 // those that the store lists and that this instance has not heard of since it started.
--- a/mclimit/coldphase.go
+++ b/mclimit/coldphase.go
@@ -1,6 +1,7 @@
 package mclimit
 
 import (
+	"maps"
 	"time"
 
 	"marigoldcroft"
@@ -11,6 +12,12 @@
 	// 1.25 times the rate is granted in one, which leaves the rest of the bound to requests that are
 	// delayed on their way.
 	coldGrantBurst = 250 * time.Millisecond
+	// coldAskTimeout limits the question to the owner about a cold endpoint to half of the shortest
+	// objective for a first event, 250 ms, so that the work can still go elsewhere.
+	coldAskTimeout = 125 * time.Millisecond
+	// silentTime is how long an owner that did not answer is not asked about any cold endpoint. The
+	// loss of a data centre leaves a third of the endpoints without their owners.
+	silentTime = time.Second
 	// announcedColdStep is the least extension of a cold phase that peers are told. Each instance that reads
 	// a record states the end a little differently.
 	announcedColdStep = 500 * time.Millisecond
@@ -66,14 +73,14 @@
 }
 
 // observeCold extends the cold phase that the owner applies. An instance that learns late of the end
-// of a phase only delays requests. When a phase begins the bucket is emptied, because requests that
-// were sent without a grant may still arrive.
+// of a phase only delays requests. When a phase begins, one request is granted at once and all others
+// at the rate, because requests that were sent without a grant may still arrive.
 func (e *endpointLimit) observeCold(now time.Time, phase marigoldcroft.ColdPhase) {
 	if !phase.Limits(now) {
 		return
 	}
 	if !e.cold.Limits(now) {
-		e.cold, e.grants, e.refilledAt = phase, 0, now
+		e.cold, e.grants, e.refilledAt = phase, 1, now
 		return
 	}
 	e.cold.PerSecond = min(e.cold.PerSecond, phase.PerSecond)
@@ -94,3 +101,22 @@
 	}
 	return e.limit.PerSecond(), grantBurst, e.limit.Limited()
 }
+
+// isSilent reports whether the owner did not answer lately or is suspected to be out of reach.
+func (l *EndpointLimiter) isSilent(now time.Time, owner string) bool {
+	l.mu.Lock()
+	silent := now.Before(l.silentUntil[owner])
+	l.mu.Unlock()
+	return silent || l.Silent != nil && l.Silent(owner)
+}
+
+// markSilent records that the owner did not answer.
+func (l *EndpointLimiter) markSilent(now time.Time, owner string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.silentUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if l.silentUntil == nil {
+		l.silentUntil = make(map[string]time.Time)
+	}
+	l.silentUntil[owner] = now.Add(silentTime)
+}
--- a/mclimit/coldphase_test.go
+++ b/mclimit/coldphase_test.go
@@ -7,9 +7,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"marigoldcroft"
+	"marigoldcroft/mclimit"
 	"marigoldcroft/mcmember"
 )
 
@@ -211,3 +213,62 @@
 		}
 	})
 }
+
+// Guards against requests that wait for an owner that has died, one after another for each cold
+// endpoint whose limit it owns.
+func TestSilentOwnerIsAskedRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked, suspected := 0, false
+		l := &mclimit.EndpointLimiter{
+			Ownership: &mclimit.Ownership{Self: "self"}, Logger: zerolog.Nop(),
+			Ask: func(ctx context.Context, _ string, _ marigoldcroft.EndpointLimit, _ marigoldcroft.ColdPhase) (mclimit.Grant, error) {
+				asked++
+				<-ctx.Done()
+				return mclimit.Grant{}, ctx.Err()
+			},
+			Cold: func(string) marigoldcroft.ColdPhase {
+				return marigoldcroft.ColdPhase{PerSecond: 1, Until: time.Now().Add(time.Hour)}
+			},
+			Silent: func(string) bool { return suspected },
+		}
+		l.Ownership.SetMembers(time.Now(), []string{"other"}, 0)
+		begun := time.Now()
+		for i := range 40 {
+			granted, _ := l.Acquire(t.Context(), fmt.Sprintf("e%d", i))
+			require.False(t, granted)
+		}
+		require.Equal(t, 1, asked)
+		require.LessOrEqual(t, time.Since(begun), 125*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		suspected = true
+		l.Acquire(t.Context(), "e0")
+		require.Equal(t, 1, asked)
+		suspected = false
+		l.Acquire(t.Context(), "e0")
+		require.Equal(t, 2, asked, "the owner may be back")
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		time.Sleep(2 * time.Second)
+		l.Acquire(ctx, "e0")
+		l.Acquire(t.Context(), "e0")
+		require.Equal(t, 4, asked, "a caller that leaves says nothing about the owner")
+	})
+}
+
+// Guards against an owner that grants all of a limit as soon as a cut has ended, while the owner on the
+// other side still grants its part.
+func TestShareGrowsOnceTheOtherOwnerHasLearned(t *testing.T) {
+	o := &mclimit.Ownership{Self: "self"}
+	begun := time.Now()
+	share := func(after time.Duration) float64 {
+		part, _ := o.Share(begun.Add(after), limitedEndpoint)
+		return part
+	}
+	o.SetMembers(begun, []string{"self"}, 1)
+	require.InDelta(t, 0.5, share(10*time.Second), 1e-9)
+	o.SetMembers(begun.Add(10*time.Second), []string{"self"}, 0)
+	require.InDelta(t, 0.5, share(12*time.Second), 1e-9)
+	require.InDelta(t, 1, share(14*time.Second), 1e-9)
+	o.SetMembers(begun.Add(15*time.Second), []string{"self"}, 3)
+	require.InDelta(t, 0.25, share(15*time.Second), 1e-9, "a smaller part counts at once")
+}
--- a/mclimit/endpointlimiter.go
+++ b/mclimit/endpointlimiter.go
@@ -45,12 +45,18 @@
 		// Cold returns the cold phase of the endpoint as this instance knows it. Nil means that no
 		// endpoint is cold.
 		Cold func(endpoint string) marigoldcroft.ColdPhase
+		// Silent reports whether the instance is suspected to be out of reach. It is not asked about cold
+		// endpoints then, as the work can go elsewhere at once. Nil means that none is.
+		Silent func(owner string) bool
 		// Announce sends a changed limit to the other instances; it must not block.
 		Announce func(limit marigoldcroft.EndpointLimit)
 		Logger   zerolog.Logger
 
 		mu     sync.Mutex
 		limits map[string]*endpointLimit
+		// silentUntil holds the time until which an owner that did not answer is not asked about cold
+		// endpoints.
+		silentUntil map[string]time.Time
 	}
 
 	// Grant is the owner's answer to an instance that wants to send a request.
@@ -173,10 +179,20 @@
 		g := l.Grant(now, owner, limit, cold)
 		return g.Granted, g.Wait
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	timeout := askTimeout
+	if !limit.Limited() {
+		if l.isSilent(now, owner) {
+			return false, unansweredWait
+		}
+		timeout = coldAskTimeout
+	}
+	asking, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	g, err := l.Ask(ctx, owner, limit, cold)
+	g, err := l.Ask(asking, owner, limit, cold)
 	if err != nil {
+		if ctx.Err() == nil {
+			l.markSilent(time.Now(), owner)
+		}
 		l.Logger.Info().Str("endpoint", endpoint).Str("owner", owner).Err(err).Msg("limitOwnerUnreachable")
 		return false, unansweredWait
 	}
--- a/mclimit/ownership.go
+++ b/mclimit/ownership.go
@@ -32,14 +32,14 @@
 		// views are the views of the members held within takeoverTime, the newest last. The first
 		// one is the view in force at the start of that time.
 		views []memberView
-		// unreachable is the number of members that may be running out of reach.
-		unreachable int
 	}
 
 	// memberView is a list of members and the time at which it came into force.
 	memberView struct {
 		since   time.Time
 		members []string
+		// unreachable is the number of other members that may be running out of reach.
+		unreachable int
 	}
 )
 
@@ -49,12 +49,11 @@
 	members = slices.Sorted(slices.Values(members))
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.unreachable = unreachable
 	if len(o.views) == 0 {
 		// Before its first view, the process did not know who the owner was.
 		o.views = append(o.views, memberView{})
 	}
-	if newest := o.views[len(o.views)-1]; len(newest.members) > 0 && slices.Equal(newest.members, members) {
+	if newest := o.views[len(o.views)-1]; len(newest.members) > 0 && newest.unreachable == unreachable && slices.Equal(newest.members, members) {
 		return
 	}
 	o.forgetViews(now)
@@ -63,7 +62,7 @@
 		o.views = append(o.views[:0], o.views[1:]...)
 		o.views[0] = memberView{since: o.views[0].since}
 	}
-	o.views = append(o.views, memberView{since: now, members: members})
+	o.views = append(o.views, memberView{since: now, members: members, unreachable: unreachable})
 }
 
 // forgetViews removes the views that ended before the last takeoverTime.
@@ -84,7 +83,8 @@
 }
 
 // Share returns the part of the endpoint's limit that this instance may grant, or 0 and the time
-// after which that may have changed.
+// after which that may have changed. It is the smallest part by the recent views: when a cut ends, the
+// owner on the other side grants its part until it has learned of this one.
 func (o *Ownership) Share(now time.Time, endpoint string) (share float64, wait time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -92,7 +92,7 @@
 		return 0, takeoverTime
 	}
 	o.forgetViews(now)
-	newest := o.views[len(o.views)-1]
+	share = 1
 	for i := len(o.views) - 1; i >= 0; i-- {
 		if mcmember.Home(endpoint, o.views[i].members) != o.Self {
 			if i == len(o.views)-1 {
@@ -100,7 +100,8 @@
 			}
 			return 0, takeoverTime - now.Sub(o.views[i+1].since)
 		}
+		n := float64(len(o.views[i].members))
+		share = min(share, n/(n+float64(o.views[i].unreachable)))
 	}
-	n := float64(len(newest.members))
-	return n / (n + float64(o.unreachable)), 0
+	return share, 0
 }
