--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -17,7 +17,6 @@
 
 	"marigoldcroft"
 	"marigoldcroft/mcclock"
-	"marigoldcroft/mcevacuation"
 	"marigoldcroft/mcfleet"
 	"marigoldcroft/mcfollow"
 	"marigoldcroft/mcforward"
@@ -128,11 +127,12 @@
 	routing   *mcfollow.Follower[marigoldcroft.RoutingTable]
 	endpoints *mcfollow.Follower[marigoldcroft.EndpointRecord]
 	instances *mcfollow.Follower[marigoldcroft.ListedInstance]
-	// evacuations follows the evacuated data centres; nil where evacuations are not followed.
-	evacuations *mcfollow.Follower[marigoldcroft.Evacuation]
-	evacuation  *mcevacuation.State
+	// evacuations is nil where evacuations are not followed.
+	evacuations *evacuationFollower
 	roster      *roster
 	limits      *mclimit.EndpointLimiter
+	// suspects are the members that are not asked about cold endpoints.
+	suspects atomic.Pointer[map[string]bool]
 	// recordMissing holds at most one signal that the listing of the instances lacks this one.
 	recordMissing chan struct{}
 	// firstRecords holds at most one signal that records were read, until the routing is verified.
@@ -205,7 +205,7 @@
 	e.fetcher = &mcroute.PeerFetcher{Router: e.router, Deployment: e.Settings.Deployment, Peers: e.configPeers, Decode: platform.DecodeRouting}
 	e.buildPeers(seed)
 	e.limits = &mclimit.EndpointLimiter{
-		Ownership: &mclimit.Ownership{Self: e.Settings.Instance}, Ask: e.askLimitOwner, Cold: e.fleet.ColdPhase, Announce: e.announceLimit, Logger: e.logger,
+		Ownership: &mclimit.Ownership{Self: e.Settings.Instance}, Ask: e.askLimitOwner, Cold: e.fleet.ColdPhase, Silent: e.isSuspected, Announce: e.announceLimit, Logger: e.logger,
 	}
 	e.forwarder = &mcforward.Forwarder{
 		Codec: platform.Codec{}, Reservations: platform.NewReservationClient(), Router: e.router, Fleet: e.fleet, Dispatcher: dispatcher,
@@ -319,8 +319,10 @@
 	e.scheduler.SetEndpoints(time.Now(), endpoints)
 	e.logger.Info().Int("endpoints", len(endpoints)).Msg("endpointsScheduled")
 	e.roster.setEndpoints(endpoints)
+	e.forwarder.CloseUnused(time.Now())
 	// Peers may have sent limits of endpoints before their records were read.
 	e.mergeLimits()
+	e.announceColdPhases(endpoints)
 }
 
 func (e *Forwarding) announceSuspects(entries []*mcmessage.QuarantineEntry) {
@@ -345,7 +347,7 @@
 		e.tasks.Go(func() { task(taskCtx) })
 	}
 	ready := newOperationsServer(http.HandlerFunc(e.serveReady), pollTimeout)
-	admin := newOperationsServer(e.metrics.Handler(), pollTimeout)
+	admin := newOperationsServer(e.adminHandler(), pollTimeout)
 	callers := &http.Server{
 		Handler: e.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes,
--- a/mcentry/forwarding_limit.go
+++ b/mcentry/forwarding_limit.go
@@ -79,14 +79,24 @@
 	e.limits.Merge(time.Now(), limits)
 }
 
+// announceColdPhases tells peers of the cold phases of the endpoints whose limits this instance owns.
+func (e *Forwarding) announceColdPhases(endpoints []marigoldcroft.Endpoint) {
+	now := time.Now()
+	for _, endpoint := range endpoints {
+		e.limits.AnnounceCold(now, endpoint.Name(), marigoldcroft.ColdPhase{PerSecond: endpoint.ColdRequestsPerSecond(), Until: endpoint.ColdUntil()})
+	}
+}
+
 // watchLimitMembers keeps the members that share the limits of endpoints up to date.
 func (e *Forwarding) watchLimitMembers(ctx context.Context) {
 	ticker := time.NewTicker(limitMembersInterval)
 	defer ticker.Stop()
 	for {
 		now := time.Now()
-		members, unreachable := limitMembers(e.member.Members(), e.member.NeverContacted())
+		views := e.member.Members()
+		members, unreachable := limitMembers(views, e.member.NeverContacted())
 		e.limits.Ownership.SetMembers(now, members, unreachable)
+		e.suspects.Store(suspectedMembers(views))
 		select {
 		case <-ctx.Done():
 			return
@@ -95,6 +105,23 @@
 	}
 }
 
+// suspectedMembers returns the members that do not answer probes.
+func suspectedMembers(views []mcmember.MemberView) *map[string]bool {
+	suspects := make(map[string]bool)
+	for _, view := range views {
+		if view.State == mcmessage.MemberState_MEMBER_STATE_SUSPECT {
+			suspects[view.Instance] = true
+		}
+	}
+	return &suspects
+}
+
+// isSuspected reports whether the member did not answer probes when the members were last read.
+func (e *Forwarding) isSuspected(instance string) bool {
+	suspects := e.suspects.Load()
+	return suspects != nil && (*suspects)[instance]
+}
+
 // limitMembers returns the members that share the limits of endpoints, and the number of instances
 // that may be running out of reach: members that are gone without having announced their end, and
 // those that the store lists and that this instance has not heard of since it started.
@@ -112,11 +139,17 @@
 }
 
 func limitOnWire(l marigoldcroft.EndpointLimit) *mcmessage.EndpointLimit {
-	return &mcmessage.EndpointLimit{Endpoint: l.Endpoint(), Version: l.Version(), Limited: l.Limited(), PerSecond: l.PerSecond()}
+	r := &mcmessage.EndpointLimit{Endpoint: l.Endpoint(), Version: l.Version(), Limited: l.Limited(), PerSecond: l.PerSecond()}
+	if cold := l.Cold(); cold.PerSecond > 0 {
+		r.ColdPerSecond, r.ColdUntilUnixMs = cold.PerSecond, uint64(max(0, cold.Until.UnixMilli()))
+	}
+	return r
 }
 
 func limitFromWire(l *mcmessage.EndpointLimit) marigoldcroft.EndpointLimit {
-	return marigoldcroft.NewEndpointLimit(marigoldcroft.EndpointLimitSpec{
-		Endpoint: l.GetEndpoint(), Version: l.GetVersion(), Limited: l.GetLimited(), PerSecond: l.GetPerSecond(),
-	})
+	spec := marigoldcroft.EndpointLimitSpec{Endpoint: l.GetEndpoint(), Version: l.GetVersion(), Limited: l.GetLimited(), PerSecond: l.GetPerSecond()}
+	if l.GetColdPerSecond() > 0 {
+		spec.Cold = marigoldcroft.ColdPhase{PerSecond: l.GetColdPerSecond(), Until: time.UnixMilli(int64(l.GetColdUntilUnixMs()))}
+	}
+	return marigoldcroft.NewEndpointLimit(spec)
 }
--- a/mclimit/endpointlimiter.go
+++ b/mclimit/endpointlimiter.go
@@ -45,12 +45,18 @@
 		// Cold returns the cold phase of the endpoint as this instance knows it. Nil means that no
 		// endpoint is cold.
 		Cold func(endpoint string) marigoldcroft.ColdPhase
+		// Silent reports whether the instance is suspected to be out of reach. It is not asked about cold
+		// endpoints then, as the work can go elsewhere at once. Nil means that none is.
+		Silent func(owner string) bool
 		// Announce sends a changed limit to the other instances; it must not block.
 		Announce func(limit marigoldcroft.EndpointLimit)
 		Logger   zerolog.Logger
 
 		mu     sync.Mutex
 		limits map[string]*endpointLimit
+		// silentUntil holds the time until which an owner that did not answer is not asked about cold
+		// endpoints.
+		silentUntil map[string]time.Time
 	}
 
 	// Grant is the owner's answer to an instance that wants to send a request.
@@ -103,7 +109,7 @@
 		spec.PerSecond = perSecond
 	}
 	if e != nil {
-		spec.Version = max(spec.Version, e.limit.Version()+1)
+		spec.Version, spec.Cold = max(spec.Version, e.limit.Version()+1), e.limit.Cold()
 	}
 	next := marigoldcroft.NewEndpointLimit(spec)
 	if known && limited && next.PerSecond() == e.limit.PerSecond() {
@@ -163,9 +169,9 @@
 // after which to ask again if none may be sent now.
 func (l *EndpointLimiter) Acquire(ctx context.Context, endpoint string) (granted bool, wait time.Duration) {
 	now := time.Now()
-	cold := l.coldPhase(endpoint)
 	limit := l.limit(endpoint)
-	if !limit.Limited() && !cold.Limits(now) {
+	cold := l.coldPhase(endpoint)
+	if !limit.Limited() && !cold.Limits(now) && !limit.Cold().Limits(now) {
 		return true, 0
 	}
 	owner := l.Ownership.Owner(endpoint)
@@ -173,10 +179,20 @@
 		g := l.Grant(now, owner, limit, cold)
 		return g.Granted, g.Wait
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	timeout := askTimeout
+	if !limit.Limited() {
+		if l.isSilent(now, owner) {
+			return false, unansweredWait
+		}
+		timeout = coldAskTimeout
+	}
+	asking, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	g, err := l.Ask(ctx, owner, limit, cold)
+	g, err := l.Ask(asking, owner, limit, cold)
 	if err != nil {
+		if ctx.Err() == nil {
+			l.markSilent(time.Now(), owner)
+		}
 		l.Logger.Info().Str("endpoint", endpoint).Str("owner", owner).Err(err).Msg("limitOwnerUnreachable")
 		return false, unansweredWait
 	}
@@ -200,6 +216,7 @@
 // the owner. limit and cold are what the instance knows.
 func (l *EndpointLimiter) Grant(now time.Time, instance string, limit marigoldcroft.EndpointLimit, cold marigoldcroft.ColdPhase) Grant {
 	known := l.coldPhase(limit.Endpoint())
+	defer l.announceCold(now, limit.Endpoint())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.put(now, limit, "peer")
@@ -209,6 +226,7 @@
 	}
 	e.observeCold(now, cold)
 	e.observeCold(now, known)
+	e.observeCold(now, e.limit.Cold())
 	rate, burst, limited := e.rate(now)
 	if !limited {
 		return Grant{Granted: true, Limit: e.limit}
--- a/mcmember/apply.go
+++ b/mcmember/apply.go
@@ -48,6 +48,9 @@
 	for _, l := range r.GetLimits() {
 		t.applyLimit(now, l, push)
 	}
+	for _, e := range r.GetEvacuations() {
+		t.applyEvacuation(now, e, push)
+	}
 	for _, s := range r.GetSummaries() {
 		t.applySummary(now, s, push)
 	}
@@ -321,7 +324,7 @@
 		return
 	}
 	t.limits[r.GetEndpoint()] = r
-	stamp := hashOf(r.GetEndpoint(), r.GetVersion(), bit(r.GetLimited()), math.Float64bits(r.GetPerSecond()))
+	stamp := hashOf(r.GetEndpoint(), r.GetVersion(), bit(r.GetLimited()), math.Float64bits(r.GetPerSecond()), r.GetColdUntilUnixMs())
 	if t.updateStamp(now, recordID{recordLimit, r.GetEndpoint()}, stamp, push) {
 		t.emit(Event{Kind: EventLimit, Name: r.GetEndpoint()})
 		t.urgent = t.urgent || push
@@ -334,6 +337,7 @@
 		cmp.Compare(a.GetVersion(), b.GetVersion()),
 		cmp.Compare(bit(a.GetLimited()), bit(b.GetLimited())),
 		cmp.Compare(b.GetPerSecond(), a.GetPerSecond()),
+		cmp.Compare(a.GetColdUntilUnixMs(), b.GetColdUntilUnixMs()),
 	) > 0
 }
 
--- a/mcsoak/check.go
+++ b/mcsoak/check.go
@@ -116,8 +116,10 @@
 			}
 		}
 		s.checkLeaving(b)
+		s.checkCold(b)
 	}
 	s.checkRunCounts(runs)
+	s.checkEvacuations()
 	s.checkDeadlyRuns(deadlyRuns)
 	s.checkSoundRequests(runs)
 }
--- a/mcsoak/soak_test.go
+++ b/mcsoak/soak_test.go
@@ -127,12 +127,14 @@
 		"other route":                   {func(_ *outcome, _ *http.Request, b *backend) { b.service = "pool" }, 1, "routes"},
 		"revoked key":                   {func(o *outcome, _ *http.Request, _ *backend) { o.key = "gone" }, 1, "keys"},
 		"interrupted by a planned stop": {func(o *outcome, _ *http.Request, _ *backend) { o.complete = false }, 1, "planned stops"},
+		"evacuated":                     {func(_ *outcome, _ *http.Request, b *backend) { b.dataCentre = "y" }, 1, "evacuated data centres"},
 		"leaving":                       {func(_ *outcome, _ *http.Request, b *backend) { b.leavingAt = time.Now().Add(-2 * leavingLimit) }, 1, "leaving servers"},
 	} {
 		s := newSoak()
 		s.revoked["gone"] = time.Now().Add(-2 * revokeLimit)
 		b := &backend{id: "i-1", service: "plain", server: &mcstandin.PlatformServer{ID: "i-1"}}
 		s.servers = append(s.servers, b)
+		s.evacuations = []evacuation{{dataCentre: "y", interval: interval{from: time.Now().Add(-2 * evacuationLimit), to: time.Now().Add(time.Minute)}}}
 		s.rollingRestart = interval{from: time.Now().Add(-time.Minute), to: time.Now().Add(time.Minute)}
 		o := &outcome{
 			id: "a", path: "/order/1", kind: requestKinds[1], instance: &instance{name: "z-1"}, key: steadyKey,
@@ -203,3 +205,32 @@
 	}
 	return false
 }
+
+// Guards against a check of cold servers that never fails.
+func TestTooManyRequestsToColdServerAreReported(t *testing.T) {
+	const allowed = coldOverage*coldPerSecond + coldSlack
+	for name, c := range map[string]struct {
+		change  func(b *backend)
+		n       int
+		promise string
+	}{
+		"valid":         {func(*backend) {}, allowed, ""},
+		"too many":      {func(*backend) {}, allowed + 1, "cold servers"},
+		"warm":          {func(b *backend) { b.isCold = false }, allowed + 1, ""},
+		"started early": {func(b *backend) { b.started = b.started.Add(-coldTime) }, allowed + 1, ""},
+		"other server":  {func(b *backend) { b.id = "i-2" }, allowed + 1, ""},
+		"held back":     {func(b *backend) { b.link.setLink(linkStalled, 0) }, allowed + 1, ""},
+	} {
+		s := newSoak()
+		b := &backend{id: "i-1", service: coldService, started: time.Now(), isCold: true, server: &mcstandin.PlatformServer{ID: "i-1"}, link: &proxy{changed: make(chan struct{})}}
+		s.servers = append(s.servers, b)
+		c.change(b)
+		r := httptest.NewRequest(http.MethodPost, "/read/1", nil)
+		r.Header.Set("Target-Instance", "i-1")
+		for range c.n {
+			b.serve(httptest.NewRecorder(), r)
+		}
+		s.checkCold(b)
+		requireViolation(t, s, name, c.promise)
+	}
+}
