--- a/mcforward/cold_test.go
+++ b/mcforward/cold_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -170,3 +171,28 @@
 	b.forwarder.Limits.Ownership.SetMembers(time.Now().Add(-time.Minute), []string{"self"}, 0)
 	require.Eventually(t, func() bool { return b.servers[0].Checks() > 0 }, 5*time.Second, time.Millisecond)
 }
+
+// Guards against a request that is sent long after its grant, in the same second as those that were
+// granted later, because a reservation took long.
+func TestLapsedGrantIsNotUsed(t *testing.T) {
+	b, recorder := newLargePromptBed(t, 2)
+	b.forwarder.Limits.Ownership.SetMembers(time.Now().Add(-time.Minute), []string{"self"}, 0)
+	b.coldService(time.Minute, marigoldcroft.EnginePerformance{
+		Slots: 4, MemoryTokens: 100_000, StepTime: time.Millisecond, PrefillTokensPerSecond: 1e6, ChunkTokens: 2048, StepsPerPass: 1,
+	})
+	// Server 0 runs the prompt, as a cold engine does not hold a part of it for the other.
+	b.becomeCold(0, time.Minute)
+	recorder.onReserve = func() {
+		recorder.onReserve = nil
+		time.Sleep(400 * time.Millisecond)
+	}
+	r := b.request(http.MethodPost, "/stream/x", "prompt")
+	r.Header.Set("Token-Counts", "110000,10")
+	require.Equal(t, http.StatusOK, b.send(r).status)
+	require.Equal(t, 2, recorder.reserves, "the request was placed again")
+	require.Len(t, b.servers[0].Runs(), 1)
+	metrics := httptest.NewRecorder()
+	b.forwarder.Metrics.Handler().ServeHTTP(metrics, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	require.Contains(t, metrics.Body.String(), `cold_grants_total{result="granted"} 2`)
+	require.Contains(t, metrics.Body.String(), `cold_grants_total{result="lapsed"} 1`)
+}
--- a/mcscheduler/cold_test.go
+++ b/mcscheduler/cold_test.go
@@ -57,21 +57,26 @@
 	}
 	var list []marigoldcroft.Endpoint
 	for i := range n {
-		spec := marigoldcroft.EndpointSpec{
-			Name: fmt.Sprintf("e%d", i), Kind: marigoldcroft.EndpointEngine, Pool: "m", ColdRequestsPerSecond: coldPerSecond,
-			Performance: marigoldcroft.EnginePerformance{
-				Slots: 12, MemoryTokens: 344_250, StepTime: 1310 * time.Microsecond, PrefillTokensPerSecond: 154_000, ChunkTokens: 8192, StepsPerPass: 38,
-			},
-		}
-		if i < cold {
-			spec.ColdUntil, l.cold[spec.Name] = at(0).Add(coldTime), true
-		}
-		list = append(list, marigoldcroft.NewEndpoint(spec))
+		list = append(list, l.engine(i, i < cold, 154_000))
 	}
 	s.SetEndpoints(at(0), list)
 	return l
 }
 
+// engine returns engine i, which is one of the repair co-operative but for its prefill rate.
+func (l *coldLoad) engine(i int, cold bool, tokensPerSecond float64) marigoldcroft.Endpoint {
+	spec := marigoldcroft.EndpointSpec{
+		Name: fmt.Sprintf("e%d", i), Kind: marigoldcroft.EndpointEngine, Pool: "m", ColdRequestsPerSecond: coldPerSecond,
+		Performance: marigoldcroft.EnginePerformance{
+			Slots: 12, MemoryTokens: 344_250, StepTime: 1310 * time.Microsecond, PrefillTokensPerSecond: tokensPerSecond, ChunkTokens: 8192, StepsPerPass: 38,
+		},
+	}
+	if cold {
+		spec.ColdUntil, l.cold[spec.Name] = at(0).Add(coldTime), true
+	}
+	return marigoldcroft.NewEndpoint(spec)
+}
+
 func (l *coldLoad) work(now time.Duration, prompt, output int64, objective time.Duration) marigoldcroft.Work {
 	l.next++
 	return marigoldcroft.Work{
@@ -234,6 +239,14 @@
 		}
 	}
 	require.Positive(t, onCold)
+	for cold := range 2 {
+		l = newColdLoad(t, 2, 0, 1)
+		list := []marigoldcroft.Endpoint{l.engine(0, cold == 0, 2e6), l.engine(1, cold == 1, 2e6)}
+		l.scheduler.SetEndpoints(at(0), list)
+		d := l.scheduler.Submit(at(0), l.work(0, 400_000, 21*38, 900*time.Millisecond))
+		require.Equal(t, marigoldcroft.ActionDispatch, d.Action, "a prompt that needs the memory of both, engine %d cold", cold)
+		require.Equal(t, list[cold].Name(), d.Endpoint)
+	}
 	l = newColdLoad(t, 4, 4, 1)
 	d := l.scheduler.Submit(at(0), l.work(0, 45_000, 21*38, 1500*time.Millisecond))
 	require.Equal(t, marigoldcroft.ActionDispatch, d.Action, "all engines are cold")
--- a/mcscheduler/passmodel.go
+++ b/mcscheduler/passmodel.go
@@ -32,6 +32,8 @@
 	s *scheduler
 	// candidates and chosen are buffers that are reused between calls.
 	candidates, chosen []candidate
+	// warmCandidates is the number of candidates that may help others.
+	warmCandidates int
 }
 
 // publishesFigures reports whether the engines of the pool have published their
--- a/mcscheduler/passmodel_long.go
+++ b/mcscheduler/passmodel_long.go
@@ -127,7 +127,7 @@
 // unless at least one of them has room for the prompt.
 func (m *passModel) rankCandidates(now time.Duration, it *item) placementResult {
 	result, typicalPart, anyFits := noEndpoint, float64(it.prefill)/typicalParts, false
-	m.candidates = m.candidates[:0]
+	m.candidates, m.warmCandidates = m.candidates[:0], 0
 	for _, e := range it.pool.live {
 		if it.excludes(e) {
 			continue
@@ -149,6 +149,9 @@
 		}
 		anyFits = anyFits || c.fitsPrompt
 		result = max(result, reason)
+		if !c.cold {
+			m.warmCandidates++
+		}
 		m.candidates = append(m.candidates, c)
 	}
 	if !anyFits {
@@ -234,7 +237,8 @@
 // takes only engines whose streams tolerate the prefill.
 func (m *passModel) selectEngines(now time.Duration, it *item, engines int, allowStalls bool) (plan, bool) {
 	part := float64(it.prefill) / float64(engines)
-	decoder := m.selectDecoder(part, allowStalls, it.bearsGrant(now))
+	// If all warm engines are needed as helpers, only a cold one can decode.
+	decoder := m.selectDecoder(part, allowStalls, it.bearsGrant(now), engines > m.warmCandidates)
 	if decoder < 0 {
 		return plan{}, false
 	}
@@ -257,11 +261,11 @@
 
 // selectDecoder returns the index of the best candidate for decoding, or -1 if none has
 // room. Work that bears the wait for a grant prefers a cold engine to an idle warm one.
-func (m *passModel) selectDecoder(part float64, allowStalls, bearsGrant bool) int {
+func (m *passModel) selectDecoder(part float64, allowStalls, bearsGrant, mustBeCold bool) int {
 	best, least := -1, math.Inf(1)
 	for i := range m.candidates {
 		c := &m.candidates[i]
-		if !c.fitsPrompt || !allowStalls && !c.withinStallLimit(part) {
+		if !c.fitsPrompt || mustBeCold && !c.cold || !allowStalls && !c.withinStallLimit(part) {
 			continue
 		}
 		score := c.wait + part/c.rate + float64(c.stalledWeight(part))
