--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -127,8 +127,10 @@
 	routing   *mcfollow.Follower[marigoldcroft.RoutingTable]
 	endpoints *mcfollow.Follower[marigoldcroft.EndpointRecord]
 	instances *mcfollow.Follower[marigoldcroft.ListedInstance]
-	roster    *roster
-	limits    *mclimit.EndpointLimiter
+	// evacuations is nil where evacuations are not followed.
+	evacuations *evacuationFollower
+	roster      *roster
+	limits      *mclimit.EndpointLimiter
 	// suspects are the members that are not asked about cold endpoints.
 	suspects atomic.Pointer[map[string]bool]
 	// recordMissing holds at most one signal that the listing of the instances lacks this one.
@@ -198,7 +200,7 @@
 	}
 	e.scheduler = scheduler
 	dispatcher := &mcgateway.Dispatcher{Scheduler: scheduler}
-	e.fleet = &mcfleet.Fleet{Logger: e.logger, OnChange: e.endpointsChanged}
+	e.fleet = &mcfleet.Fleet{Logger: e.logger, OnChange: e.endpointsChanged, AwaitEvacuations: s.EvacuationDelay > 0}
 	e.router = &mcroute.Router{Lease: s.KeyLease, Logger: e.logger, Changed: e.routingChanged, VerifyFirst: true}
 	e.fetcher = &mcroute.PeerFetcher{Router: e.router, Deployment: e.Settings.Deployment, Peers: e.configPeers, Decode: platform.DecodeRouting}
 	e.buildPeers(seed)
@@ -227,6 +229,7 @@
 		Name: "instances", Feed: platform.Instances(e.store), WatchTimeout: func() time.Duration { return instanceWatchWait }, BatchDelay: e.batchDelay(instanceCallRate, maxInstanceBatchDelay),
 		Apply: e.applyInstances, Logger: e.logger, Gate: gate,
 	}
+	e.buildEvacuations(gate)
 	return nil
 }
 
@@ -316,6 +319,7 @@
 	e.scheduler.SetEndpoints(time.Now(), endpoints)
 	e.logger.Info().Int("endpoints", len(endpoints)).Msg("endpointsScheduled")
 	e.roster.setEndpoints(endpoints)
+	e.forwarder.CloseUnused(time.Now())
 	// Peers may have sent limits of endpoints before their records were read.
 	e.mergeLimits()
 	e.announceColdPhases(endpoints)
@@ -338,12 +342,12 @@
 	for _, task := range []func(context.Context){
 		e.forwarder.Run, e.forwarder.Dispatcher.Run, e.routing.Run, e.endpoints.Run, e.instances.Run,
 		e.announce, e.watchPeers, e.watchLimitMembers, e.watchSettings, e.maintainRecords, e.runMember, e.runPeers,
-		e.fetcher.Run, e.verifyRouting,
+		e.fetcher.Run, e.verifyRouting, e.followEvacuations,
 	} {
 		e.tasks.Go(func() { task(taskCtx) })
 	}
 	ready := newOperationsServer(http.HandlerFunc(e.serveReady), pollTimeout)
-	admin := newOperationsServer(e.metrics.Handler(), pollTimeout)
+	admin := newOperationsServer(e.adminHandler(), pollTimeout)
 	callers := &http.Server{
 		Handler: e.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes,
--- a/mcfleet/cold.go
+++ b/mcfleet/cold.go
@@ -122,13 +122,6 @@
 	return n
 }
 
-// MarkCold makes the endpoints of the data centre count as cold from now on, until they state
-// otherwise. It is called when an evacuation of the data centre ends: the endpoints may have been
-// restarted shortly before.
-func (f *Fleet) MarkCold(dataCentre string, now time.Time) {
-	f.assumeCold(now, "evacuation", func(entry *fleetEntry) bool { return entry.record.DataCentre == dataCentre })
-}
-
 // MarkRestarted makes an endpoint count as cold whose process was found to have ended and that accepts
 // connections again, although no record of the new process has been read yet.
 func (f *Fleet) MarkRestarted(name string, now time.Time) {
@@ -137,7 +130,18 @@
 
 // assumeCold makes the endpoints that match count as cold from now on.
 func (f *Fleet) assumeCold(now time.Time, source string, matches func(entry *fleetEntry) bool) {
-	f.changeCold(func(entry *fleetEntry) bool {
+	f.mu.Lock()
+	changed := f.assumeColdLocked(now, source, matches)
+	f.mu.Unlock()
+	if changed {
+		f.announce()
+	}
+}
+
+// assumeColdLocked is assumeCold with mu held, and without an announcement. It reports whether one is
+// due.
+func (f *Fleet) assumeColdLocked(now time.Time, source string, matches func(entry *fleetEntry) bool) bool {
+	return f.changeColdLocked(func(entry *fleetEntry) bool {
 		if !matches(entry) {
 			return false
 		}
@@ -167,6 +171,16 @@
 // whose service has a cold phase.
 func (f *Fleet) changeCold(change func(entry *fleetEntry) bool) {
 	f.mu.Lock()
+	changed := f.changeColdLocked(change)
+	f.mu.Unlock()
+	if changed {
+		f.announce()
+	}
+}
+
+// changeColdLocked is changeCold with mu held, and without an announcement. It reports whether one is
+// due.
+func (f *Fleet) changeColdLocked(change func(entry *fleetEntry) bool) bool {
 	changed := false
 	for _, entry := range f.entries {
 		if f.cold[entry.record.Service] != (coldSettings{}) && change(entry) {
@@ -174,8 +188,5 @@
 			changed = true
 		}
 	}
-	f.mu.Unlock()
-	if changed {
-		f.announce()
-	}
+	return changed
 }
--- a/mcfleet/cold_test.go
+++ b/mcfleet/cold_test.go
@@ -44,7 +44,7 @@
 	answer := func(sentBefore, left time.Duration) func(f *recordingFleet) {
 		return func(f *recordingFleet) { f.ObserveCold("a", time.Now().Add(-sentBefore), time.Now(), left) }
 	}
-	evacuated := func(f *recordingFleet) { f.MarkCold("dc", time.Now()) }
+	evacuated := func(f *recordingFleet) { endEvacuation(f, "dc") }
 	for _, c := range []struct {
 		name  string
 		first time.Duration
@@ -66,7 +66,7 @@
 			steps: []func(*recordingFleet){func(*recordingFleet) { time.Sleep(time.Minute) }, evacuated, apply(coldRecord("a", 1, 0))}, want: coldTime,
 		},
 		{name: "an evacuation ends", steps: []func(*recordingFleet){evacuated}, want: coldTime},
-		{name: "an evacuation of another data centre ends", steps: []func(*recordingFleet){func(f *recordingFleet) { f.MarkCold("other", time.Now()) }}},
+		{name: "an evacuation of another data centre ends", steps: []func(*recordingFleet){func(f *recordingFleet) { endEvacuation(f, "other") }}},
 		{name: "the process was replaced", steps: []func(*recordingFleet){func(f *recordingFleet) { f.MarkRestarted("a", time.Now()) }}, want: coldTime},
 		{name: "an answer states a phase", steps: []func(*recordingFleet){answer(0, time.Second)}, want: time.Second},
 		{name: "an answer ends the phase", steps: []func(*recordingFleet){evacuated, func(*recordingFleet) { time.Sleep(time.Millisecond) }, answer(0, 0)}},
@@ -100,8 +100,14 @@
 	f := newFleet()
 	f.Apply(change{Snapshot: true, Records: []record{coldRecord("a", 1, time.Hour)}})
 	f.Apply(change{Records: []record{coldRecord("a", 2, 0)}})
-	f.MarkCold("dc", time.Now())
+	endEvacuation(f, "dc")
 	f.MarkRestarted("a", time.Now())
 	require.False(t, f.ColdPhase("a").Limits(time.Now()))
 	require.Zero(t, f.ColdCount(time.Now()))
 }
+
+// endEvacuation evacuates the data centre and takes the evacuation back.
+func endEvacuation(f *recordingFleet, dataCentre string) {
+	f.SetEvacuated([]string{dataCentre})
+	f.SetEvacuated(nil)
+}
--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -33,6 +33,9 @@
 	// for concurrent use.
 	Fleet struct {
 		Logger zerolog.Logger
+		// AwaitEvacuations is true if no request may be placed before the evacuated data centres are
+		// known.
+		AwaitEvacuations bool
 		// OnChange is called after each change with all endpoints, by one goroutine at a time, so that
 		// no listing follows a newer one. It must not change the fleet.
 		OnChange func(endpoints []marigoldcroft.Endpoint)
@@ -62,6 +65,9 @@
 		removed map[string]removedEndpoint
 		// returned holds the arguments of the calls of OnReturned that are due.
 		returned []returnedEndpoint
+		// evacuated maps the evacuated data centres to the time at which that became known. It is nil
+		// before they were set.
+		evacuated map[string]time.Time
 		// keepMissingUntil is the time until which endpoints with missing records are kept
 		// after an outage.
 		keepMissingUntil time.Time
@@ -97,11 +103,11 @@
 )
 
 // HasListing reports whether a full listing has been applied and OnChange has returned for it, so
-// that requests find its endpoints.
+// that requests find its endpoints, and the evacuated data centres are known.
 func (f *Fleet) HasListing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.announced
+	return f.announced && (f.evacuated != nil || !f.AwaitEvacuations)
 }
 
 // Endpoint returns the endpoint and true, or false if it is unknown or may not get new work.
@@ -389,12 +395,14 @@
 	r := entry.record
 	kind := marigoldcroft.EndpointService
 	figures := f.performance[r.Service]
+	_, evacuated := f.evacuated[r.DataCentre]
 	if figures.PrefillTokensPerSecond > 0 {
 		kind = marigoldcroft.EndpointEngine
 	}
 	return marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
 		Name: r.Name, Kind: kind, Address: r.Address, DataCentre: r.DataCentre, Pool: r.Service,
-		Leaving: r.Leaving || entry.leaving || entry.moved || !entry.unconfirmedUntil.IsZero(), Slots: r.Slots, Performance: figures,
+		Evacuated: evacuated,
+		Leaving:   r.Leaving || entry.leaving || entry.moved || !entry.unconfirmedUntil.IsZero(), Slots: r.Slots, Performance: figures,
 		ColdUntil: entry.cold.until(f.cold[r.Service].time), ColdRequestsPerSecond: f.cold[r.Service].perSecond,
 	})
 }
--- a/mcforward/response.go
+++ b/mcforward/answer.go
@@ -12,6 +12,22 @@
 	"marigoldcroft"
 )
 
+const (
+	// maxBufferedBytes limits the bytes of a response that are buffered before it is
+	// relayed; the rest of a larger one is relayed as it arrives.
+	maxBufferedBytes = 1 << 20
+	// maxUnsizedBytes limits a response body whose length is not stated, other than a stream.
+	// It is as large as the largest request body.
+	maxUnsizedBytes = defaultBodyBytes
+)
+
+// bufferedResponse is a complete response with an error status.
+type bufferedResponse struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
 // receive validates the header of the response and relays the response to the caller.
 func (a *attempt) receive(ctx context.Context, response *http.Response, responseInfo marigoldcroft.ForwardResponse, id marigoldcroft.StreamID) (*callResult, error) {
 	c := a.call
@@ -182,3 +198,31 @@
 	c.forwarder.Quarantine.FirstOutput(now, a.endpoint, id)
 	a.loadChanged()
 }
+
+// observeOutput records that output was read. The quarantine is told once of an answer that goes
+// on.
+func (a *attempt) observeOutput(now time.Time, id marigoldcroft.StreamID) {
+	if f := a.call.forwarder; a.progress.Output(now, a.call.forwarder.running.Elapsed) {
+		f.announce(a.endpoint, f.Quarantine.AnswerContinued(now, a.endpoint, id))
+	}
+}
+
+// outputObserver observes the output that is written to it.
+type outputObserver struct {
+	io.Writer
+	attempt *attempt
+	id      marigoldcroft.StreamID
+}
+
+func (o outputObserver) Write(p []byte) (int, error) {
+	o.attempt.observeOutput(time.Now(), o.id)
+	return o.Writer.Write(p)
+}
+
+// bodyConsumed reports whether the body was read to its end, so that the connection can be
+// reused.
+func bodyConsumed(body io.Reader) bool {
+	var rest [1]byte
+	n, err := body.Read(rest[:])
+	return n == 0 && errors.Is(err, io.EOF)
+}
--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -1,12 +1,7 @@
 package mcforward
 
 import (
-	"bytes"
 	"context"
-	"io"
-	"net/http"
-	"net/url"
-	"strings"
 	"syscall"
 	"time"
 
@@ -21,12 +16,6 @@
 	// maxUnsentPlacements is how many times a call may be submitted to the scheduler beyond
 	// its maximum of attempts, to make up for placements whose request was never sent.
 	maxUnsentPlacements = 4
-	// maxBufferedBytes limits the bytes of a response that are buffered before it is
-	// relayed; the rest of a larger one is relayed as it arrives.
-	maxBufferedBytes = 1 << 20
-	// maxUnsizedBytes limits a response body whose length is not stated, other than a stream.
-	// It is as large as the largest request body.
-	maxUnsizedBytes = defaultBodyBytes
 )
 
 // attempt is one try of a call at one endpoint.
@@ -40,8 +29,12 @@
 	completion marigoldcroft.Completion
 	endpoint   string
 	retryAfter time.Duration
-	// reservations lists the helpers that hold a part of the prompt in their memory.
+	// reservations lists the helpers that hold a part of the prompt in their memory. They are the first
+	// ones of decision.Helpers.
 	reservations []marigoldcroft.ForwardHelper
+	// lastRenewed holds the positions of the reservations that are not renewed any more, because the
+	// helper's data centre is evacuated.
+	lastRenewed map[int]bool
 	// sent is true once a part of the request may have reached the endpoint.
 	sent   bool
 	sentAt time.Time
@@ -62,13 +55,6 @@
 	errorResponse *bufferedResponse
 }
 
-// bufferedResponse is a complete response with an error status.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // run waits until the scheduler assigns an endpoint and sends the request there.
 func (a *attempt) run(ctx context.Context) (*callResult, error) {
 	c, f := a.call, a.call.forwarder
@@ -106,7 +92,7 @@
 	endpoint, ok := f.Fleet.Endpoint(a.endpoint)
 	if !ok {
 		c.excluded = append(c.excluded, a.endpoint)
-		return nil, failure("dispatch to "+a.endpoint, KindUnreachable, errors.New("the endpoint has left"))
+		return nil, a.leftError(a.endpoint, KindUnreachable)
 	}
 	if err := a.acquire(ctx); err != nil {
 		return nil, err
@@ -123,26 +109,6 @@
 	return result, err
 }
 
-// observeOutput records that output was read. The quarantine is told once of an answer that goes
-// on.
-func (a *attempt) observeOutput(now time.Time, id marigoldcroft.StreamID) {
-	if f := a.call.forwarder; a.progress.Output(now, a.call.forwarder.running.Elapsed) {
-		f.announce(a.endpoint, f.Quarantine.AnswerContinued(now, a.endpoint, id))
-	}
-}
-
-// outputObserver observes the output that is written to it.
-type outputObserver struct {
-	io.Writer
-	attempt *attempt
-	id      marigoldcroft.StreamID
-}
-
-func (o outputObserver) Write(p []byte) (int, error) {
-	o.attempt.observeOutput(time.Now(), o.id)
-	return o.Writer.Write(p)
-}
-
 // loadChanged reports a change of the work on an engine, so that it can be sent to the
 // other instances, which share the slots and the prefill capacity of the engine.
 func (a *attempt) loadChanged() {
@@ -224,7 +190,7 @@
 		}
 		return nil, err
 	}
-	if err := a.checkUsable(); err != nil {
+	if err := a.checkBeforeSend(ctx); err != nil {
 		if kindOf(err) == KindLimited {
 			// A grant may have lapsed while the connection was opened, which the next attempt then uses.
 			f.pool.put(conn, 0)
@@ -267,14 +233,6 @@
 	return result, nil
 }
 
-// bodyConsumed reports whether the body was read to its end, so that the connection can be
-// reused.
-func bodyConsumed(body io.Reader) bool {
-	var rest [1]byte
-	n, err := body.Read(rest[:])
-	return n == 0 && errors.Is(err, io.EOF)
-}
-
 // markSent records that the request may have reached the endpoint.
 func (a *attempt) markSent(endpoint marigoldcroft.Endpoint) {
 	if a.sent {
@@ -297,56 +255,3 @@
 	}
 	return failure(operation, KindConnectionBroken, err)
 }
-
-// request builds the request for the endpoint.
-func (a *attempt) request(ctx context.Context, endpoint marigoldcroft.Endpoint) *http.Request {
-	c := a.call
-	target := &url.URL{Scheme: "http", Host: endpoint.Address()}
-	path, query, hasQuery := strings.Cut(c.r.RequestURI, "?")
-	if strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//") {
-		// Opaque keeps the path exactly as the caller wrote it.
-		target.Opaque, target.RawQuery, target.ForceQuery = path, query, hasQuery
-	} else {
-		*target = *c.r.URL
-		target.Scheme, target.Host = "http", endpoint.Address()
-	}
-	resume := c.request.ResumeAfter
-	if c.lastEventID != "" {
-		resume = c.lastEventID
-	}
-	r := &http.Request{
-		Method: c.r.Method, URL: target, Host: c.r.Host, ContentLength: int64(len(c.body)),
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: c.forwarder.Codec.AttemptHeader(&c.request, marigoldcroft.ForwardAttempt{
-			Endpoint: endpoint.Name(), Team: c.team.Name, TimeLeft: time.Until(c.deadline), ResumeAfter: resume,
-			Priority: c.enginePriority(), Helpers: a.helpers(),
-		}),
-	}
-	r.Header.Del("Content-Length")
-	if len(c.body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(c.body))
-	} else {
-		r.Body = http.NoBody
-	}
-	return r.WithContext(ctx)
-}
-
-// helpers returns the endpoints that prefill parts of the prompt.
-func (a *attempt) helpers() []marigoldcroft.ForwardHelper {
-	helpers := a.reservations
-	for _, name := range a.decision.Helpers[len(a.reservations):] {
-		if endpoint, ok := a.call.forwarder.Fleet.Endpoint(name); ok && a.mayHelp(name) {
-			helpers = append(helpers, marigoldcroft.ForwardHelper{Address: endpoint.Address()})
-		}
-	}
-	return helpers
-}
-
-// enginePriority returns the priority in the engine's admission queue, where lower values
-// go first. Short requests go before long ones.
-func (c *call) enginePriority() int {
-	if c.class == marigoldcroft.ClassShort {
-		return 2
-	}
-	return 6
-}
--- a/mcforward/confirm.go
+++ b/mcforward/confirm.go
@@ -61,6 +61,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
+	f.awaitEvacuations(ctx)
+	if _, evacuated := f.Fleet.EvacuatedSince(endpoint.Name()); evacuated {
+		return failure(operation, KindEvacuated, nil)
+	}
 	if !f.acquireCheck(ctx, endpoint) {
 		return failure(operation, KindLimited, errors.New("the endpoint is cold and no check was granted"))
 	}
--- a/mcforward/health.go
+++ b/mcforward/health.go
@@ -179,6 +179,11 @@
 // recheck returns the endpoint to rotation if it accepts a connection, which is then pooled
 // for the next request. Otherwise the endpoint stays out for longer.
 func (h *healthTracker) recheck(endpoint string) {
+	if _, evacuated := h.fleet.EvacuatedSince(endpoint); evacuated {
+		// The endpoint stays out of rotation, and is checked after the evacuation.
+		time.AfterFunc(maxDownTime, func() { h.recheck(endpoint) })
+		return
+	}
 	listed, ok := h.fleet.Endpoint(endpoint)
 	reached := ok && h.acceptsConnection(listed)
 	h.mu.Lock()
@@ -228,6 +233,10 @@
 // endpoint accepts the last one.
 func (f *Forwarder) probe(endpoint marigoldcroft.Endpoint, survived func(), delay time.Duration, further ...time.Duration) {
 	time.AfterFunc(delay, func() {
+		if _, evacuated := f.Fleet.EvacuatedSince(endpoint.Name()); evacuated {
+			// No connection is opened to the data centre; whether the endpoint crashed stays unknown.
+			return
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
 		var dialer net.Dialer
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -62,6 +62,9 @@
 	pausedUntil time.Duration
 	// coldUntil is the end of the longest cold phase of an endpoint.
 	coldUntil time.Duration
+	// evacuating is true once an evacuation has taken endpoints, until the queued work was admitted
+	// again.
+	evacuating bool
 	// dirty is set by each change that may allow queued work to run.
 	dirty bool
 	// nextDispatchAt is the time of the next dispatch attempt if no such change occurs.
@@ -165,7 +168,11 @@
 // residenceSeconds predicts how long work holds its memory: the mean over finished
 // work, or the item's predicted service time when nothing has finished yet.
 func (p *pool) residenceSeconds(it *item) float64 {
-	if p.residence.samples == 0 {
+	switch {
+	case p.residence.samples > 0:
+	case p.publishesFigures():
+		return it.prefillSeconds + p.streamSeconds(&it.work)
+	default:
 		return it.prefillSeconds + p.decodeSeconds(it.work.OutputTokens)
 	}
 	return p.residence.value
--- a/mcsoak/check.go
+++ b/mcsoak/check.go
@@ -119,6 +119,7 @@
 		s.checkCold(b)
 	}
 	s.checkRunCounts(runs)
+	s.checkEvacuations()
 	s.checkDeadlyRuns(deadlyRuns)
 	s.checkSoundRequests(runs)
 }
