Keep requests in the home regions of their route and team

Routes and teams state home regions, but every choice of an endpoint ignored them, so requests ran in any region. Without a usable endpoint at home the request is refused at once as not run (503, reason region); queued work ends so when its home loses its last endpoint. Class, split, admission and queue prediction count only endpoints at home, and the queue of one region does not hold back that of another.

--- a/mcentry/export_peers_test.go
+++ b/mcentry/export_peers_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"marigoldcroft"
 	"marigoldcroft/mcforward"
 	"marigoldcroft/mclimit"
@@ -26,3 +28,6 @@
 	e.member.SetQuarantine(entry)
 	e.watchPeers(ctx)
 }
+
+// RegisterForwardingPeerServices registers the services that a forwarding instance offers to peers.
+func RegisterForwardingPeerServices(r grpc.ServiceRegistrar) { (&Forwarding{}).registerPeerServices(r) }
--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -196,7 +196,7 @@
 	}
 	e.scheduler = scheduler
 	dispatcher := &mcgateway.Dispatcher{Scheduler: scheduler}
-	e.fleet = &mcfleet.Fleet{Logger: e.logger, OnChange: e.endpointsChanged}
+	e.fleet = &mcfleet.Fleet{Logger: e.logger, Regions: s.DataCentreRegions, OnChange: e.endpointsChanged}
 	e.router = &mcroute.Router{Lease: s.KeyLease, Logger: e.logger, Changed: e.routingChanged, VerifyFirst: true}
 	e.fetcher = &mcroute.PeerFetcher{Router: e.router, Deployment: e.Settings.Deployment, Peers: e.configPeers, Decode: platform.DecodeRouting}
 	e.buildPeers(seed)
@@ -249,13 +249,17 @@
 	}
 	e.peers = &mcpeer.Server{
 		Address: address, Identity: e.identity, Logger: e.logger, Member: e.member,
-		Register: func(r grpc.ServiceRegistrar) {
-			mcmessage.RegisterConfigServiceServer(r, &mcroute.Server{Router: e.router, Deployment: e.Settings.Deployment})
-			mcmessage.RegisterLimitServiceServer(r, &limitServer{limits: e.limits, deployment: e.Settings.Deployment})
-		},
+		Register: e.registerPeerServices,
 	}
 }
 
+// registerPeerServices registers what peers may ask of a forwarding instance. None of it carries the
+// body of a request, as peers may be outside its home regions.
+func (e *Forwarding) registerPeerServices(r grpc.ServiceRegistrar) {
+	mcmessage.RegisterConfigServiceServer(r, &mcroute.Server{Router: e.router, Deployment: e.Settings.Deployment})
+	mcmessage.RegisterLimitServiceServer(r, &limitServer{limits: e.limits, deployment: e.Settings.Deployment})
+}
+
 // instanceCount returns the number of instances that share the retry budget. It includes
 // members that are out of reach, as they may still use their part.
 func (e *Forwarding) instanceCount() int {
--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -33,6 +33,9 @@
 	// for concurrent use.
 	Fleet struct {
 		Logger zerolog.Logger
+		// Regions maps data centres to their regions. An endpoint whose data centre is missing is in no
+		// known region.
+		Regions map[string]string
 		// OnChange is called after each change with all endpoints, by one goroutine at a time, so that
 		// no listing follows a newer one. It must not change the fleet.
 		OnChange func(endpoints []marigoldcroft.Endpoint)
@@ -386,7 +389,7 @@
 		kind = marigoldcroft.EndpointEngine
 	}
 	return marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
-		Name: r.Name, Kind: kind, Address: r.Address, DataCentre: r.DataCentre, Pool: r.Service,
+		Name: r.Name, Kind: kind, Address: r.Address, DataCentre: r.DataCentre, Pool: r.Service, Region: f.Regions[r.DataCentre],
 		Leaving: r.Leaving || entry.leaving || entry.moved || !entry.unconfirmedUntil.IsZero(), Slots: r.Slots, Performance: figures,
 	})
 }
--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -152,7 +152,7 @@
 
 func (a *attempt) refusedError() error {
 	a.retryAfter = a.decision.RetryAfter
-	a.call.unplaced = a.decision.Reason == marigoldcroft.ReasonNoEndpoint
+	a.call.unplaced = a.decision.Reason == marigoldcroft.ReasonNoEndpoint || a.decision.Reason == marigoldcroft.ReasonRegion
 	a.call.forwarder.Metrics.Refusals.WithLabelValues(string(a.decision.Reason)).Inc()
 	return failure("admission", KindRefused, errors.New(string(a.decision.Reason)))
 }
@@ -225,6 +225,10 @@
 		conn.close()
 		return nil, err
 	}
+	if err := a.checkRegions(endpoint); err != nil {
+		conn.close()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	before, readBefore := conn.socket.written.Load(), conn.socket.read.Load()
@@ -327,7 +331,7 @@
 func (a *attempt) helpers() []marigoldcroft.ForwardHelper {
 	helpers := a.reservations
 	for _, name := range a.decision.Helpers[len(a.reservations):] {
-		if endpoint, ok := a.call.forwarder.Fleet.Endpoint(name); ok {
+		if endpoint, ok := a.call.forwarder.Fleet.Endpoint(name); ok && !a.call.isOutside(endpoint) {
 			helpers = append(helpers, marigoldcroft.ForwardHelper{Address: endpoint.Address()})
 		}
 	}
--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -39,7 +39,10 @@
 	version   int64
 	rank      int
 	team      marigoldcroft.RoutedTeam
-	service   string
+	// regions are the home regions that route and team have in common; nil means any region. They are
+	// those of one routing table for all attempts.
+	regions []string
+	service string
 	// engine is zero when the service is not an inference engine.
 	engine marigoldcroft.EnginePerformance
 	body   []byte
@@ -222,7 +225,7 @@
 	work := marigoldcroft.Work{
 		ID: marigoldcroft.NewStreamID(c.request.ID+"/"+c.start.Format("05.000000"), c.placements), Team: c.team.Name, Model: c.service,
 		Deadline: c.deadline, Exclude: c.excluded, Begun: c.mayHaveRun, IsolateSuspect: isolate, Objective: c.start.Add(c.route.Objective()),
-		PromptTokens: 1,
+		PromptTokens: 1, Regions: c.regions,
 	}
 	if c.engine.PrefillTokensPerSecond > 0 {
 		work.PromptTokens, work.OutputTokens = c.request.PromptTokens, c.request.OutputTokens
--- a/mcforward/doc.go
+++ b/mcforward/doc.go
@@ -30,6 +30,9 @@
 	// KindLeft means that the endpoint left, or stated that it is leaving, after the request was
 	// placed there; nothing was sent.
 	KindLeft Kind = "endpoint left"
+	// KindOutside means that the endpoint or a helper moved out of the home regions of the request
+	// after the request was placed there; nothing was sent.
+	KindOutside Kind = "outside the home regions"
 	// KindLimited means that the limit that the endpoint states allowed no request at the moment,
 	// or that the endpoint asked for none; nothing was sent.
 	KindLimited Kind = "endpoint limited"
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -234,6 +234,7 @@
 	if problem := f.authenticate(c, table); problem != nil {
 		return problem
 	}
+	c.regions = homeRegions(route.Regions(), c.team.Regions)
 	c.service = route.Target(xxhash.Sum64String(c.request.ID))
 	service, _ := table.Service(c.service)
 	c.engine = service.Engine
@@ -323,6 +324,9 @@
 	if result.outcome == outcomeRefused {
 		event = f.addAges(event)
 	}
+	if c.regions != nil {
+		event = event.Strs("regions", c.regions)
+	}
 	if c.unplaced {
 		event = event.Int("listed", f.Fleet.Count(c.service))
 	}
--- a/mcforward/reserve.go
+++ b/mcforward/reserve.go
@@ -53,6 +53,9 @@
 	if !ok {
 		return failure(operation, KindUnreachable, errors.New("the endpoint has left"))
 	}
+	if err := a.checkRegions(endpoint); err != nil {
+		return err
+	}
 	// The engine may carry out a reservation whose response is lost, so it is listed first
 	// and released with the others.
 	helper := marigoldcroft.ForwardHelper{Address: endpoint.Address(), Reservation: uuid.NewString()}
--- a/mcscheduler/admission.go
+++ b/mcscheduler/admission.go
@@ -58,31 +58,35 @@
 // ahead and the time until enough memory is released.
 func (l *lengthAware) queueWait(now time.Duration, it *item) (wait, memoryWait float64) {
 	p := it.pool
-	ahead, kv := 0.0, it.kv
-	for level := range it.level + 1 {
-		ahead += p.lanes[it.lane].prefillSeconds[level]
-		kv += p.lanes[it.lane].kv[level]
-	}
+	_, ahead, kv := p.lanes[it.lane].ahead(it, it.level)
+	kv += it.kv
 	if it.class == marigoldcroft.ClassShort {
 		least, priority := -1.0, l.s.priority(it)
 		for _, e := range p.live {
+			if it.isOutside(e) {
+				continue
+			}
 			rate := e.rate()
 			before, _ := e.backlog(now, priority, rate)
 			if w := before / rate; least < 0 || w < least {
 				least = w
 			}
 		}
-		wait = least + ahead/float64(len(p.live))
+		wait = least + ahead/float64(max(1, it.liveCount()))
 	} else {
-		set := p.live[:min(p.longSet.size, len(p.live))]
-		for _, e := range set {
+		set := 0
+		for _, e := range p.live {
+			if it.isOutside(e) || set == p.longSet.size {
+				continue
+			}
+			set++
 			rate := e.rate()
 			_, long := e.backlog(now, 0, rate)
 			ahead += long / rate
 		}
-		wait = ahead / float64(len(set))
+		wait = ahead / float64(max(1, set))
 	}
-	memoryWait = max(p.memoryWait(now, kv, p.residenceSeconds(it)), l.endpointMemoryWait(now, it))
+	memoryWait = max(p.memoryWait(now, it, kv, p.residenceSeconds(it)), l.endpointMemoryWait(now, it))
 	return max(wait, memoryWait), memoryWait
 }
 
--- a/mcscheduler/endpoint.go
+++ b/mcscheduler/endpoint.go
@@ -59,6 +59,8 @@
 		name    string
 		pool    *pool
 		leaving bool
+		// region is the region of the endpoint's data centre, or "" if it is not known.
+		region string
 		// peerOwned is true for an endpoint that is assigned to another instance; see
 		// peerOwnedWaitFactor.
 		peerOwned       bool
@@ -309,6 +311,7 @@
 
 // applyListing applies what the instance list publishes about the endpoint.
 func (e *endpoint) applyListing(listed marigoldcroft.Endpoint) {
+	e.applyRegion(listed.Region())
 	e.slots = listed.Slots()
 	e.pool.plainService = listed.Kind() == marigoldcroft.EndpointService
 	figures := listed.Performance()
--- a/mcscheduler/item.go
+++ b/mcscheduler/item.go
@@ -27,6 +27,8 @@
 		state state
 		lane  int
 		class marigoldcroft.Class
+		// regionKey identifies the set of home regions; see scheduler.regionKey.
+		regionKey string
 		// kv is the KV memory of prompt and maximum output, in tokens.
 		kv int64
 		// sequence counts submissions.
@@ -105,8 +107,12 @@
 	}
 }
 
-// excludes reports whether an earlier attempt failed on the endpoint.
+// excludes reports whether the item may never run on the endpoint, because an earlier attempt failed
+// there or because it is outside the item's home regions. Every choice of an endpoint asks for it.
 func (it *item) excludes(e *endpoint) bool {
+	if it.isOutside(e) {
+		return true
+	}
 	for _, name := range it.work.Exclude {
 		if name == e.name {
 			return true
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -60,6 +60,10 @@
 	holdingItem *item
 	// pausedUntil is the end of the longest pause of an endpoint.
 	pausedUntil time.Duration
+	// regionViews holds what view has computed since the endpoints changed; regionsChanged is true
+	// from such a change until dropRegionless has seen it.
+	regionViews    map[string]regionView
+	regionsChanged bool
 	// dirty is set by each change that may allow queued work to run.
 	dirty bool
 	// nextDispatchAt is the time of the next dispatch attempt if no such change occurs.
@@ -94,6 +98,8 @@
 // endpoints.
 func (p *pool) refresh() {
 	p.live, p.largestCapacity = p.live[:0], 0
+	clear(p.regionViews)
+	p.regionsChanged = true
 	for _, e := range p.endpoints {
 		p.largestCapacity = max(p.largestCapacity, e.capacity)
 		if e.usable() {
@@ -149,9 +155,13 @@
 }
 
 // class classifies work by its predicted prefill time and its memory.
-func (p *pool) class(now time.Duration, work *marigoldcroft.Work) marigoldcroft.Class {
+func (p *pool) class(now time.Duration, work *marigoldcroft.Work, key string) marigoldcroft.Class {
+	largest := p.view(work.Regions, key).largestCapacity
+	if largest == 0 {
+		largest = p.largestCapacity // no endpoint is in its home regions
+	}
 	switch {
-	case work.PromptTokens+work.OutputTokens > p.largestCapacity:
+	case work.PromptTokens+work.OutputTokens > largest:
 		return marigoldcroft.ClassHuge
 	case p.publishesFigures() && float64(p.effectiveTokens(work.PromptTokens)) > shortPrefillLimit.Seconds()*p.figures.PrefillTokensPerSecond,
 		!p.publishesFigures() && float64(work.PromptTokens) > p.shortLimit.Seconds()*p.cost.classificationRate(now):
@@ -171,9 +181,12 @@
 
 // memoryWait predicts the seconds until memory for the tokens is free, by Little's law:
 // the release rate is the memory in use divided by the mean time for which it is held.
-func (p *pool) memoryWait(now time.Duration, tokens int64, residence float64) float64 {
+func (p *pool) memoryWait(now time.Duration, it *item, tokens int64, residence float64) float64 {
 	free, used := int64(0), int64(0)
 	for _, e := range p.live {
+		if it.isOutside(e) {
+			continue
+		}
 		f := e.free(now)
 		free += max(0, f)
 		used += e.capacity - f
--- a/mcscheduler/queue.go
+++ b/mcscheduler/queue.go
@@ -38,6 +38,10 @@
 		// work by level.
 		prefillSeconds [urgencyLevels]float64
 		kv             [urgencyLevels]int64
+		// counts is the number of waiting items by level.
+		counts [urgencyLevels]int
+		// regions holds sums of the waiting work that has home regions, by its set of them.
+		regions []*regionQueue
 	}
 )
 
@@ -82,6 +86,8 @@
 	l.count++
 	l.prefillSeconds[it.level] += it.prefillSeconds
 	l.kv[it.level] += it.kv
+	l.counts[it.level]++
+	l.addRegions(it, 1)
 }
 
 // remove takes the item out of the lane.
@@ -92,6 +98,8 @@
 	l.count--
 	l.prefillSeconds[it.level] -= it.prefillSeconds
 	l.kv[it.level] -= it.kv
+	l.counts[it.level]--
+	l.addRegions(it, -1)
 	if t.levels[it.level].len() > 0 {
 		return
 	}
@@ -140,19 +148,6 @@
 	return best
 }
 
-// hasWorkAhead reports whether queued work would go before new work of the level.
-func (l *lane) hasWorkAhead(level int) bool {
-	if l.count == 0 {
-		return false
-	}
-	for i := range level + 1 {
-		if len(l.active[i]) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // charge accounts for the dispatch of the item.
 func (l *lane) charge(now time.Duration, it *item, tokens float64) {
 	if it.team == nil {
--- a/mcscheduler/scheduler.go
+++ b/mcscheduler/scheduler.go
@@ -127,6 +127,8 @@
 		stopAt       time.Duration
 		freeItems    []*item
 		skippedItems []*item
+		blocked      blockedRegions
+		regionSets   []regionSet
 		nextCleanup  time.Duration
 	}
 )
@@ -182,7 +184,8 @@
 	if !work.Deadline.IsZero() {
 		it.deadline = min(noDeadline, s.since(work.Deadline))
 	}
-	it.class = p.class(now, &work)
+	it.regionKey = s.regionKey(work.Regions)
+	it.class = p.class(now, &work, it.regionKey)
 	it.prefillSeconds = p.prefillSeconds(it.prefill)
 	it.expiry = it.deadline
 	s.policy.prepare(now, it)
--- a/mcscheduler/scheduler_command.go
+++ b/mcscheduler/scheduler_command.go
@@ -40,11 +40,13 @@
 	if p == nil || len(p.live) == 0 {
 		return nil, placement{}, marigoldcroft.Decision{
 			ID: work.ID, Action: marigoldcroft.ActionRefuse,
-			Reason: marigoldcroft.ReasonNoEndpoint, RetryAfter: s.retryAfter(0),
+			Reason: reasonWithoutEndpoint(&work), RetryAfter: s.retryAfter(0),
 		}
 	}
 	it := s.newItem(now, p, work)
 	switch {
+	case it.hasNoRegion():
+		return it, placement{}, s.refuse(it, marigoldcroft.ReasonRegion, 0)
 	case it.class == marigoldcroft.ClassHuge && !s.policy.shardKV(it):
 		return it, placement{}, it.decision(marigoldcroft.ActionRefuse, marigoldcroft.ReasonTooLarge)
 	case it.deadline <= now:
@@ -56,7 +58,7 @@
 	}
 	var at placement
 	result := endpointsBusy
-	if !p.lanes[it.lane].hasWorkAhead(it.level) {
+	if !p.mustQueue(now, it) {
 		at, result = s.policy.place(now, it)
 	}
 	reason, start, drain := s.policy.admit(now, it, at, result)
@@ -109,6 +111,9 @@
 	}
 	for _, p := range s.poolOrder {
 		s.policy.tick(now, p)
+		if s.queued > 0 {
+			decisions = s.dropRegionless(p, decisions)
+		}
 		if s.queued > 0 && (p.dirty || p.nextDispatchAt <= now) {
 			decisions = s.dispatchQueued(now, p, decisions)
 		}
@@ -182,7 +187,14 @@
 	for i := range p.lanes {
 		l := &p.lanes[i]
 		s.skippedItems = s.skippedItems[:0]
+		s.blocked.reset()
 		for it := l.first(); it != nil; it = l.first() {
+			if s.passOver(it) {
+				if !s.setAside(l, it) {
+					break
+				}
+				continue
+			}
 			if it.level == 0 && it.work.Urgency == marigoldcroft.UrgencyInteractive && s.policy.missesObjective(now, it) {
 				s.demote(now, it)
 				continue
@@ -210,11 +222,9 @@
 				decisions = append(decisions, s.expireForPause(now, it))
 				continue
 			}
-			if len(s.skippedItems) >= s.policy.maxSkips() {
+			if !s.setAside(l, it) {
 				break
 			}
-			l.remove(it)
-			s.skippedItems = append(s.skippedItems, it)
 		}
 		for _, it := range s.skippedItems {
 			l.push(it)
--- a/mcscheduler/stop.go
+++ b/mcscheduler/stop.go
@@ -130,7 +130,7 @@
 	}
 	prefill = it.prefillSeconds
 	if it.class != marigoldcroft.ClassShort {
-		prefill /= float64(max(1, min(len(p.live), maxHelpers)))
+		prefill /= float64(max(1, min(it.liveCount(), maxHelpers)))
 	}
 	return prefill, float64(it.work.OutputTokens) * p.figures.StepTime.Seconds()
 }
