--- a/mcforward/attempt_request.go
+++ b/mcforward/attempt_request.go
@@ -49,7 +49,7 @@
 func (a *attempt) helpers() []marigoldcroft.ForwardHelper {
 	helpers := a.reservations
 	for _, name := range a.decision.Helpers[len(a.reservations):] {
-		if endpoint, ok := a.call.forwarder.Fleet.Endpoint(name); ok && a.mayHelp(name) {
+		if endpoint, ok := a.call.forwarder.Fleet.Endpoint(name); ok && a.mayHelp(name) && !a.call.isOutside(endpoint) {
 			helpers = append(helpers, marigoldcroft.ForwardHelper{Address: endpoint.Address()})
 		}
 	}
--- a/mcscheduler/cold.go
+++ b/mcscheduler/cold.go
@@ -65,14 +65,14 @@
 // hasCold reports whether the pool may have cold endpoints.
 func (p *pool) hasCold(now time.Duration) bool { return now < p.coldUntil }
 
-// warmCount returns the number of usable endpoints that are not cold.
-func (p *pool) warmCount(now time.Duration) int {
-	if !p.hasCold(now) {
-		return len(p.live)
+// warmCount returns the number of usable endpoints in the item's home regions that are not cold.
+func (it *item) warmCount(now time.Duration) int {
+	if !it.pool.hasCold(now) {
+		return it.liveCount()
 	}
 	n := 0
-	for _, e := range p.live {
-		if !e.isCold(now) {
+	for _, e := range it.pool.live {
+		if !e.isCold(now) && !it.isOutside(e) {
 			n++
 		}
 	}
