--- a/mcsocket/reset.go
+++ b/mcsocket/reset.go
@@ -23,11 +23,12 @@
 		writeErr error
 	}
 
-	dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+	// DialFunc opens a connection, as the DialContext method of net.Dialer does.
+	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 )
 
 // ReportResets returns a dial function whose connections are of type *ResetConn.
-func ReportResets(dial dialFunc) dialFunc {
+func ReportResets(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
