--- a/mcfleet/fleet.go
+++ b/mcfleet/fleet.go
@@ -36,6 +36,9 @@
 		// AwaitEvacuations is true if no request may be placed before the evacuated data centres are
 		// known.
 		AwaitEvacuations bool
+		// Regions maps data centres to their regions. An endpoint whose data centre is missing is in no
+		// known region.
+		Regions map[string]string
 		// OnChange is called after each change with all endpoints, by one goroutine at a time, so that
 		// no listing follows a newer one. It must not change the fleet.
 		OnChange func(endpoints []marigoldcroft.Endpoint)
@@ -400,7 +403,7 @@
 		kind = marigoldcroft.EndpointEngine
 	}
 	return marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
-		Name: r.Name, Kind: kind, Address: r.Address, DataCentre: r.DataCentre, Pool: r.Service,
+		Name: r.Name, Kind: kind, Address: r.Address, DataCentre: r.DataCentre, Pool: r.Service, Region: f.Regions[r.DataCentre],
 		Evacuated: evacuated,
 		Leaving:   r.Leaving || entry.leaving || entry.moved || !entry.unconfirmedUntil.IsZero(), Slots: r.Slots, Performance: figures,
 		ColdUntil: entry.cold.until(f.cold[r.Service].time), ColdRequestsPerSecond: f.cold[r.Service].perSecond,
--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -119,7 +119,7 @@
 
 func (a *attempt) refusedError() error {
 	a.retryAfter = a.decision.RetryAfter
-	a.call.unplaced = a.decision.Reason == marigoldcroft.ReasonNoEndpoint
+	a.call.unplaced = a.decision.Reason == marigoldcroft.ReasonNoEndpoint || a.decision.Reason == marigoldcroft.ReasonRegion
 	a.call.forwarder.Metrics.Refusals.WithLabelValues(string(a.decision.Reason)).Inc()
 	return failure("admission", KindRefused, errors.New(string(a.decision.Reason)))
 }
@@ -199,6 +199,10 @@
 		conn.close()
 		return nil, err
 	}
+	if err := a.checkRegions(endpoint); err != nil {
+		conn.close()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	before, readBefore := conn.socket.written.Load(), conn.socket.read.Load()
--- a/mcforward/reserve.go
+++ b/mcforward/reserve.go
@@ -59,6 +59,9 @@
 		a.completion.NotSent = true
 		return failure(operation, KindLimited, errors.New("the endpoint has become cold"))
 	}
+	if err := a.checkRegions(endpoint); err != nil {
+		return err
+	}
 	// The engine may carry out a reservation whose response is lost, so it is listed first
 	// and released with the others.
 	helper := marigoldcroft.ForwardHelper{Address: endpoint.Address(), Reservation: uuid.NewString()}
