Ask peers for the evacuations when an instance starts or was suspended

Waiting for the first answer of the exchange with records made a start take 0.30 to 0.33 s where evacuations are followed, against 0.01 s without. Idle connections are closed at once only where evacuations are followed. Passed: mcpeer, mcmember, mcevacuation, mccommand and the evacuation and restore tests of mcentry with -race, the process tests of suspension and power loss.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -254,6 +254,7 @@
 		Address: address, Identity: e.identity, Logger: e.logger, Member: e.member,
 		Register: func(r grpc.ServiceRegistrar) {
 			mcmessage.RegisterConfigServiceServer(r, &mcroute.Server{Router: e.router, Deployment: e.Settings.Deployment})
+			mcmessage.RegisterEvacuationServiceServer(r, &evacuationServer{forwarding: e})
 			mcmessage.RegisterLimitServiceServer(r, &limitServer{limits: e.limits, deployment: e.Settings.Deployment})
 		},
 	}
@@ -317,7 +318,9 @@
 	e.scheduler.SetEndpoints(time.Now(), endpoints)
 	e.logger.Info().Int("endpoints", len(endpoints)).Msg("endpointsScheduled")
 	e.roster.setEndpoints(endpoints)
-	e.forwarder.CloseUnused(time.Now())
+	if e.evacuations != nil {
+		e.forwarder.CloseUnused(time.Now())
+	}
 	// Peers may have sent limits of endpoints before their records were read.
 	e.mergeLimits()
 }
--- a/mcentry/forwarding_copy.go
+++ b/mcentry/forwarding_copy.go
@@ -56,7 +56,9 @@
 		case recordsEndpoints:
 			e.endpoints.ObservePeerCopy(c.GetDigest(), complete)
 		case recordsEvacuations:
-			e.observePeerEvacuations(c.GetDigest(), complete)
+			if e.evacuations != nil {
+				e.evacuations.ObservePeerCopy(c.GetDigest(), complete)
+			}
 		}
 	}
 }
--- a/mcmember/evacuation.go
+++ b/mcmember/evacuation.go
@@ -22,13 +22,18 @@
 // Invalid records are ignored.
 func (t *Table) SetEvacuation(now time.Time, e *mcmessage.Evacuation) {
 	cur := t.evacuations[e.GetDataCentre()]
-	if !validName(e.GetDataCentre()) || e.GetEra() > maxRevision || e.GetRevision() > maxRevision || clampUnixMs(e.GetSinceUnixMs()) != e.GetSinceUnixMs() ||
-		cur != nil && cur.GetEra() == e.GetEra() && cur.GetEvacuated() == e.GetEvacuated() {
+	if !ValidEvacuation(e) || cur != nil && cur.GetEra() == e.GetEra() && cur.GetEvacuated() == e.GetEvacuated() {
 		return
 	}
 	t.applyEvacuation(now, e, true)
 }
 
+// ValidEvacuation reports whether peers accept the record. The store may hold entries with names of any
+// length.
+func ValidEvacuation(e *mcmessage.Evacuation) bool {
+	return validName(e.GetDataCentre()) && e.GetEra() <= maxRevision && e.GetRevision() <= maxRevision && clampUnixMs(e.GetSinceUnixMs()) == e.GetSinceUnixMs()
+}
+
 // applyEvacuation merges a statement about a data centre.
 func (t *Table) applyEvacuation(now time.Time, r *mcmessage.Evacuation, push bool) {
 	cur := t.evacuations[r.GetDataCentre()]
--- a/mcpeer/limit.go
+++ b/mcpeer/limit.go
@@ -196,6 +196,10 @@
 	"AcquireRequest.instance":   byteSize(1, maxName),
 	"AcquireResponse.wait_ms":   maxNumber(60_000),
 
+	"ListEvacuationsRequest.deployment":   byteSize(1, maxName),
+	"ListEvacuationsResponse.evacuations": elements(mcmember.MaxEvacuations),
+	"ListEvacuationsResponse.age_ms":      maxNumber(maxUnixMs),
+
 	"JoinRequest.deployment":         byteSize(1, maxName),
 	"JoinRequest.team":               byteSize(1, maxName),
 	"JoinRequest.template":           byteSize(0, maxName),
