Cover lost answers during an evacuation; forget lost capacity without a queue

The scheduler kept the note that an evacuation had taken endpoints until work was queued later and admitted that work a second time; it is now dropped if nothing waits.

--- a/mcentry/forwarding_evacuation_test.go
+++ b/mcentry/forwarding_evacuation_test.go
@@ -118,6 +118,33 @@
 	require.Eventually(t, reach, 3*time.Second, time.Millisecond)
 }
 
+// Guards against an instance without peers that waits for the answer to a watch, which the store has lost,
+// while a data centre is evacuated.
+func TestLostAnswerDelaysNoEvacuation(t *testing.T) {
+	s := newSite(t, 0, followEvacuations)
+	other := s.addServer("i-2", "y")
+	var lose atomic.Bool
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if lose.Load() && strings.HasSuffix(r.URL.Path, "/evacuations") && len(r.URL.Query().Get("wait-ms")) > 2 {
+			<-r.Context().Done()
+			return
+		}
+		s.store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(front.CloseClientConnections)
+	s.start(0, strings.TrimPrefix(front.URL, "http://"), followEvacuations)
+	in := s.instances[0]
+	require.Eventually(t, func() bool {
+		require.Equal(t, http.StatusOK, in.get(t, "/v1/x", "key"))
+		return len(other.Runs()) > 0
+	}, 10*time.Second, time.Millisecond)
+	lose.Store(true)
+	time.Sleep(1500 * time.Millisecond)
+	s.store.Put("evacuations", "y", []byte(`{}`))
+	time.Sleep(4 * time.Second)
+	s.mustNotReach(other, time.Second, in)
+}
+
 // Guards against an instance that starts during an evacuation and sends requests before it knows of it,
 // also if the store came back from a copy without the entry just before.
 func TestInstanceThatStartsKnowsTheEvacuations(t *testing.T) {
--- a/mcscheduler/scheduler_command.go
+++ b/mcscheduler/scheduler_command.go
@@ -397,6 +397,8 @@
 	for _, p := range s.poolOrder {
 		p.sort()
 		s.unpark(p)
+		// Work that is queued later is admitted by the endpoints that are left.
+		p.evacuating = p.evacuating && p.queued() > 0
 	}
 }
 
