Make the test of lost answers lose the one in progress

The stand-in now holds back that answer, too. Measured: it passes with the code as it is and without the store fallback age, as the only instance uses watches of 1.2 s, and fails with neither of the two.

--- a/mcentry/forwarding_evacuation_test.go
+++ b/mcentry/forwarding_evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -125,11 +126,15 @@
 	other := s.addServer("i-2", "y")
 	var lose atomic.Bool
 	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := httptest.NewRecorder()
+		s.store.ServeHTTP(answer, r)
 		if lose.Load() && strings.HasSuffix(r.URL.Path, "/evacuations") && len(r.URL.Query().Get("wait-ms")) > 2 {
 			<-r.Context().Done()
 			return
 		}
-		s.store.ServeHTTP(w, r)
+		maps.Copy(w.Header(), answer.Header())
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes())
 	}))
 	t.Cleanup(front.CloseClientConnections)
 	s.start(0, strings.TrimPrefix(front.URL, "http://"), followEvacuations)
