Make two tests of evacuations fail without the checks that they guard

It now comes with the last one, for each of four data centres. TestEvacuatedEndpointIsNotChecked did not ask for the health check of a returned record, and failed once at a load of 28 because connections that look for a crash were still being opened; it waits until these are over.

--- a/mcforward/evacuation_test.go
+++ b/mcforward/evacuation_test.go
@@ -85,26 +85,29 @@
 // with a helper in the data centre, because reservations took long; and against memory that stays
 // reserved.
 func TestPlacedRequestIsNotSentAfterTheEvacuation(t *testing.T) {
-	b, recorder := newLargePromptBed(t, 4)
-	b.placeIn("y", "y", "z", "z")
-	evacuated := false
-	recorder.onReserve = func() {
-		if !evacuated {
-			evacuated = true
-			b.forwarder.Fleet.SetEvacuated([]string{"z"})
-		}
-	}
-	r := b.request(http.MethodPost, "/stream/x", "prompt")
-	r.Header.Set("Token-Counts", "210000,10")
-	b.send(r)
-	require.True(t, evacuated)
-	for _, run := range b.runs() {
-		for i, server := range b.servers[2:] {
-			require.NotContains(t, server.Runs(), run)
-			require.NotContains(t, run.Header.Get("Helpers"), b.httpServers[2+i].Listener.Addr().String())
-		}
+	// The prompt is placed on all engines, each in a data centre of its own: one answers, and the others
+	// keep parts of it.
+	names := []string{"w", "x", "y", "z"}
+	for evacuated, name := range names {
+		t.Run(name, func(t *testing.T) {
+			b, recorder := newLargePromptBed(t, len(names))
+			b.placeIn(names...)
+			recorder.onReserve = func() {
+				if recorder.reserves == len(names)-1 {
+					b.forwarder.Fleet.SetEvacuated([]string{name})
+				}
+			}
+			r := b.request(http.MethodPost, "/stream/x", "prompt")
+			r.Header.Set("Token-Counts", "210000,10")
+			b.send(r)
+			require.GreaterOrEqual(t, recorder.reserves, len(names)-1)
+			require.Empty(t, b.servers[evacuated].Runs())
+			for _, run := range b.runs() {
+				require.NotContains(t, run.Header.Get("Helpers"), b.httpServers[evacuated].Listener.Addr().String())
+			}
+			require.Eventually(t, func() bool { return recorder.remaining() == 0 }, 5*time.Second, time.Millisecond)
+		})
 	}
-	require.Eventually(t, func() bool { return recorder.remaining() == 0 }, 5*time.Second, time.Millisecond)
 }
 
 // Guards against calls to an evacuated data centre that renew memory which was reserved there before,
@@ -175,6 +178,8 @@
 	}
 	require.Eventually(t, down, 5*time.Second, time.Millisecond)
 	b.forwarder.Fleet.SetEvacuated([]string{"z"})
+	// Connections that were about to be opened, to see whether the endpoint has crashed, are refused by then.
+	time.Sleep(500 * time.Millisecond)
 	back := &httptest.Server{Listener: listen(t, address), Config: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		contacts.Add(1)
 		b.servers[1].ServeHTTP(w, r)
@@ -188,6 +193,9 @@
 	t.Cleanup(back.Close)
 	time.Sleep(2500 * time.Millisecond)
 	require.Zero(t, contacts.Load())
+	b.forwarder.ConfirmReturned(marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{Name: b.servers[1].ID, Address: address, DataCentre: "z", Pool: "s"}), 1)
+	time.Sleep(100 * time.Millisecond)
+	require.Zero(t, contacts.Load(), "the record of the endpoint has returned")
 	before := len(b.servers[1].Runs())
 	b.forwarder.Fleet.SetEvacuated(nil)
 	require.Eventually(t, func() bool {
