--- a/mcforward/attempt.go
+++ b/mcforward/attempt.go
@@ -119,7 +119,7 @@
 
 func (a *attempt) refusedError() error {
 	a.retryAfter = a.decision.RetryAfter
-	a.call.unplaced = a.decision.Reason == marigoldcroft.ReasonNoEndpoint
+	a.call.unplaced = a.decision.Reason == marigoldcroft.ReasonNoEndpoint || a.decision.Reason == marigoldcroft.ReasonRegion
 	a.call.forwarder.Metrics.Refusals.WithLabelValues(string(a.decision.Reason)).Inc()
 	return failure("admission", KindRefused, errors.New(string(a.decision.Reason)))
 }
@@ -144,6 +144,8 @@
 	label := "ok"
 	if err != nil {
 		label = string(kind)
+	}
+	if err != nil && kind != KindLimited {
 		c.excluded = append(c.excluded, a.endpoint)
 	}
 	f.Metrics.Attempts.WithLabelValues(label).Inc()
@@ -189,6 +191,15 @@
 		return nil, err
 	}
 	if err := a.checkBeforeSend(ctx); err != nil {
+		if kindOf(err) == KindLimited {
+			// A grant may have lapsed while the connection was opened, which the next attempt then uses.
+			f.pool.put(conn, 0)
+			return nil, err
+		}
+		conn.close()
+		return nil, err
+	}
+	if err := a.checkRegions(endpoint); err != nil {
 		conn.close()
 		return nil, err
 	}
--- a/mcforward/doc.go
+++ b/mcforward/doc.go
@@ -33,6 +33,9 @@
 	// KindEvacuated means that the data centre of the endpoint, or of a helper, was evacuated after the
 	// request was placed there; nothing was sent.
 	KindEvacuated Kind = "data centre evacuated"
+	// KindOutside means that the endpoint or a helper moved out of the home regions of the request
+	// after the request was placed there; nothing was sent.
+	KindOutside Kind = "outside the home regions"
 	// KindLimited means that the limit that the endpoint states, or its limit while it is cold, allowed
 	// no request at the moment, or that the endpoint asked for none; nothing was sent.
 	KindLimited Kind = "endpoint limited"
--- a/mcscheduler/passmodel.go
+++ b/mcscheduler/passmodel.go
@@ -32,6 +32,8 @@
 	s *scheduler
 	// candidates and chosen are buffers that are reused between calls.
 	candidates, chosen []candidate
+	// warmCandidates is the number of candidates that may help others.
+	warmCandidates int
 }
 
 // publishesFigures reports whether the engines of the pool have published their
@@ -86,7 +88,7 @@
 		it.lane = laneLong
 	}
 	if it.pool.publishesFigures() {
-		it.expiry -= seconds(it.prefillSeconds / float64(max(1, min(it.pool.warmCount(now), maxHelpers))))
+		it.expiry -= seconds(it.prefillSeconds / float64(max(1, min(it.warmCount(now), maxHelpers))))
 	}
 	it.objective = it.deadline
 	if !it.work.Objective.IsZero() {
@@ -108,7 +110,7 @@
 func (m *passModel) missesObjective(now time.Duration, it *item) bool {
 	least := it.prefillSeconds
 	if it.class != marigoldcroft.ClassShort {
-		least /= float64(max(1, min(it.pool.warmCount(now), maxHelpers)))
+		least /= float64(max(1, min(it.warmCount(now), maxHelpers)))
 	} else if it.pool.publishesFigures() {
 		least += passesBeforeFirstToken*it.pool.passSeconds() + lateMarginSeconds
 	}
@@ -207,20 +209,21 @@
 // its prefill.
 func (m *passModel) queueWait(now time.Duration, it *item) (start, prefill float64) {
 	p := it.pool
-	n := float64(max(1, len(p.live)))
-	ahead := 0.0
-	for level := range p.lanes[it.lane].prefillSeconds {
-		ahead += p.lanes[it.lane].prefillSeconds[level]
-	}
+	n := float64(max(1, it.liveCount()))
+	count, ahead, _ := p.lanes[it.lane].ahead(it, urgencyLevels-1)
 	if it.class == marigoldcroft.ClassShort {
 		slots, residence := 0, p.residenceSeconds(it)
 		for _, e := range p.live {
-			slots += e.usableSlots(now, residence)
+			if !it.isOutside(e) {
+				slots += e.usableSlots(now, residence)
+			}
 		}
-		return float64(p.lanes[it.lane].count+1) * residence / float64(max(1, slots)), it.prefillSeconds
+		return float64(count+1) * residence / float64(max(1, slots)), it.prefillSeconds
 	}
 	for _, e := range p.live {
-		ahead += m.wait(now, e)
+		if !it.isOutside(e) {
+			ahead += m.wait(now, e)
+		}
 	}
 	return ahead / n, it.prefillSeconds / n
 }
--- a/mcscheduler/passmodel_long.go
+++ b/mcscheduler/passmodel_long.go
@@ -89,12 +89,13 @@
 // rounding remainder and the output.
 func (m *passModel) shardKV(it *item) bool {
 	p := it.pool
-	shardLimit := int64(maxShardKVShare * float64(p.largestCapacity))
+	view := it.view()
+	shardLimit := int64(maxShardKVShare * float64(view.largestCapacity))
 	if !p.publishesFigures() || it.work.IsolateSuspect || shardLimit <= 0 {
 		return false
 	}
 	shards := int((it.kv + shardLimit - 1) / shardLimit)
-	if shards > maxKVShards || shards > len(p.live) {
+	if shards > maxKVShards || shards > view.live {
 		return false
 	}
 	it.kvShards, it.kvPerShard = shards, it.work.PromptTokens/int64(shards)
@@ -127,7 +128,7 @@
 // unless at least one of them has room for the prompt.
 func (m *passModel) rankCandidates(now time.Duration, it *item) placementResult {
 	result, typicalPart, anyFits := noEndpoint, float64(it.prefill)/typicalParts, false
-	m.candidates = m.candidates[:0]
+	m.candidates, m.warmCandidates = m.candidates[:0], 0
 	for _, e := range it.pool.live {
 		if it.excludes(e) {
 			continue
@@ -149,6 +150,9 @@
 		}
 		anyFits = anyFits || c.fitsPrompt
 		result = max(result, reason)
+		if !c.cold {
+			m.warmCandidates++
+		}
 		m.candidates = append(m.candidates, c)
 	}
 	if !anyFits {
@@ -225,7 +229,7 @@
 
 // latePartLimit returns the longest part in seconds for work that misses its objective.
 func (it *item) latePartLimit(now time.Duration) float64 {
-	maxEngines := max(1, min(it.pool.warmCount(now), maxHelpers+1))
+	maxEngines := max(1, min(it.warmCount(now), maxHelpers+1))
 	return max(latePartLimitSeconds, latePartFactor*it.prefillSeconds/float64(maxEngines))
 }
 
@@ -234,7 +238,8 @@
 // takes only engines whose streams tolerate the prefill.
 func (m *passModel) selectEngines(now time.Duration, it *item, engines int, allowStalls bool) (plan, bool) {
 	part := float64(it.prefill) / float64(engines)
-	decoder := m.selectDecoder(part, allowStalls, it.bearsGrant(now))
+	// If all warm engines are needed as helpers, only a cold one can decode.
+	decoder := m.selectDecoder(part, allowStalls, it.bearsGrant(now), engines > m.warmCandidates)
 	if decoder < 0 {
 		return plan{}, false
 	}
@@ -257,11 +262,11 @@
 
 // selectDecoder returns the index of the best candidate for decoding, or -1 if none has
 // room. Work that bears the wait for a grant prefers a cold engine to an idle warm one.
-func (m *passModel) selectDecoder(part float64, allowStalls, bearsGrant bool) int {
+func (m *passModel) selectDecoder(part float64, allowStalls, bearsGrant, mustBeCold bool) int {
 	best, least := -1, math.Inf(1)
 	for i := range m.candidates {
 		c := &m.candidates[i]
-		if !c.fitsPrompt || !allowStalls && !c.withinStallLimit(part) {
+		if !c.fitsPrompt || mustBeCold && !c.cold || !allowStalls && !c.withinStallLimit(part) {
 			continue
 		}
 		score := c.wait + part/c.rate + float64(c.stalledWeight(part))
