Test: processes under crowds of misbehaving callers

Callers that stop in a head of many short fields, or connect and send nothing, took the memory and the descriptors of an instance. The tests start a process with 128 MB and 400 descriptors and let 300 or 600 such callers stay connected.

--- a/cmd/marigoldcroft/forwarding_process_test.go
+++ b/cmd/marigoldcroft/forwarding_process_test.go
@@ -40,6 +40,16 @@
 }
 
 func newForwardingCluster(t *testing.T, entries int) *forwardingCluster {
+	return newForwardingClusterWith(t, entries, memoryLimitMB, 0)
+}
+
+// newLimitedForwardingCluster returns one entry process with the limits of callers_process_test.go.
+func newLimitedForwardingCluster(t *testing.T) *forwardingCluster {
+	return newForwardingClusterWith(t, 1, crowdMemoryMB, crowdDescriptors)
+}
+
+// newForwardingClusterWith sets the memory and, unless it is 0, the limit of descriptors.
+func newForwardingClusterWith(t *testing.T, entries, memoryMB, descriptors int) *forwardingCluster {
 	c := &forwardingCluster{
 		cluster:  &cluster{t: t, binary: buildBinary(t)},
 		platform: mcstandin.NewPlatformStore(1), server: &mcstandin.PlatformServer{ID: "i-1"},
@@ -51,11 +61,13 @@
 	})
 	store := strings.TrimPrefix(c.startServer(c.platform), "http://")
 	for i := range entries {
-		p := &process{callerAddress: freeAddress(t), adminAddress: freeAddress(t)}
+		p := &process{
+			callerAddress: freeAddress(t), adminAddress: freeAddress(t), readyAddress: freeAddress(t), peerAddress: freeAddress(t), descriptors: descriptors,
+		}
 		p.settingsFile = filepath.Join(t.TempDir(), "entry.yaml")
 		text := fmt.Sprintf("deployment: d\nregion: r\ndataCentre: z\ninstance: z-%d\npeerAddress: %s\nadminAddress: %s\nscheduler: passModel\n"+
 			"forward:\n  address: %s\n  readyAddress: %s\n  platformStore: %s\n  grace: 2s\n  memoryMB: %d\n  keyLease: %s\nlog: {level: warn}\n",
-			i+1, freeAddress(t), p.adminAddress, p.callerAddress, freeAddress(t), store, memoryLimitMB, revokeLimit*4/5)
+			i+1, p.peerAddress, p.adminAddress, p.callerAddress, p.readyAddress, store, memoryMB, revokeLimit*4/5)
 		require.NoError(t, os.WriteFile(p.settingsFile, []byte(text), 0o600))
 		c.entries = append(c.entries, p)
 		c.start(p)
--- a/cmd/marigoldcroft/process_test.go
+++ b/cmd/marigoldcroft/process_test.go
@@ -44,10 +44,24 @@
 // process is an entry instance that runs as a process of its own.
 type process struct {
 	callerAddress, adminAddress, settingsFile string
-	command                                   *exec.Cmd
+	// readyAddress and peerAddress are set for processes that a crowd of callers attacks, and
+	// descriptors is their limit of descriptors; 0 means that of the test.
+	readyAddress, peerAddress string
+	descriptors               int
+	command                   *exec.Cmd
 }
 
 func newCluster(t *testing.T, entries, engines int) *cluster {
+	return newClusterWith(t, entries, engines, "", 0)
+}
+
+// newLimitedCluster returns a cluster of one entry process with the limits of callers_process_test.go.
+func newLimitedCluster(t *testing.T) *cluster {
+	return newClusterWith(t, 1, 1, fmt.Sprintf(", forward: {memoryMB: %d}", crowdMemoryMB), crowdDescriptors)
+}
+
+// newClusterWith adds the settings, in YAML, and the limit of descriptors to those of the entry processes.
+func newClusterWith(t *testing.T, entries, engines int, settings string, descriptors int) *cluster {
 	c := &cluster{t: t, binary: buildBinary(t), store: mcstandin.NewObjectStore(1), instanceList: &mcstandin.InstanceList{}}
 	var listing marigoldcroft.InstanceListing
 	for i := range engines {
@@ -68,12 +82,12 @@
 	}
 	storeAddress, listAddress := c.startServer(c.store), c.startServer(c.instanceList.Handler())
 	for i := range entries {
-		p := &process{callerAddress: freeAddress(t), adminAddress: freeAddress(t)}
+		p := &process{callerAddress: freeAddress(t), adminAddress: freeAddress(t), descriptors: descriptors}
 		peer := freeAddress(t)
 		p.settingsFile = filepath.Join(t.TempDir(), "entry.yaml")
 		text := fmt.Sprintf(`{deployment: test, region: r, dataCentre: a, instance: a-%d, callerAddress: "%s", peerAddress: "%s", adminAddress: "%s",
-objectStore: "%s", instanceList: "%s", stop: {lameDuck: 500ms, limit: 60s}, log: {level: warn}}`,
-			i+1, p.callerAddress, peer, p.adminAddress, storeAddress, listAddress)
+objectStore: "%s", instanceList: "%s", stop: {lameDuck: 500ms, limit: 60s}, log: {level: warn}%s}`,
+			i+1, p.callerAddress, peer, p.adminAddress, storeAddress, listAddress, settings)
 		require.NoError(t, os.WriteFile(p.settingsFile, []byte(text), 0o600))
 		listing.Instances = append(listing.Instances, marigoldcroft.ListedInstance{Name: fmt.Sprintf("a-%d", i+1), DataCentre: "a", Region: "r", PeerAddress: peer})
 		c.entries = append(c.entries, p)
@@ -110,6 +124,9 @@
 
 func (c *cluster) start(p *process) {
 	p.command = exec.Command(c.binary, "serve", "--config", p.settingsFile)
+	if p.descriptors > 0 {
+		p.command = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.descriptors), c.binary, "serve", "--config", p.settingsFile)
+	}
 	p.command.Stdout, p.command.Stderr = os.Stderr, os.Stderr
 	require.NoError(c.t, p.command.Start())
 }
