Bound the memory and the connections that clients hold in one budget

Incomplete heads of many short fields took about 1 MB for each connection, and silent connections all descriptors, so a process grew without bound or served nobody; the chat interface had no bound on bodies in progress at all. mcbudget counts what is read from each connection, on all listeners, against one budget of memory (0.4 of forward.memoryMB), and gives each listener a share of the descriptors. At a bound it rejects the connection that has held most for the longest time, or has gone without progress for the longest time; complete requests are never rejected. The limit on bodies in mcforward is replaced by the budget, MaxBodyBytes of Forwarder is removed with it (no test asserted it; TestSlowSendersLeaveRoom passes).

--- a/cmd/marigoldcroft/callers_process_test.go
+++ b/cmd/marigoldcroft/callers_process_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -219,8 +220,10 @@
 
 // newForwardingTarget returns a process that forwards requests, with the limits of this file.
 func newForwardingTarget(t *testing.T) crowdTarget {
-	c := newLimitedForwardingCluster(t)
-	p := c.entries[0]
+	return forwardingTarget(t, newLimitedForwardingCluster(t).entries[0])
+}
+
+func forwardingTarget(t *testing.T, p *process) crowdTarget {
 	target := crowdTarget{process: p, ports: map[string]string{
 		"callers": p.callerAddress, "the balancer": p.readyAddress, "operators": p.adminAddress, "peers": p.peerAddress,
 	}}
@@ -319,3 +322,101 @@
 		t.Run("operators/"+c.name, func(t *testing.T) { newChatTarget(t).withstand(t, "operators", c) })
 	}
 }
+
+// Guards against a log output that blocks while connections are rejected, each of which would wait for it.
+func TestCrowdsWhileTheLogIsBlocked(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	defer reader.Close()
+	defer writer.Close()
+	// The pipe is filled, so that the first line of the process blocks.
+	require.NoError(t, writer.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	for err == nil {
+		_, err = writer.Write(make([]byte, 4<<10))
+	}
+	p := newForwardingClusterWith(t, 1, crowdMemoryMB, crowdDescriptors, writer).entries[0]
+	forwardingTarget(t, p).withstand(t, "callers", silentCrowd, headCrowd)
+}
+
+// Guards against a planned stop that does not end, or cuts off a request, as a crowd stays connected.
+func TestStopBesideCrowds(t *testing.T) {
+	c := newLimitedForwardingCluster(t)
+	p := c.entries[0]
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	for _, crowd := range []crowd{silentCrowd, headCrowd} {
+		crowd.attack(ctx, t, p.callerAddress)
+	}
+	require.True(t, forwardingTarget(t, p).ordinary("callers"))
+	require.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
+	ended := make(chan error, 1)
+	go func() { ended <- p.command.Wait() }()
+	select {
+	case err := <-ended:
+		require.NoError(t, err, "a planned stop must end without a failure")
+	case <-time.After(time.Minute):
+		t.Fatal("the process has not ended")
+	}
+}
+
+// Guards against bounds that reject callers within the limits of the configuration: heads of 16,384 bytes in
+// short fields that take almost 3 s to arrive, bodies of 4 MB, and connections that were idle for 12 s.
+func TestCallersWithinTheLimitsAreServed(t *testing.T) {
+	const (
+		heads, bodies = 40, 6
+		headBytes     = 16_384
+		headTime      = 2800 * time.Millisecond
+		idleTime      = 12 * time.Second
+	)
+	p := newForwardingCluster(t, 1).entries[0]
+	send := func(name, method string, fields string, pieces int, body []byte) error {
+		conn, err := net.Dial("tcp", p.callerAddress)
+		if err != nil {
+			return err
+		}
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for round := range 2 {
+			if round > 0 {
+				time.Sleep(idleTime)
+			}
+			head := fmt.Sprintf("%s /x/y HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: %s-%d\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n%s\r\n",
+				method, name, round, len(body), fields)
+			for i := range pieces {
+				if _, err := io.WriteString(conn, head[i*len(head)/pieces:(i+1)*len(head)/pieces]); err != nil {
+					return fmt.Errorf("head, round %d: %w", round, err)
+				}
+				if pieces > 1 {
+					time.Sleep(headTime / time.Duration(pieces))
+				}
+			}
+			if _, err := conn.Write(body); err != nil {
+				return fmt.Errorf("body, round %d: %w", round, err)
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return fmt.Errorf("answer, round %d: %w", round, err)
+			}
+			if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+				return fmt.Errorf("round %d: status %d, %w", round, response.StatusCode, err)
+			}
+		}
+		return nil
+	}
+	var fields strings.Builder
+	for i := 0; fields.Len() < headBytes-300; i++ {
+		fmt.Fprintf(&fields, "%x:\r\n", i)
+	}
+	results := make(chan error)
+	for i := range heads {
+		go func() { results <- send(fmt.Sprintf("head-%d", i), http.MethodGet, fields.String(), 20, nil) }()
+	}
+	for i := range bodies {
+		go func() {
+			results <- send(fmt.Sprintf("body-%d", i), http.MethodPost, "", 1, bytes.Repeat([]byte("x"), 4<<20))
+		}()
+	}
+	for range heads + bodies {
+		require.NoError(t, <-results)
+	}
+}
--- a/cmd/marigoldcroft/forwarding_process_test.go
+++ b/cmd/marigoldcroft/forwarding_process_test.go
@@ -40,16 +40,17 @@
 }
 
 func newForwardingCluster(t *testing.T, entries int) *forwardingCluster {
-	return newForwardingClusterWith(t, entries, memoryLimitMB, 0)
+	return newForwardingClusterWith(t, entries, memoryLimitMB, 0, nil)
 }
 
 // newLimitedForwardingCluster returns one entry process with the limits of callers_process_test.go.
 func newLimitedForwardingCluster(t *testing.T) *forwardingCluster {
-	return newForwardingClusterWith(t, 1, crowdMemoryMB, crowdDescriptors)
+	return newForwardingClusterWith(t, 1, crowdMemoryMB, crowdDescriptors, nil)
 }
 
-// newForwardingClusterWith sets the memory and, unless it is 0, the limit of descriptors.
-func newForwardingClusterWith(t *testing.T, entries, memoryMB, descriptors int) *forwardingCluster {
+// newForwardingClusterWith sets the memory and, unless they are 0 or nil, the limit of descriptors and the
+// output of the log.
+func newForwardingClusterWith(t *testing.T, entries, memoryMB, descriptors int, output *os.File) *forwardingCluster {
 	c := &forwardingCluster{
 		cluster:  &cluster{t: t, binary: buildBinary(t)},
 		platform: mcstandin.NewPlatformStore(1), server: &mcstandin.PlatformServer{ID: "i-1"},
@@ -62,7 +63,7 @@
 	store := strings.TrimPrefix(c.startServer(c.platform), "http://")
 	for i := range entries {
 		p := &process{
-			callerAddress: freeAddress(t), adminAddress: freeAddress(t), readyAddress: freeAddress(t), peerAddress: freeAddress(t), descriptors: descriptors,
+			callerAddress: freeAddress(t), adminAddress: freeAddress(t), readyAddress: freeAddress(t), peerAddress: freeAddress(t), descriptors: descriptors, output: output,
 		}
 		p.settingsFile = filepath.Join(t.TempDir(), "entry.yaml")
 		text := fmt.Sprintf("deployment: d\nregion: r\ndataCentre: z\ninstance: z-%d\npeerAddress: %s\nadminAddress: %s\nscheduler: passModel\n"+
--- a/cmd/marigoldcroft/process_test.go
+++ b/cmd/marigoldcroft/process_test.go
@@ -48,7 +48,9 @@
 	// descriptors is their limit of descriptors; 0 means that of the test.
 	readyAddress, peerAddress string
 	descriptors               int
-	command                   *exec.Cmd
+	// output takes the log; nil means that of the test.
+	output  *os.File
+	command *exec.Cmd
 }
 
 func newCluster(t *testing.T, entries, engines int) *cluster {
@@ -128,6 +130,9 @@
 		p.command = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.descriptors), c.binary, "serve", "--config", p.settingsFile)
 	}
 	p.command.Stdout, p.command.Stderr = os.Stderr, os.Stderr
+	if p.output != nil {
+		p.command.Stdout = p.output
+	}
 	require.NoError(c.t, p.command.Start())
 }
 
--- a/mcentry/admin.go
+++ b/mcentry/admin.go
@@ -16,6 +16,7 @@
 	"marigoldcroft/mcmember"
 	"marigoldcroft/mcmessage"
 	"marigoldcroft/mcquarantine"
+	"marigoldcroft/mcstop"
 	"marigoldcroft/mcstore"
 )
 
@@ -206,7 +207,7 @@
 	if server.TLSConfig != nil {
 		serve = func(l net.Listener) error { return server.ServeTLS(l, "", "") }
 	}
-	if err := serve(e.admin); !errors.Is(err, http.ErrServerClosed) {
+	if err := serve(mcstop.NewConnections(server, e.admin, e.clients.operators)); !errors.Is(err, http.ErrServerClosed) {
 		return marigoldcroft.NewFailure("serve operators", KindServe, err)
 	}
 	return nil
--- a/mcentry/entry.go
+++ b/mcentry/entry.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,6 +93,7 @@
 	reconciler    *mcorder.StreamReconciler
 	peers         *mcpeer.Server
 
+	clients     clients
 	callers     net.Listener
 	admin       net.Listener
 	credentials *mcpeer.Credentials
@@ -147,9 +149,13 @@
 		return err
 	}
 	e.credentials = credentials
+	if memory := e.Settings.Forward.MemoryMB; memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(memory) * (1 << 20)))
+	}
+	e.clients = newClients(e.Settings, e.metrics, e.logger)
 	e.peers = &mcpeer.Server{
 		Address: e.Settings.PeerAddress, Identity: e.identity, Credentials: credentials,
-		TracerProvider: e.tracing, Faults: e.Faults, Logger: e.logger, Register: e.registerServices,
+		TracerProvider: e.tracing, Faults: e.Faults, Logger: e.logger, Register: e.registerServices, Connections: e.clients.peers,
 	}
 	peerAddress, err := e.peers.Listen()
 	if err != nil {
@@ -195,7 +201,7 @@
 		MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes,
 	}
 	served := make(chan error, 1)
-	connections := mcstop.NewConnections(server, e.callers)
+	connections := mcstop.NewConnections(server, e.callers, e.clients.callers)
 	go func() { served <- server.Serve(connections) }()
 	e.logger.Info().Str("callerAddress", e.CallerAddress()).Uint64("incarnation", e.identity.Incarnation()).Msg("started")
 	select {
--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -77,8 +77,6 @@
 	// memoryShare is the fraction of the memory setting that becomes the Go runtime's soft
 	// memory limit.
 	memoryShare = 0.6
-	// bodyShare is the fraction of the memory setting that request bodies may take.
-	bodyShare = 0.25
 	// lameDuckShare is the fraction of the grace time in which an instance that shuts down
 	// still accepts requests, and maxLameDuck its upper bound. The load balancer checks
 	// readiness once a second and stops sending requests after two failed checks; later
@@ -129,6 +127,7 @@
 	instances *mcfollow.Follower[marigoldcroft.ListedInstance]
 	roster    *roster
 	limits    *mclimit.EndpointLimiter
+	clients   clients
 	// recordMissing holds at most one signal that the listing of the instances lacks this one.
 	recordMissing chan struct{}
 	// firstRecords holds at most one signal that records were read, until the routing is verified.
@@ -199,6 +198,7 @@
 	e.fleet = &mcfleet.Fleet{Logger: e.logger, OnChange: e.endpointsChanged}
 	e.router = &mcroute.Router{Lease: s.KeyLease, Logger: e.logger, Changed: e.routingChanged, VerifyFirst: true}
 	e.fetcher = &mcroute.PeerFetcher{Router: e.router, Deployment: e.Settings.Deployment, Peers: e.configPeers, Decode: platform.DecodeRouting}
+	e.clients = newClients(e.Settings, e.metrics, e.logger)
 	e.buildPeers(seed)
 	e.limits = &mclimit.EndpointLimiter{
 		Ownership: &mclimit.Ownership{Self: e.Settings.Instance}, Ask: e.askLimitOwner, Announce: e.announceLimit, Logger: e.logger,
@@ -208,7 +208,6 @@
 		Retries:    &mclimit.RetryBudget{Limits: e.retryLimits(time.Now())},
 		Quarantine: &mcquarantine.Guard{}, Limits: e.limits, Announce: e.announceSuspects, Isolated: e.isolated, ListingAge: e.listingAge, OnLoadChange: e.member.PushInFlight,
 		Metrics: e.metrics, Logger: e.logger, MaxInFlight: e.Settings.Limits.MaxInFlight,
-		MaxBodyBytes: int64(bodyShare * float64(max(s.MemoryMB, 64)) * (1 << 20)),
 	}
 	e.fleet.OnProcessEnded, e.fleet.OnReturned = e.forwarder.EndpointEnded, e.forwarder.ConfirmReturned
 	e.store = platform.NewStore(s.PlatformStore)
@@ -248,7 +247,7 @@
 		CopyStates: e.copyStates, ReceiveCopyStates: e.receiveCopyStates,
 	}
 	e.peers = &mcpeer.Server{
-		Address: address, Identity: e.identity, Logger: e.logger, Member: e.member,
+		Address: address, Identity: e.identity, Logger: e.logger, Member: e.member, Connections: e.clients.peers,
 		Register: func(r grpc.ServiceRegistrar) {
 			mcmessage.RegisterConfigServiceServer(r, &mcroute.Server{Router: e.router, Deployment: e.Settings.Deployment})
 			mcmessage.RegisterLimitServiceServer(r, &limitServer{limits: e.limits, deployment: e.Settings.Deployment})
@@ -339,18 +338,19 @@
 	} {
 		e.tasks.Go(func() { task(taskCtx) })
 	}
-	ready := newOperationsServer(http.HandlerFunc(e.serveReady), pollTimeout)
-	admin := newOperationsServer(e.metrics.Handler(), pollTimeout)
+	ready := e.newOperationsServer(http.HandlerFunc(e.serveReady))
+	admin := e.newOperationsServer(e.metrics.Handler())
 	callers := &http.Server{
 		Handler: e.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes,
 	}
 	defer ready.Close()
 	defer admin.Close()
-	connections := mcstop.NewConnections(callers, l.callers)
+	connections := mcstop.NewConnections(callers, l.callers, e.clients.callers)
+	checks, operators := mcstop.NewConnections(ready, l.ready, e.clients.balancer), mcstop.NewConnections(admin, l.admin, e.clients.operators)
 	failed := make(chan error, 3)
-	go func() { failed <- ready.Serve(l.ready) }()
-	go func() { failed <- admin.Serve(l.admin) }()
+	go func() { failed <- ready.Serve(checks) }()
+	go func() { failed <- admin.Serve(operators) }()
 	go func() { failed <- callers.Serve(connections) }()
 	e.logger.Info().Str("address", e.Settings.Forward.Address).Uint64("incarnation", e.identity.Incarnation()).Msg("started")
 	select {
@@ -380,6 +380,13 @@
 	return p.finish(err)
 }
 
+// newOperationsServer returns a server for the balancer or operators.
+func (e *Forwarding) newOperationsServer(handler http.Handler) *http.Server {
+	server := newOperationsServer(handler, pollTimeout)
+	server.MaxHeaderBytes = e.Settings.Limits.MaxHeaderBytes
+	return server
+}
+
 func (e *Forwarding) serveReady(w http.ResponseWriter, _ *http.Request) {
 	ready := e.forwarder.Ready()
 	if e.reportedReady.Swap(ready) != ready {
--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -41,11 +41,9 @@
 	team      marigoldcroft.RoutedTeam
 	service   string
 	// engine is zero when the service is not an inference engine.
-	engine marigoldcroft.EnginePerformance
-	body   []byte
-	// countedBytes is the number of body bytes that count against Forwarder.MaxBodyBytes.
-	countedBytes int64
-	fingerprint  mcquarantine.Fingerprint
+	engine      marigoldcroft.EnginePerformance
+	body        []byte
+	fingerprint mcquarantine.Fingerprint
 	// parts are the fingerprints of what the request shares with others: the first requestParts of
 	// them are those of mcquarantine.RequestParts, the rest those of mcquarantine.PartFingerprints
 	// for request.SharedParts.
--- a/mcforward/forwarder.go
+++ b/mcforward/forwarder.go
@@ -67,10 +67,9 @@
 	OnLoadChange func()
 	Metrics      *mcobserve.Metrics
 	Logger       zerolog.Logger
-	// MaxInFlight limits the concurrent requests in this instance. MaxBodyBytes limits the
-	// total bytes of their bodies; 0 means no limit on bodies.
-	MaxInFlight  int
-	MaxBodyBytes int64
+	// MaxInFlight limits the concurrent requests in this instance. Their bodies count in the budget
+	// of the connections on which they arrive.
+	MaxInFlight int
 
 	initOnce sync.Once
 	pool     *connPool
@@ -80,7 +79,6 @@
 	confirming chan struct{}
 	stop       mcstop.Stop
 	inFlight   atomic.Int64
-	bodyBytes  atomic.Int64
 	running    mcclock.RunningTime
 }
 
@@ -197,7 +195,6 @@
 	if problem := f.accept(c, inFlight); problem != nil {
 		return c.refuse(*problem)
 	}
-	defer f.releaseBody(c)
 	if problem := f.readBody(c); problem != nil {
 		return c.refuse(*problem)
 	}
--- a/mcforward/harness_test.go
+++ b/mcforward/harness_test.go
@@ -102,7 +102,7 @@
 		Codec: platform.Codec{}, Router: router, Fleet: fleet, Dispatcher: &mcgateway.Dispatcher{Scheduler: scheduler},
 		Retries:    &mclimit.RetryBudget{Limits: func(time.Time) mclimit.RetryLimits { return mclimit.RetryLimits{Floor: 1000} }},
 		Quarantine: &mcquarantine.Guard{}, Announce: b.announce, OnLoadChange: func() {}, Metrics: mcobserve.NewMetrics(),
-		Logger: zerolog.Nop(), MaxInFlight: 100, MaxBodyBytes: 1 << 20,
+		Logger: zerolog.Nop(), MaxInFlight: 100,
 	}
 	fleet.OnReturned = b.forwarder.ConfirmReturned
 	router.Update(routingTable(1, testKey), "test")
--- a/mcgateway/chat.go
+++ b/mcgateway/chat.go
@@ -15,6 +15,7 @@
 	"marigoldcroft"
 	"marigoldcroft/mcquarantine"
 	"marigoldcroft/mcsocket"
+	"marigoldcroft/mcstop"
 )
 
 const (
@@ -147,6 +148,10 @@
 	if errors.As(err, &tooLarge) {
 		return nil, notRun(CodeTooLarge, fmt.Sprintf("body: more than %d bytes", g.Limits.MaxBodyBytes))
 	}
+	if errors.Is(err, mcstop.ErrRejected) {
+		x.w.Header().Set("Connection", "close")
+		return nil, notRun(CodeOverloaded, err.Error()).withRetryAfter(time.Second)
+	}
 	if err != nil && (g.stop.IsOver(time.Now()) || g.stop.RefusesNew()) {
 		return nil, stoppingProblem()
 	}
--- a/mcobserve/metrics.go
+++ b/mcobserve/metrics.go
@@ -29,6 +29,9 @@
 	HeadOfLine prometheus.Histogram
 	// Refusals counts rejected requests by reason.
 	Refusals *prometheus.CounterVec
+	// RejectedConnections counts connections that were rejected by a bound on what clients may hold,
+	// by listener and bound (memory, connections).
+	RejectedConnections *prometheus.CounterVec
 	// Attempts counts attempts on endpoints by result.
 	Attempts *prometheus.CounterVec
 	// Mismatches counts stream events that were discarded because they belong to another
@@ -57,6 +60,7 @@
 	m.QueueWait = m.histograms("queue_wait_seconds", "Time in the scheduler's queue.", "class")
 	m.HeadOfLine = m.histograms("head_of_line_seconds", "Queue wait of short work while long work was dispatched.").WithLabelValues().(prometheus.Histogram)
 	m.Refusals = m.counters("refusals_total", "Refused requests.", "reason")
+	m.RejectedConnections = m.counters("rejected_connections_total", "Connections rejected by a bound on what clients may hold.", "listener", "bound")
 	m.Attempts = m.counters("attempts_total", "Attempts on endpoints.", "result")
 	m.Mismatches = m.counters("stream_mismatches_total", "Discarded events of other requests or attempts.").WithLabelValues()
 	m.Joined = m.counters("joined_requests_total", "Requests that joined a running twin.").WithLabelValues()
--- a/mcpeer/bytes.go
+++ b/mcpeer/bytes.go
@@ -34,17 +34,3 @@
 	c.total.sent.Add(uint64(n))
 	return n, err
 }
-
-// countingListener wraps accepted connections in countingConn.
-type countingListener struct {
-	net.Listener
-	total *ByteCounter
-}
-
-func (l countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return countingConn{conn, l.total}, nil
-}
--- a/mcpeer/server.go
+++ b/mcpeer/server.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"marigoldcroft"
+	"marigoldcroft/mcbudget"
 	"marigoldcroft/mcmember"
 	"marigoldcroft/mcmessage"
 	"marigoldcroft/mcrecover"
@@ -59,8 +60,12 @@
 	// means DefaultMaxMessageBytes.
 	MaxMessageBytes int
 
+	// Connections is the share of the process's connections; nil means that they are not bounded.
+	Connections *mcbudget.Share
+
 	listener net.Listener
 	bytes    ByteCounter
+	accounts accountTable
 }
 
 // Listen opens the listening socket and returns its address.
@@ -89,7 +94,7 @@
 		s.Register(server)
 	}
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(countingListener{s.listener, &s.bytes}) }()
+	go func() { done <- server.Serve(newPeerListener(s.listener, s)) }()
 	select {
 	case err := <-done:
 		return marigoldcroft.NewFailure("serve "+s.Address, KindServe, err)
@@ -123,6 +128,9 @@
 	if s.Credentials != nil {
 		options = append(options, grpc.Creds(s.Credentials.Server()))
 	}
+	if s.Connections != nil {
+		options = append(options, grpc.StatsHandler(&s.accounts))
+	}
 	if s.TracerProvider != nil {
 		options = append(options, grpc.StatsHandler(otelgrpc.NewServerHandler(
 			otelgrpc.WithTracerProvider(s.TracerProvider), otelgrpc.WithPropagators(propagation.TraceContext{}))))
@@ -138,7 +146,7 @@
 	if err := s.Faults.blockInbound(ctx); err != nil {
 		return nil, err
 	}
-	if err := s.checkRequest(info.FullMethod, request); err != nil {
+	if err := s.checkRequest(ctx, info.FullMethod, request); err != nil {
 		s.Logger.Warn().Str("method", info.FullMethod).Err(err).Msg("peerCallRefused")
 		return nil, err
 	}
@@ -186,11 +194,11 @@
 	if err := c.ServerStream.RecvMsg(message); err != nil {
 		return err
 	}
-	return c.server.checkRequest(c.method, message)
+	return c.server.checkRequest(c.ctx, c.method, message)
 }
 
-// checkRequest validates a request and its sender.
-func (s *Server) checkRequest(method string, request any) error {
+// checkRequest validates a request and its sender. A valid request is progress of its connection.
+func (s *Server) checkRequest(ctx context.Context, method string, request any) error {
 	message, ok := request.(proto.Message)
 	if !ok {
 		return status.Errorf(codes.Internal, "the request of %s is not a protobuf message", method)
@@ -201,7 +209,11 @@
 	if err := Validate(message); err != nil {
 		return status.Error(codes.InvalidArgument, err.Error())
 	}
-	return checkSender(s.Identity, method, message)
+	if err := checkSender(s.Identity, method, message); err != nil {
+		return err
+	}
+	accountOf(ctx).EndRequest()
+	return nil
 }
 
 // checkSender rejects messages from another deployment or from the instance itself. It also
--- a/mcsetting/setting.go
+++ b/mcsetting/setting.go
@@ -71,7 +71,7 @@
 		RetryRatio    float64       `yaml:"retryRatio" validate:"min=0,max=1" doc:"repeats a request of a service, over all instances"`
 		RetrySlack    float64       `yaml:"retrySlack" validate:"min=0,max=100000" doc:"repeats beside the ratio in a window, of all instances together"`
 		RetryWindow   time.Duration `yaml:"retryWindow" validate:"min=0,max=10m" doc:"length of the window of the retry budget"`
-		MemoryMB      int           `yaml:"memoryMB" validate:"min=0,max=1048576" doc:"memory of the process in MB; 0: not limited"`
+		MemoryMB      int           `yaml:"memoryMB" validate:"min=0,max=1048576" doc:"memory of the process in MB, two fifths of which clients may make it hold; 0: not limited, and 256 MB for this share"`
 		Instances     int           `yaml:"instances" validate:"min=0,max=10000" doc:"least number of instances that share the retry budget"`
 		// EvacuationDelay is 0 where the operator does not ask for evacuations.
 		EvacuationDelay   time.Duration     `yaml:"evacuationDelay" validate:"min=0,max=10m" doc:"time within which an evacuation of a data centre is in force; 0: evacuations are not followed"`
@@ -84,6 +84,7 @@
 		MaxBodyBytes    int64         `yaml:"maxBodyBytes" validate:"min=1024,max=67108864" doc:"largest request body in bytes"`
 		MaxHeaderBytes  int           `yaml:"maxHeaderBytes" validate:"min=1024,max=1048576" doc:"largest request header in bytes"`
 		BodyReadTimeout time.Duration `yaml:"bodyReadTimeout" validate:"min=100ms,max=10m" doc:"time in which a caller must send its whole request"`
+		MaxConnections  int           `yaml:"maxConnections" validate:"min=0,max=1000000" doc:"largest number of callers' connections at once; 0, or more than the process's limit of descriptors allows: what this allows"`
 		MaxInFlight     int           `yaml:"maxInFlight" validate:"min=1,max=1000000" doc:"largest number of requests in this instance at once"`
 		QueueLength     int           `yaml:"queueLength" validate:"min=1,max=1000000" doc:"largest number of admitted requests that wait in this instance"`
 	}
--- a/mcstop/connections_test.go
+++ b/mcstop/connections_test.go
@@ -24,7 +24,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := &http.Server{ReadHeaderTimeout: time.Second}
-	connections := mcstop.NewConnections(server, failingListener{listener})
+	connections := mcstop.NewConnections(server, failingListener{listener}, nil)
 	require.ErrorContains(t, server.Serve(connections), "accept failed")
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
--- a/mcstop/limits_test.go
+++ b/mcstop/limits_test.go
@@ -23,7 +23,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute}
-	connections := mcstop.NewConnections(server, listener)
+	connections := mcstop.NewConnections(server, listener, nil)
 	go func() { _ = server.Serve(connections) }()
 	t.Cleanup(func() { _ = server.Close() })
 	conn, err := net.Dial("tcp", listener.Addr().String())
