Take no reset answer and no status below 100 of a plain service for an answer

A plain service of the chat interface that answered a long call at once and reset the connection after a part of its answer could have that part taken for the whole: a write took the report of the reset, and the read returned the regular end. Status 000 was passed on as an answer. The connection that mcforward uses against the first fault moves to mcsocket.ResetConn, and mcservice uses it; a status below 100 is KindAnswerLost.

--- a/mcforward/connpool.go
+++ b/mcforward/connpool.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -67,12 +65,8 @@
 	// countingConn counts the bytes written, which shows whether any part of a request can
 	// have reached the endpoint, and the bytes read.
 	countingConn struct {
-		net.Conn
+		mcsocket.ResetConn
 		written, read atomic.Int64
-
-		writeMu sync.Mutex
-		// writeErr is the first error of a write other than a timeout.
-		writeErr error
 	}
 
 	socketContextKey struct{}
@@ -80,40 +74,20 @@
 
 // Write counts bytes that were, or are being, passed to the kernel.
 func (c *countingConn) Write(p []byte) (int, error) {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
 	// The bytes are counted before the call, as a response may arrive before Write returns.
 	c.written.Add(int64(len(p)))
-	n, err := c.Conn.Write(p)
+	n, err := c.ResetConn.Write(p)
 	c.written.Add(int64(n - len(p)))
-	if err != nil && c.writeErr == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.writeErr = err
-	}
 	return n, err
 }
 
-// Read counts the bytes that were received. The kernel reports a reset only once: if a write
-// took the report, the end of the connection is returned as the error of that write.
+// Read counts the bytes that were received.
 func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.ResetConn.Read(p)
 	c.read.Add(int64(n))
-	if errors.Is(err, io.EOF) {
-		if failed := c.endWrites(); failed != nil {
-			err = errors.Wrap(failed, "end of the connection after a failed write")
-		}
-	}
 	return n, err
 }
 
-// endWrites ends a write in progress and returns the error of the write that failed, if any.
-func (c *countingConn) endWrites() error {
-	// The error is ignored: the deadline of a closed connection is not needed.
-	_ = c.SetWriteDeadline(time.Unix(1, 0))
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
-	return c.writeErr
-}
-
 func newConnPool(onOpen func()) *connPool {
 	dialer := mcsocket.NewDialer(dialTimeout, unackedTimeout)
 	return &connPool{
@@ -126,7 +100,7 @@
 				if err != nil {
 					return nil, err
 				}
-				counted := &countingConn{Conn: conn}
+				counted := &countingConn{ResetConn: mcsocket.ResetConn{Conn: conn}}
 				if slot, ok := ctx.Value(socketContextKey{}).(**countingConn); ok {
 					*slot = counted
 				}
--- a/mcforward/connpool_test.go
+++ b/mcforward/connpool_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"marigoldcroft/mcsocket"
 )
 
 // writeHook is a connection whose writes are handled by a callback.
@@ -51,7 +53,7 @@
 	conn, peer := connect(t)
 	require.NoError(t, peer.SetLinger(0))
 	require.NoError(t, peer.Close())
-	c := &countingConn{Conn: conn}
+	c := &countingConn{ResetConn: mcsocket.ResetConn{Conn: conn}}
 	for err := error(nil); err == nil; {
 		_, err = c.Write([]byte("x"))
 	}
@@ -64,7 +66,7 @@
 // The end of its response must be returned at once and not as an error.
 func TestEndWhileAWriteIsBlockedIsAnEnd(t *testing.T) {
 	conn, peer := connect(t)
-	c := &countingConn{Conn: conn}
+	c := &countingConn{ResetConn: mcsocket.ResetConn{Conn: conn}}
 	written := make(chan error, 1)
 	go func() {
 		_, err := c.Write(make([]byte, 64<<20))
--- a/mcservice/service.go
+++ b/mcservice/service.go
@@ -2,6 +2,7 @@
 package mcservice
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -115,7 +116,13 @@
 	setDefault(&cfg.MaxAnswerBytes, defaultMaxAnswerBytes)
 	// The environment's proxy settings are ignored, as services are addressed by IP.
 	var transport http.RoundTripper = &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &mcsocket.ResetConn{Conn: conn}, nil
+		},
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
@@ -150,6 +157,10 @@
 		return marigoldcroft.ServiceAnswer{}, marigoldcroft.NewFailure(operation, KindAnswerLost, err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode < http.StatusOK {
+		// net/http has read interim responses; a status below 100 does not exist.
+		return marigoldcroft.ServiceAnswer{}, marigoldcroft.NewFailure(operation, KindAnswerLost, errors.Newf("the status is %03d", response.StatusCode))
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
 	if err != nil {
 		return marigoldcroft.ServiceAnswer{}, marigoldcroft.NewFailure(operation, KindAnswerLost, err)
