Let three instances watch the store for all, and pass changes on between peers

The first three live instances in rendezvous order for a kind of records now hold watches. The exchange carries the position of the last change of each copy, and an instance without a watch fetches what has changed from a peer that is ahead of it. It asks the store itself when its copy is no longer confirmed, by the former store fallback ages, so that no copy is used for longer than before. An instance writes its own record without reading it before, if the listing lacks it.

TestInstancesWithoutAWatchFollowTheStore fails with watches at all instances (36 calls for five changes, 25 allowed). TestForwardingPeersTakeNoRequests names one more service, which carries records of the store and no request.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -74,6 +74,10 @@
 	maxExchangedEndpoints = 256
 	// announceInterval is the mean time between attempts to write this instance's record.
 	announceInterval = time.Second
+	// announceListWait is how long the record waits for the first listing of the instances, which shows
+	// whether it has to be written and saves a call, and announceListPoll how often that is checked.
+	announceListWait = 300 * time.Millisecond
+	announceListPoll = 10 * time.Millisecond
 	// memoryShare is the fraction of the memory setting that becomes the Go runtime's soft
 	// memory limit.
 	memoryShare = 0.6
@@ -128,7 +132,9 @@
 	endpoints *mcfollow.Follower[marigoldcroft.EndpointRecord]
 	instances *mcfollow.Follower[marigoldcroft.ListedInstance]
 	roster    *roster
-	limits    *mclimit.EndpointLimiter
+	// copies are the followers whose records instances copy from each other, by kind.
+	copies map[string]copiedRecords
+	limits *mclimit.EndpointLimiter
 	// recordMissing holds at most one signal that the listing of the instances lacks this one.
 	recordMissing chan struct{}
 	// firstRecords holds at most one signal that records were read, until the routing is verified.
@@ -216,15 +222,19 @@
 	e.routing = &mcfollow.Follower[marigoldcroft.RoutingTable]{
 		Name: recordsRouting, Feed: platform.Routing(e.store), Apply: e.applyRouting, Logger: e.logger, Gate: gate,
 		WatchTimeout: e.watchTimeout(recordsRouting), StoreFallbackAge: e.storeFallbackAge(recordsRouting), Hash: hashTable, OnConfirmed: e.confirmRouting,
+		PeerFed: e.peerFed(recordsRouting),
 	}
 	e.endpoints = &mcfollow.Follower[marigoldcroft.EndpointRecord]{
 		Name: recordsEndpoints, Feed: platform.Endpoints(e.store), Apply: e.fleet.Apply, Logger: e.logger, Gate: gate,
-		WatchTimeout: e.watchTimeout(recordsEndpoints), StoreFallbackAge: e.storeFallbackAge(recordsEndpoints), Hash: hashEndpoint, BatchDelay: e.batchDelay(endpointCallRate, maxEndpointBatchDelay),
+		WatchTimeout: e.watchTimeout(recordsEndpoints), StoreFallbackAge: e.storeFallbackAge(recordsEndpoints), Hash: hashEndpoint, BatchDelay: e.feedingDelay(recordsEndpoints, e.batchDelay(endpointCallRate, maxEndpointBatchDelay)),
+		PeerFed: e.peerFed(recordsEndpoints), Equal: func(a, b *marigoldcroft.EndpointRecord) bool { return *a == *b },
 	}
 	e.instances = &mcfollow.Follower[marigoldcroft.ListedInstance]{
-		Name: "instances", Feed: platform.Instances(e.store), WatchTimeout: func() time.Duration { return instanceWatchWait }, BatchDelay: e.batchDelay(instanceCallRate, maxInstanceBatchDelay),
-		Apply: e.applyInstances, Logger: e.logger, Gate: gate,
+		Name: recordsInstances, Feed: platform.Instances(e.store), WatchTimeout: func() time.Duration { return instanceWatchWait }, BatchDelay: e.batchDelay(instanceCallRate, maxInstanceBatchDelay),
+		Apply: e.applyInstances, Logger: e.logger, Gate: gate, Hash: hashInstance,
+		StoreFallbackAge: func() time.Duration { return instancesFallbackAge }, PeerFed: e.peerFed(recordsInstances),
 	}
+	e.buildCopies()
 	return nil
 }
 
@@ -258,6 +268,7 @@
 func (e *Forwarding) registerPeerServices(r grpc.ServiceRegistrar) {
 	mcmessage.RegisterConfigServiceServer(r, &mcroute.Server{Router: e.router, Deployment: e.Settings.Deployment})
 	mcmessage.RegisterLimitServiceServer(r, &limitServer{limits: e.limits, deployment: e.Settings.Deployment})
+	mcmessage.RegisterRecordServiceServer(r, &recordServer{copies: func(records string) copiedRecords { return e.copies[records] }})
 }
 
 // instanceCount returns the number of instances that share the retry budget. It includes
@@ -400,8 +411,18 @@
 	listed := marigoldcroft.ListedInstance{
 		Name: e.Settings.Instance, DataCentre: e.Settings.Region, Region: e.Settings.Region, PeerAddress: e.Settings.PeerAddress,
 	}
+	for waited := time.Duration(0); !e.roster.isListed() && waited < announceListWait; waited += announceListPoll {
+		mcclock.Sleep(ctx, announceListPoll)
+	}
 	for ctx.Err() == nil {
-		err := e.store.Announce(ctx, listed)
+		if e.roster.lists(listed) {
+			return
+		}
+		write := e.store.Announce
+		if e.roster.isListed() && !e.roster.has(listed.Name) {
+			write = e.store.AnnounceNew
+		}
+		err := write(ctx, listed)
 		if err == nil {
 			return
 		}
--- a/mcentry/forwarding_copy.go
+++ b/mcentry/forwarding_copy.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"marigoldcroft"
-	"marigoldcroft/mcclock"
+	"marigoldcroft/mcfollow"
 	"marigoldcroft/mcmember"
 	"marigoldcroft/mcmessage"
 )
@@ -20,20 +20,15 @@
 const (
 	recordsRouting   = "routing"
 	recordsEndpoints = "endpoints"
+	recordsInstances = "instances"
 )
 
 // copyStates returns the digests and ages of the local copies, to be sent to peers.
 func (e *Forwarding) copyStates() []*mcmessage.CopyState {
 	var states []*mcmessage.CopyState
-	now := mcclock.Now()
-	for _, c := range []struct {
-		records string
-		state   func() (digest uint64, complete time.Duration, known bool)
-	}{{recordsRouting, e.routing.CopyStatus}, {recordsEndpoints, e.endpoints.CopyStatus}} {
-		if digest, complete, known := c.state(); known {
-			states = append(states, &mcmessage.CopyState{
-				Records: c.records, Digest: digest, AgeMs: uint64(max(0, now-complete).Milliseconds()) + 1,
-			})
+	for _, records := range []string{recordsRouting, recordsEndpoints, recordsInstances} {
+		if state := e.copies[records].status(); state != nil {
+			states = append(states, state)
 		}
 	}
 	return states
@@ -41,14 +36,15 @@
 
 // receiveCopyStates processes the digests and ages of a peer's copies. Their ages count
 // from requestedAt, the boot time at which the request was sent.
-func (e *Forwarding) receiveCopyStates(requestedAt time.Duration, copies []*mcmessage.CopyState) {
+func (e *Forwarding) receiveCopyStates(peer mcmember.Contact, requestedAt time.Duration, copies []*mcmessage.CopyState) {
 	for _, c := range copies {
-		complete := requestedAt - time.Duration(c.GetAgeMs())*time.Millisecond
-		switch c.GetRecords() {
-		case recordsRouting:
-			e.routing.ObservePeerCopy(c.GetDigest(), complete)
-		case recordsEndpoints:
-			e.endpoints.ObservePeerCopy(c.GetDigest(), complete)
+		held := e.copies[c.GetRecords()]
+		switch {
+		case held == nil:
+		case held.isBehind(mcfollow.Position{Era: int64(c.GetEra()), Revision: int64(c.GetRevision())}):
+			e.takeCopy(peer, c.GetRecords())
+		default:
+			held.observe(c.GetDigest(), requestedAt-time.Duration(c.GetAgeMs())*time.Millisecond)
 		}
 	}
 }
@@ -91,3 +87,7 @@
 	r.Warming = 0
 	return xxhash.Sum64(fmt.Appendf(nil, "%+v", r))
 }
+
+func hashInstance(listed *marigoldcroft.ListedInstance) uint64 {
+	return xxhash.Sum64(fmt.Appendf(nil, "%+v", *listed))
+}
--- a/mcentry/forwarding_peer.go
+++ b/mcentry/forwarding_peer.go
@@ -112,6 +112,13 @@
 	return recorded
 }
 
+// lists reports whether the record of the instance is equal to the given one.
+func (r *roster) lists(listed marigoldcroft.ListedInstance) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.instances[listed.Name] == listed
+}
+
 // someAddresses returns the addresses of up to n recorded instances other than the given one, drawn at
 // random.
 func (r *roster) someAddresses(except string, n int) []string {
--- a/mcentry/region_test.go
+++ b/mcentry/region_test.go
@@ -22,5 +22,5 @@
 func TestForwardingPeersTakeNoRequests(t *testing.T) {
 	r := &registrar{}
 	mcentry.RegisterForwardingPeerServices(r)
-	require.Equal(t, []string{"marigoldcroft.config.ConfigService", "marigoldcroft.member.LimitService"}, r.names)
+	require.Equal(t, []string{"marigoldcroft.config.ConfigService", "marigoldcroft.member.LimitService", "marigoldcroft.member.RecordService"}, r.names)
 }
--- a/mcfollow/copystatus.go
+++ b/mcfollow/copystatus.go
@@ -72,7 +72,11 @@
 	if digest != s.digest {
 		behind := complete - s.complete
 		s.mu.Unlock()
-		if behind > minPeerLead && s.interruptWatch(true) {
+		lead := minPeerLead
+		if f.awaiting.Load() {
+			lead = peerFedLead
+		}
+		if behind > lead && s.interruptWatch(true) {
 			f.Logger.Info().Str("records", f.Name).Dur("behindMs", behind).Msg("copyBehind")
 		}
 		return
@@ -122,6 +126,13 @@
 	return skipWait
 }
 
+// isInterrupted reports whether the next call of the store is due at once.
+func (s *copyStatus) isInterrupted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.skipWait || s.listAgain
+}
+
 // takeListAgain reports whether a list must replace the next watch, and clears the request.
 func (s *copyStatus) takeListAgain() bool {
 	s.mu.Lock()
--- a/mcfollow/follower.go
+++ b/mcfollow/follower.go
@@ -76,7 +76,18 @@
 		// OnConfirmed is called when a peer has confirmed the copy's content, with the time of
 		// mcclock.Now at which that content was complete. It may be nil.
 		OnConfirmed func(complete time.Duration)
+		// PeerFed reports whether peers hold the watches for this instance: it then makes no calls
+		// while one of them confirms its copy, and takes changes from them (TakeFrom). Nil means never.
+		// It needs Hash and StoreFallbackAge.
+		PeerFed func() bool
+		// Equal compares two values when a peer's copy is adopted; nil compares their hashes.
+		Equal func(a, b *T) bool
 
+		held       heldRecords[T]
+		offersOnce sync.Once
+		offered    chan PeerCopy[T]
+		// awaiting is true while Run waits for peers in place of a watch.
+		awaiting    atomic.Bool
 		status      copyStatus
 		revision    int64
 		listed      bool
@@ -99,6 +110,10 @@
 		monitor.Go(func() { f.monitorAge(ctx) })
 	}
 	for ctx.Err() == nil {
+		if f.waitsForPeers() {
+			f.awaitPeers(ctx)
+			continue
+		}
 		changed, err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -181,6 +196,7 @@
 	}
 	f.failures, f.revision = 0, revision
 	f.Apply(change)
+	f.hold(change, Position{f.feedEra(), revision}, nil)
 	if f.Hash != nil {
 		f.status.apply(snapshot, complete, hashRecords(records, f.Hash))
 	}
--- a/mcfollow/outage.go
+++ b/mcfollow/outage.go
@@ -8,6 +8,10 @@
 // minOutage is the length of an outage of the store above which records may have expired during it.
 const minOutage = time.Second
 
+// outageRelevance is the age up to which the outage of the store that a peer saw is passed on with its
+// copy. Records that expired in it are back a few seconds after its end.
+const outageRelevance = 10 * time.Second
+
 type (
 	// outageTracker finds the outages of a store from the results of all calls to it: one begins with
 	// a failed call and ends with the next answer to any call. It is safe for concurrent use.
--- a/mcmember/member.go
+++ b/mcmember/member.go
@@ -108,7 +108,7 @@
 		// which the request was sent; ages in the answer are counted from it, so that they are
 		// never underestimated. Either may be nil.
 		CopyStates        func() []*mcmessage.CopyState
-		ReceiveCopyStates func(requestedAt time.Duration, copies []*mcmessage.CopyState)
+		ReceiveCopyStates func(peer Contact, requestedAt time.Duration, copies []*mcmessage.CopyState)
 
 		once            sync.Once
 		mu              sync.Mutex
@@ -397,7 +397,7 @@
 		repeat := false
 		m.withTable(func(t *Table, now time.Time) { repeat = t.Finish(now, sent, answer) })
 		if m.ReceiveCopyStates != nil && len(answer.GetCopies()) > 0 {
-			m.ReceiveCopyStates(requestedAt, answer.GetCopies())
+			m.ReceiveCopyStates(peer, requestedAt, answer.GetCopies())
 		}
 		if !repeat {
 			break
