Check the age of an unconfirmed copy when it is due

An instance without a watch of the store asks it once its copy has not been confirmed for its store fallback age, but the age was checked only every 250 ms, so that a leaving endpoint could be noticed 2.95 s after its record changed if no peer passed the change on, where 3 s are allowed. The check now waits until the copy is due.

--- a/mcfollow/copystatus.go
+++ b/mcfollow/copystatus.go
@@ -15,8 +15,10 @@
 	// differences: the store's answers to two instances are milliseconds apart, and the
 	// pause that gathers changes takes a few hundred milliseconds.
 	minPeerLead = time.Second
-	// minAgeCheckInterval is the shortest time between two checks of the copy's age.
+	// minAgeCheckInterval is the shortest time between two interruptions of a watch because of the
+	// copy's age, and minAgeWait the shortest wait for the time at which the copy is too old.
 	minAgeCheckInterval = 250 * time.Millisecond
+	minAgeWait          = 5 * time.Millisecond
 )
 
 type (
@@ -98,8 +100,9 @@
 		}
 		if due <= 0 {
 			f.status.interruptWatch(false)
+			due = minAgeCheckInterval
 		}
-		mcclock.Sleep(ctx, max(due, minAgeCheckInterval))
+		mcclock.Sleep(ctx, max(due, minAgeWait))
 	}
 }
 
