Spread by free slots and subsets only at a peak of short requests

Both now apply only while peers have placed one unseen short request for every second engine, which is the load that they are for. Instances push their work to their subset only while it changes all the time. go test ./mcscheduler passes.

--- a/mcmember/member.go
+++ b/mcmember/member.go
@@ -30,8 +30,7 @@
 	// urgentSpacing because relay calls cross data centres.
 	relaySpacing = time.Second
 	// inFlightPushFanout limits the members that one PushInFlight calls; the others get the
-	// in-flight record by the regular exchanges. Members of the own subset are called, as they use
-	// the same endpoints.
+	// in-flight record by the regular exchanges.
 	inFlightPushFanout = 12
 	// inFlightPushSpacing is the minimum time between two pushes of the in-flight record.
 	inFlightPushSpacing = 80 * time.Millisecond
@@ -302,17 +301,24 @@
 
 // inFlightPushLoop pushes the in-flight record of this member after each PushInFlight.
 func (m *Member) inFlightPushLoop(ctx context.Context) error {
+	var pushedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-m.inFlightSignal:
 		}
+		// Work that changes all the time is pushed to the own subset, whose members use the same
+		// endpoints; other changes reach all members sooner if some of them get each one.
+		busy := time.Since(pushedAt) < 2*inFlightPushSpacing
+		pushedAt = time.Now()
 		var peers []Contact
 		inFlight := m.InFlight()
 		m.withTable(func(t *Table, now time.Time) {
 			t.SetInFlight(now, inFlight)
-			peers = t.shuffledSubset()
+			if peers = t.shuffledLive(); busy {
+				peers = t.shuffledSubset()
+			}
 			peers = peers[:min(len(peers), inFlightPushFanout)]
 			t.pendingPushes.inFlight = max(t.pendingPushes.inFlight, len(peers))
 		})
--- a/mcscheduler/passmodel_short.go
+++ b/mcscheduler/passmodel_short.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -48,7 +49,7 @@
 // set.
 func (m *passModel) placeShort(now time.Duration, it *item) (placement, placementResult) {
 	p, result, least := it.pool, noEndpoint, math.Inf(1)
-	outside := m.shortSetStart(now, p)
+	outside, peak := m.shortSetStart(now, p), m.isPeak(it)
 	for i, e := range p.live {
 		p.scores[i] = math.Inf(1)
 		if reason := m.eligibility(now, it, e); reason != placed {
@@ -72,7 +73,7 @@
 		case i < outside:
 			p.scores[i] += outsideSetPenaltySeconds
 		}
-		if !m.s.inSubset(i) {
+		if peak && !m.s.inSubset(i) {
 			p.scores[i] += outsideSubsetPenaltySeconds
 		}
 		least = min(least, p.scores[i])
@@ -80,10 +81,29 @@
 	if math.IsInf(least, 1) {
 		return placement{}, result
 	}
-	e := m.drawByFreeSlots(now, it, least)
+	var e *endpoint
+	if peak {
+		e = m.drawByFreeSlots(now, it, least)
+	} else {
+		e = m.drawWithin(now, p, max(least*(1+nearBestMargin)+nearBestTolerance, min(m.peerSpreadLimit(it), least+peerSpreadSeconds)))
+	}
 	return placement{endpoint: e, wait: m.wait(now, e), prefill: it.prefill, firstTokenDelay: m.firstTokenDelay(now, it, e)}, placed
 }
 
+// peerSpreadLimit returns the score up to which engines are drawn at random. The draw
+// covers as many engines as peers are expected to have chosen since their last report,
+// as all of them see the same best engine.
+func (m *passModel) peerSpreadLimit(it *item) float64 {
+	p := it.pool
+	unreported := int(math.Ceil(p.unreportedShort(it)))
+	if unreported == 0 {
+		return 0
+	}
+	p.sortedScores = append(p.sortedScores[:0], p.scores...)
+	slices.Sort(p.sortedScores)
+	return p.sortedScores[min(unreported, len(p.sortedScores)-1)]
+}
+
 // crowdingDelay returns the expected delay in seconds on an engine whose slots are
 // almost all taken.
 func (m *passModel) crowdingDelay(now time.Duration, e *endpoint) float64 {
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -81,8 +81,10 @@
 	rotation int
 	// scores and nearBest are buffers for choosing an endpoint: scores is parallel to
 	// live, and nearBest holds positions in live.
-	scores   []float64
-	nearBest []int32
+	scores []float64
+	// sortedScores is a buffer for the sorted scores.
+	sortedScores []float64
+	nearBest     []int32
 }
 
 // queued returns the number of waiting items.
--- a/mcscheduler/spread.go
+++ b/mcscheduler/spread.go
@@ -11,11 +11,10 @@
 // instances at once, and requests wait for its slots while other engines have free ones.
 
 const (
-	// subsetReportAgeSeconds is the usual age of what is known of the work of this instance's subset,
-	// and farReportAgeSeconds that of the work of other instances. Members of a subset push their work
-	// to each other; it reaches the others by the regular exchange.
-	subsetReportAgeSeconds = peerViewAgeSeconds
-	farReportAgeSeconds    = 0.6
+	// peakArrivals is the number of short requests for each engine that peers have placed there unseen
+	// from which on there is a peak. Below it, few of them meet on one engine, and all instances share
+	// the set for short work so that the other engines stay free for long prefills.
+	peakArrivals = 0.5
 	// outsideSubsetPenaltySeconds counts against engines of other subsets. With it, a request that
 	// leaves its subset can still meet an objective of 250 ms on an idle engine.
 	outsideSubsetPenaltySeconds = 0.12
@@ -46,15 +45,16 @@
 	return peerSpreadSeconds
 }
 
-// unreportedShort estimates the number of short requests that peers have placed on the engine since
-// their last reports: the arrival rate, by Little's law from the requests in flight, times the age of
-// the reports.
-func (m *passModel) unreportedShort(it *item, position int) float64 {
-	age := subsetReportAgeSeconds
-	if !m.s.inSubset(position) {
-		age = farReportAgeSeconds
-	}
-	return float64(it.pool.live[position].peerShortInFlight) / max(it.pool.residenceSeconds(it), age) * age
+// unreportedShort estimates the number of short requests that peers have placed on the engines of the
+// pool since their last reports: the arrival rate, by Little's law from the requests in flight, times
+// the age of the reports.
+func (p *pool) unreportedShort(it *item) float64 {
+	return float64(p.peerShortInFlight) / max(p.residenceSeconds(it), peerViewAgeSeconds) * peerViewAgeSeconds
+}
+
+// isPeak reports whether so many short requests arrive that instances hinder each other.
+func (m *passModel) isPeak(it *item) bool {
+	return it.pool.unreportedShort(it) >= peakArrivals*float64(len(it.pool.live))
 }
 
 // drawByFreeSlots draws one of the engines whose score is near the least one, with a probability in
@@ -63,13 +63,9 @@
 // worse in the emulated peak: all instances correct the same difference before they see each other's
 // correction, and their prompts meet in the same passes of the engines that looked idle.
 func (m *passModel) drawByFreeSlots(now time.Duration, it *item, least float64) *endpoint {
-	p, unreported := it.pool, 0.0
-	for i := range p.live {
-		unreported += m.unreportedShort(it, i)
-	}
-	// Without unreported requests, the best engine of the view is the best one.
+	p := it.pool
 	nearest := least*(1+nearBestMargin) + nearBestTolerance
-	limit := max(nearest, least+m.s.spreadSeconds()*min(1, unreported))
+	limit := max(nearest, least+m.s.spreadSeconds())
 	p.nearBest = p.nearBest[:0]
 	total := 0.0
 	for i, e := range p.live {
