--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -74,11 +74,13 @@
 	maxExchangedEndpoints = 256
 	// announceInterval is the mean time between attempts to write this instance's record.
 	announceInterval = time.Second
+	// announceListWait is how long the record waits for the first listing of the instances, which shows
+	// whether it has to be written and saves a call, and announceListPoll how often that is checked.
+	announceListWait = 300 * time.Millisecond
+	announceListPoll = 10 * time.Millisecond
 	// memoryShare is the fraction of the memory setting that becomes the Go runtime's soft
 	// memory limit.
 	memoryShare = 0.6
-	// bodyShare is the fraction of the memory setting that request bodies may take.
-	bodyShare = 0.25
 	// lameDuckShare is the fraction of the grace time in which an instance that shuts down
 	// still accepts requests, and maxLameDuck its upper bound. The load balancer checks
 	// readiness once a second and stops sending requests after two failed checks; later
@@ -130,9 +132,12 @@
 	// evacuations is nil where evacuations are not followed.
 	evacuations *evacuationFollower
 	roster      *roster
-	limits      *mclimit.EndpointLimiter
+	// copies are the followers whose records instances copy from each other, by kind.
+	copies map[string]copiedRecords
+	limits *mclimit.EndpointLimiter
 	// suspects are the members that are not asked about cold endpoints.
 	suspects atomic.Pointer[map[string]bool]
+	clients  clients
 	// recordMissing holds at most one signal that the listing of the instances lacks this one.
 	recordMissing chan struct{}
 	// firstRecords holds at most one signal that records were read, until the routing is verified.
@@ -205,6 +210,7 @@
 	}
 	e.router = &mcroute.Router{Lease: s.KeyLease, Logger: e.logger, Changed: e.routingChanged, VerifyFirst: true}
 	e.fetcher = &mcroute.PeerFetcher{Router: e.router, Deployment: e.Settings.Deployment, Peers: e.configPeers, Decode: platform.DecodeRouting}
+	e.clients = newClients(e.Settings, e.metrics, e.logger)
 	e.buildPeers(seed)
 	e.limits = &mclimit.EndpointLimiter{
 		Ownership: &mclimit.Ownership{Self: e.Settings.Instance}, Ask: e.askLimitOwner, Cold: e.fleet.ColdPhase, Silent: e.isSuspected, Announce: e.announceLimit, Logger: e.logger,
@@ -214,7 +220,6 @@
 		Retries:    &mclimit.RetryBudget{Limits: e.retryLimits(time.Now())},
 		Quarantine: &mcquarantine.Guard{}, Limits: e.limits, Announce: e.announceSuspects, Isolated: e.isolated, ListingAge: e.listingAge, OnLoadChange: e.member.PushInFlight,
 		Metrics: e.metrics, Logger: e.logger, MaxInFlight: e.Settings.Limits.MaxInFlight,
-		MaxBodyBytes: int64(bodyShare * float64(max(s.MemoryMB, 64)) * (1 << 20)),
 	}
 	e.fleet.OnProcessEnded, e.fleet.OnReturned = e.forwarder.EndpointEnded, e.forwarder.ConfirmReturned
 	e.store = platform.NewStore(s.PlatformStore)
@@ -222,16 +227,20 @@
 	e.routing = &mcfollow.Follower[marigoldcroft.RoutingTable]{
 		Name: recordsRouting, Feed: platform.Routing(e.store), Apply: e.applyRouting, Logger: e.logger, Gate: gate,
 		WatchTimeout: e.watchTimeout(recordsRouting), StoreFallbackAge: e.storeFallbackAge(recordsRouting), Hash: hashTable, OnConfirmed: e.confirmRouting,
+		PeerFed: e.peerFed(recordsRouting),
 	}
 	e.endpoints = &mcfollow.Follower[marigoldcroft.EndpointRecord]{
 		Name: recordsEndpoints, Feed: platform.Endpoints(e.store), Apply: e.fleet.Apply, Logger: e.logger, Gate: gate,
-		WatchTimeout: e.watchTimeout(recordsEndpoints), StoreFallbackAge: e.storeFallbackAge(recordsEndpoints), Hash: hashEndpoint, BatchDelay: e.batchDelay(endpointCallRate, maxEndpointBatchDelay),
+		WatchTimeout: e.watchTimeout(recordsEndpoints), StoreFallbackAge: e.storeFallbackAge(recordsEndpoints), Hash: hashEndpoint, BatchDelay: e.feedingDelay(recordsEndpoints, e.batchDelay(endpointCallRate, maxEndpointBatchDelay)),
+		PeerFed: e.peerFed(recordsEndpoints), Equal: func(a, b *marigoldcroft.EndpointRecord) bool { return *a == *b },
 	}
 	e.instances = &mcfollow.Follower[marigoldcroft.ListedInstance]{
-		Name: "instances", Feed: platform.Instances(e.store), WatchTimeout: func() time.Duration { return instanceWatchWait }, BatchDelay: e.batchDelay(instanceCallRate, maxInstanceBatchDelay),
-		Apply: e.applyInstances, Logger: e.logger, Gate: gate,
+		Name: recordsInstances, Feed: platform.Instances(e.store), WatchTimeout: func() time.Duration { return instanceWatchWait }, BatchDelay: e.batchDelay(instanceCallRate, maxInstanceBatchDelay),
+		Apply: e.applyInstances, Logger: e.logger, Gate: gate, Hash: hashInstance,
+		StoreFallbackAge: func() time.Duration { return instancesFallbackAge }, PeerFed: e.peerFed(recordsInstances),
 	}
 	e.buildEvacuations(gate)
+	e.buildCopies()
 	return nil
 }
 
@@ -255,7 +264,7 @@
 		CopyStates: e.copyStates, ReceiveCopyStates: e.receiveCopyStates,
 	}
 	e.peers = &mcpeer.Server{
-		Address: address, Identity: e.identity, Logger: e.logger, Member: e.member,
+		Address: address, Identity: e.identity, Logger: e.logger, Member: e.member, Connections: e.clients.peers,
 		Register: e.registerPeerServices,
 	}
 }
@@ -266,6 +275,7 @@
 	mcmessage.RegisterConfigServiceServer(r, &mcroute.Server{Router: e.router, Deployment: e.Settings.Deployment})
 	mcmessage.RegisterEvacuationServiceServer(r, &evacuationServer{forwarding: e})
 	mcmessage.RegisterLimitServiceServer(r, &limitServer{limits: e.limits, deployment: e.Settings.Deployment})
+	mcmessage.RegisterRecordServiceServer(r, &recordServer{copies: func(records string) copiedRecords { return e.copies[records] }})
 }
 
 // instanceCount returns the number of instances that share the retry budget. It includes
@@ -355,18 +365,19 @@
 	} {
 		e.tasks.Go(func() { task(taskCtx) })
 	}
-	ready := newOperationsServer(http.HandlerFunc(e.serveReady), pollTimeout)
-	admin := newOperationsServer(e.adminHandler(), pollTimeout)
+	ready := e.newOperationsServer(http.HandlerFunc(e.serveReady))
+	admin := e.newOperationsServer(e.adminHandler())
 	callers := &http.Server{
 		Handler: e.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: e.Settings.Limits.MaxHeaderBytes,
 	}
 	defer ready.Close()
 	defer admin.Close()
-	connections := mcstop.NewConnections(callers, l.callers)
+	connections := mcstop.NewConnections(callers, l.callers, e.clients.callers)
+	checks, operators := mcstop.NewConnections(ready, l.ready, e.clients.balancer), mcstop.NewConnections(admin, l.admin, e.clients.operators)
 	failed := make(chan error, 3)
-	go func() { failed <- ready.Serve(l.ready) }()
-	go func() { failed <- admin.Serve(l.admin) }()
+	go func() { failed <- ready.Serve(checks) }()
+	go func() { failed <- admin.Serve(operators) }()
 	go func() { failed <- callers.Serve(connections) }()
 	e.logger.Info().Str("address", e.Settings.Forward.Address).Uint64("incarnation", e.identity.Incarnation()).Msg("started")
 	select {
@@ -396,6 +407,13 @@
 	return p.finish(err)
 }
 
+// newOperationsServer returns a server for the balancer or operators.
+func (e *Forwarding) newOperationsServer(handler http.Handler) *http.Server {
+	server := newOperationsServer(handler, pollTimeout)
+	server.MaxHeaderBytes = e.Settings.Limits.MaxHeaderBytes
+	return server
+}
+
 func (e *Forwarding) serveReady(w http.ResponseWriter, _ *http.Request) {
 	ready := e.forwarder.Ready()
 	if e.reportedReady.Swap(ready) != ready {
@@ -412,8 +430,18 @@
 	listed := marigoldcroft.ListedInstance{
 		Name: e.Settings.Instance, DataCentre: e.Settings.Region, Region: e.Settings.Region, PeerAddress: e.Settings.PeerAddress,
 	}
+	for waited := time.Duration(0); !e.roster.isListed() && waited < announceListWait; waited += announceListPoll {
+		mcclock.Sleep(ctx, announceListPoll)
+	}
 	for ctx.Err() == nil {
-		err := e.store.Announce(ctx, listed)
+		if e.roster.lists(listed) {
+			return
+		}
+		write := e.store.Announce
+		if e.roster.isListed() && !e.roster.has(listed.Name) {
+			write = e.store.AnnounceNew
+		}
+		err := write(ctx, listed)
 		if err == nil {
 			return
 		}
--- a/mcfollow/copystatus.go
+++ b/mcfollow/copystatus.go
@@ -15,8 +15,10 @@
 	// differences: the store's answers to two instances are milliseconds apart, and the
 	// pause that gathers changes takes a few hundred milliseconds.
 	minPeerLead = time.Second
-	// minAgeCheckInterval is the shortest time between two checks of the copy's age.
+	// minAgeCheckInterval is the shortest time between two interruptions of a watch because of the
+	// copy's age, and minAgeWait the shortest wait for the time at which the copy is too old.
 	minAgeCheckInterval = 250 * time.Millisecond
+	minAgeWait          = 5 * time.Millisecond
 )
 
 type (
@@ -72,7 +74,11 @@
 	if digest != s.digest {
 		behind := complete - s.complete
 		s.mu.Unlock()
-		if behind > minPeerLead && s.interruptWatch(true) {
+		lead := minPeerLead
+		if f.awaiting.Load() {
+			lead = peerFedLead
+		}
+		if behind > lead && s.interruptWatch(true) {
 			f.Logger.Info().Str("records", f.Name).Dur("behindMs", behind).Msg("copyBehind")
 		}
 		return
@@ -94,8 +100,9 @@
 		}
 		if due <= 0 {
 			f.status.interruptWatch(false)
+			due = minAgeCheckInterval
 		}
-		mcclock.Sleep(ctx, max(due, minAgeCheckInterval))
+		mcclock.Sleep(ctx, max(due, minAgeWait))
 	}
 }
 
@@ -125,6 +132,13 @@
 	return skipWait
 }
 
+// isInterrupted reports whether the next call of the store is due at once.
+func (s *copyStatus) isInterrupted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.skipWait || s.listAgain
+}
+
 // takeListAgain reports whether a list must replace the next watch, and clears the request.
 func (s *copyStatus) takeListAgain() bool {
 	s.mu.Lock()
