End connections that linger after a refusal when a share is used up

The mixed crowd of TestCrowdsAtAForwardingInstance was served in one run and in another no ordinary request was answered: net/http keeps a refused connection for half a second so that the caller can read the answer, and 113 such connections let 226 new ones a second in.

--- a/mcbudget/account.go
+++ b/mcbudget/account.go
@@ -27,6 +27,7 @@
 type Account struct {
 	share *Share
 	wake  func(answered bool)
+	end   func()
 
 	mu sync.Mutex
 	// held is the bytes that are charged. They count in Budget.held unless rejected or closed is true.
@@ -270,5 +271,5 @@
 func (a *Account) candidate(now time.Time) (c candidate, state int, rejected bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return candidate{account: a, held: a.held, stalled: now.Sub(a.since)}, a.state, a.rejected
+	return candidate{account: a, held: a.held, stalled: now.Sub(a.since), left: a.left}, a.state, a.rejected
 }
--- a/mcbudget/budget.go
+++ b/mcbudget/budget.go
@@ -88,6 +88,7 @@
 		account *Account
 		held    int64
 		stalled time.Duration
+		left    bool
 	}
 )
 
@@ -134,6 +135,11 @@
 		}
 		c, state, rejected := a.candidate(now)
 		switch {
+		case rejected && c.left && c.stalled >= firstRequestTime:
+			// net/http waits for half a second so that the caller can read the refusal.
+			a.end()
+			delete(b.accounts, a)
+			s.open--
 		case rejected:
 			leaving++
 		case state == stateComplete:
@@ -146,6 +152,9 @@
 			receiving = append(receiving, c)
 		}
 	}
+	if s.open < s.limit {
+		return true
+	}
 	byStall := func(a, c candidate) int { return cmp.Compare(c.stalled, a.stalled) }
 	slices.SortFunc(waiting, byStall)
 	slices.SortFunc(receiving, byStall)
@@ -162,13 +171,14 @@
 }
 
 // Open adds a connection. The wake function must make the reads of the connection fail, and also its writes
-// if the handler of its request has returned. It must not call methods of the account.
-func (s *Share) Open(wake func(answered bool)) *Account {
+// if the handler of its request has returned. The end function must close it. They must not call methods of
+// the account.
+func (s *Share) Open(wake func(answered bool), end func()) *Account {
 	if s == nil {
 		return nil
 	}
 	b := s.budget
-	a := &Account{share: s, wake: wake, held: connectionBytes, since: time.Now()}
+	a := &Account{share: s, wake: wake, end: end, held: connectionBytes, since: time.Now()}
 	b.mu.Lock()
 	if b.accounts == nil {
 		b.accounts = make(map[*Account]struct{})
--- a/mcbudget/budget_test.go
+++ b/mcbudget/budget_test.go
@@ -22,7 +22,7 @@
 
 func open(s *mcbudget.Share) *client {
 	c := &client{}
-	c.Account = s.Open(func(bool) { c.woken++ })
+	c.Account = s.Open(func(bool) { c.woken++ }, func() {})
 	return c
 }
 
--- a/mcpeer/accounts.go
+++ b/mcpeer/accounts.go
@@ -71,7 +71,8 @@
 	}
 	c := &accountedConn{countingConn: countingConn{conn, &l.server.bytes}, table: &l.server.accounts}
 	// The error is ignored: the server closes the connection after its failed read.
-	c.account = l.server.Connections.Open(func(bool) { _ = conn.Close() })
+	end := func() { _ = conn.Close() }
+	c.account = l.server.Connections.Open(func(bool) { end() }, end)
 	if c.account != nil {
 		c.table.accounts.Store(conn.RemoteAddr().String(), c.account)
 	}
--- a/mcstop/connections.go
+++ b/mcstop/connections.go
@@ -145,7 +145,7 @@
 		return nil, err
 	}
 	conn := &callerConn{TCPConn: accepted.(*net.TCPConn), connections: c}
-	conn.account = c.share.Open(conn.wake)
+	conn.account = c.share.Open(conn.wake, func() { _ = conn.TCPConn.Close() })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[conn] = struct{}{}
