Emulate peaks with delayed reports, and reserve engines for long work

At the peak of the parking deployment, the emulator shows that four fifths of the late short questions wait on engines whose slots filled unseen, and that the paused ones share engines with parts of long prompts. The emulator gets report and network delays, engine losses, retries, teams and callers that leave. With forward.yield (default off), passModel reserves a share of the engines for long work and draws engines for short work by free slots.

--- a/mcemulate/run.go
+++ b/mcemulate/run.go
@@ -19,16 +19,18 @@
 	// eventsPerProgressReport is the number of stream events between two progress reports to the
 	// scheduler.
 	eventsPerProgressReport = 5
-	// networkDelay is the delay from an instance to an engine.
-	networkDelay = time.Millisecond
-	poolName     = "pool"
+	// defaultNetworkDelay is the delay from an instance to an engine unless the experiment sets one.
+	defaultNetworkDelay = time.Millisecond
+	// retryDelay is the time after which a refused caller submits its request again.
+	retryDelay = 10 * time.Millisecond
+	poolName   = "pool"
 	// The value of an answer grows with the prompt and is 1 at the mean prompt size of its
 	// class. minValue is the value as the prompt size approaches zero, maxValue is the upper
-	// bound, and lateValueShare is the share of the value that an answer keeps if it is late
+	// bound, and defaultLateShare is the share of the value that an answer keeps if it is late
 	// or paused too long. The users' sites value answers in this way.
-	minValue       = 0.3
-	maxValue       = 4.0
-	lateValueShare = 0.25
+	minValue         = 0.3
+	maxValue         = 4.0
+	defaultLateShare = 0.25
 )
 
 type (
@@ -48,6 +50,24 @@
 		Objective, MaxPause time.Duration
 		// Deadline is the time after which an unfinished request is cancelled.
 		Deadline time.Duration
+		// Team and Rank are passed to the scheduler.
+		Team string
+		Rank int
+		// LateShare is the share of its value that a late or paused answer keeps; 0 means
+		// defaultLateShare.
+		LateShare float64
+		// Retries is how often a refused caller submits its request again, without backoff.
+		Retries int
+		// Patience is the time without a first token after which a caller leaves; 0 means that
+		// callers stay until their deadline.
+		Patience time.Duration
+	}
+
+	// Loss removes engines at a point in time: their requests fail, and all instances see them gone.
+	Loss struct {
+		At time.Duration
+		// Engines is the number of engines that are lost, counted from the first one.
+		Engines int
 	}
 
 	// Experiment is the configuration of one simulation run. It must not change during Run.
@@ -59,6 +79,15 @@
 		// ReportInterval is the interval at which each instance reports its in-flight work to
 		// the others; 0 disables the reports.
 		ReportInterval time.Duration
+		// ReportDelay is the time that a report takes to arrive.
+		ReportDelay time.Duration
+		// NetworkDelay is the delay between an instance and an engine, in each direction. The default of
+		// 0 means 1 ms towards the engine and none back.
+		NetworkDelay time.Duration
+		// Yield switches on yielding in the schedulers.
+		Yield bool
+		// Losses are in order of time.
+		Losses []Loss
 		// Length is the time during which requests arrive.
 		Length  time.Duration
 		Classes []Class
@@ -76,6 +105,8 @@
 		// counts served requests with a pause above MaxPause. Refused counts requests that the
 		// scheduler refused, or expired before they ran.
 		Requests, OnTime, Served, Refused, Paused int
+		// Attempts counts submissions, of which there are more than requests if callers retry.
+		Attempts int
 		// FirstP50 and FirstP95 are percentiles of the time to first token of served requests.
 		FirstP50, FirstP95 time.Duration
 		// totalValue is the value of all requests. earnedValue is the value of the served
@@ -86,6 +117,7 @@
 
 	request struct {
 		id           marigoldcroft.StreamID
+		number       int
 		class        int
 		instance     int
 		arrived      time.Duration
@@ -97,6 +129,7 @@
 		pendingParts int
 		decoding     bool
 		removed      bool
+		retries      int
 		eventCount   int
 		firstTokenAt time.Duration
 		lastEventAt  time.Duration
@@ -130,6 +163,9 @@
 		requests     map[marigoldcroft.StreamID]*request
 		results      []Result
 		requestCount int
+		// reported holds the engines that the previous report of each instance listed.
+		reported []map[string]marigoldcroft.InFlight
+		lost     int
 	}
 )
 
@@ -176,25 +212,22 @@
 
 // build creates the engines and the schedulers and schedules the first events.
 func (r *simulation) build() error {
-	var endpoints []marigoldcroft.Endpoint
 	for i := range r.Engines {
 		e := &engine{figures: r.Figures, slowdown: max(1, r.Slowdown[i])}
-		name := fmt.Sprintf("engine-%02d", i)
 		r.engines = append(r.engines, e)
-		r.engineByName[name] = e
-		endpoints = append(endpoints, marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
-			Name: name, Kind: marigoldcroft.EndpointEngine, Pool: poolName, Slots: r.Figures.Slots, Performance: r.Figures,
-		}))
+		r.engineByName[engineName(i)] = e
 	}
+	r.reported = make([]map[string]marigoldcroft.InFlight, r.Instances)
 	for i := range r.Instances {
 		tuning := mcscheduler.Default()
 		tuning.Seed = r.Seed + uint64(i)
+		tuning.Yield = r.Yield
 		tuning.PrefillTokensPerSecond, tuning.ShortLimit = r.Figures.PrefillTokensPerSecond, 200*time.Millisecond
 		s, err := mcscheduler.New(r.Policy, tuning)
 		if err != nil {
 			return err
 		}
-		s.SetEndpoints(r.epoch, endpoints)
+		s.SetEndpoints(r.epoch, r.listEndpoints())
 		r.schedulers = append(r.schedulers, s)
 		r.schedule(pollInterval, func() { r.pollScheduler(i) })
 		if r.ReportInterval > 0 {
@@ -205,9 +238,48 @@
 		r.results = append(r.results, Result{Class: c.Name})
 		r.scheduleArrival(i)
 	}
+	for _, l := range r.Losses {
+		r.schedule(l.At, func() { r.loseEngines(l.Engines) })
+	}
 	return nil
 }
 
+func engineName(i int) string { return fmt.Sprintf("engine-%02d", i) }
+
+// listEndpoints returns the endpoints of the engines that are not lost.
+func (r *simulation) listEndpoints() []marigoldcroft.Endpoint {
+	var endpoints []marigoldcroft.Endpoint
+	for i := r.lost; i < r.Engines; i++ {
+		endpoints = append(endpoints, marigoldcroft.NewEndpoint(marigoldcroft.EndpointSpec{
+			Name: engineName(i), Kind: marigoldcroft.EndpointEngine, Pool: poolName, Slots: r.Figures.Slots, Performance: r.Figures,
+		}))
+	}
+	return endpoints
+}
+
+// loseEngines removes the given number of engines. Requests that run there, or that have a part of
+// their prompt there, fail.
+func (r *simulation) loseEngines(n int) {
+	lost := make(map[*engine]bool)
+	for i := range n {
+		lost[r.engines[i]] = true
+	}
+	r.lost = max(r.lost, n)
+	var failed []*request
+	for _, q := range r.requests {
+		if lost[q.engine] || slices.ContainsFunc(q.helpers, func(e *engine) bool { return lost[e] }) {
+			failed = append(failed, q)
+		}
+	}
+	slices.SortFunc(failed, func(a, b *request) int { return cmp.Compare(a.number, b.number) })
+	for _, q := range failed {
+		r.finish(q, false)
+	}
+	for _, s := range r.schedulers {
+		s.SetEndpoints(r.simulatedTime(), r.listEndpoints())
+	}
+}
+
 // schedule adds an action to the event queue, to run after a simulated delay.
 func (r *simulation) schedule(delay time.Duration, action func()) {
 	r.lastSequence++
@@ -254,19 +326,48 @@
 		id: marigoldcroft.NewStreamID(fmt.Sprintf("r%d", r.requestCount), 1), class: class, instance: r.rng.IntN(r.Instances),
 		arrived: r.now, shortestPause: math.MaxInt64, promptTokens: r.sampleTokens(c.Prompt, c.LogDeviation, c.MaxPrompt), outputTokens: r.sampleTokens(c.Output, c.LogDeviation, 3*c.Output),
 	}
-	r.requests[q.id] = q
+	q.number = r.requestCount
 	r.results[class].Requests++
 	r.results[class].totalValue += r.value(q)
-	decision := r.schedulers[q.instance].Submit(r.simulatedTime(), marigoldcroft.Work{
-		ID: q.id, Model: poolName, Deadline: r.simulatedTime().Add(c.Deadline), Objective: r.simulatedTime().Add(c.Objective),
+	r.submit(q)
+}
+
+// submit submits an attempt of the request. The scheduler counts objective and deadline from the
+// attempt, as it cannot know of earlier ones.
+func (r *simulation) submit(q *request) {
+	c := r.Classes[q.class]
+	r.requests[q.id] = q
+	r.results[q.class].Attempts++
+	id := q.id
+	r.execute(r.schedulers[q.instance].Submit(r.simulatedTime(), marigoldcroft.Work{
+		ID: id, Model: poolName, Team: c.Team, Rank: c.Rank, Deadline: r.simulatedTime().Add(c.Deadline), Objective: r.simulatedTime().Add(c.Objective),
 		PromptTokens: q.promptTokens, OutputTokens: q.outputTokens,
-	})
-	r.execute(decision)
+	}))
 	r.schedule(c.Deadline, func() {
-		if r.requests[q.id] != nil {
+		if r.requests[id] != nil {
 			r.finish(q, false)
 		}
 	})
+	if c.Patience > 0 {
+		r.schedule(c.Patience, func() {
+			if r.requests[id] != nil && !q.decoding {
+				r.finish(q, false)
+			}
+		})
+	}
+}
+
+// refused counts a refusal, and submits the request again if its caller does so.
+func (r *simulation) refused(q *request) {
+	delete(r.requests, q.id)
+	if q.retries >= r.Classes[q.class].Retries {
+		r.results[q.class].Refused++
+		return
+	}
+	q.retries++
+	r.requestCount++
+	q.id = marigoldcroft.NewStreamID(fmt.Sprintf("r%d", r.requestCount), 1)
+	r.schedule(retryDelay, func() { r.submit(q) })
 }
 
 // execute carries out a scheduling decision. Decisions for requests that have ended are
@@ -278,20 +379,22 @@
 	}
 	switch d.Action {
 	case marigoldcroft.ActionRefuse, marigoldcroft.ActionExpire:
-		r.results[q.class].Refused++
-		delete(r.requests, q.id)
+		r.refused(q)
 	case marigoldcroft.ActionDispatch:
 		q.engine = r.engineByName[d.Endpoint]
 		for _, name := range d.Helpers {
 			q.helpers = append(q.helpers, r.engineByName[name])
 		}
-		r.schedule(networkDelay, func() { r.startPrefill(q) })
+		r.schedule(cmp.Or(r.NetworkDelay, defaultNetworkDelay), func() { r.startPrefill(q) })
 	}
 }
 
 // startPrefill splits the prompt into equal parts for the request's engine and its helpers.
 // Helpers get their parts at once, the request's own engine when the request gets a slot.
 func (r *simulation) startPrefill(q *request) {
+	if q.removed {
+		return
+	}
 	partCount := float64(len(q.helpers) + 1)
 	secondsPerToken := prefillSeconds(&r.Figures, q.promptTokens) / float64(q.promptTokens)
 	newPart := func() *promptPart {
@@ -374,14 +477,15 @@
 	}
 	result, c := &r.results[q.class], r.Classes[q.class]
 	result.Served++
-	result.earnedValue += lateValueShare * r.value(q)
-	result.firstTokenTimes = append(result.firstTokenTimes, q.firstTokenAt-q.arrived)
+	first, lateShare := q.firstTokenAt+r.NetworkDelay-q.arrived, cmp.Or(c.LateShare, defaultLateShare)
+	result.earnedValue += lateShare * r.value(q)
+	result.firstTokenTimes = append(result.firstTokenTimes, first)
 	switch {
 	case q.longestPause > c.MaxPause:
 		result.Paused++
-	case q.firstTokenAt-q.arrived <= c.Objective:
+	case first <= c.Objective:
 		result.OnTime++
-		result.earnedValue += (1 - lateValueShare) * r.value(q)
+		result.earnedValue += (1 - lateShare) * r.value(q)
 	}
 }
 
@@ -402,16 +506,23 @@
 
 // reportInFlight reports the in-flight work of one instance to the schedulers of all others.
 func (r *simulation) reportInFlight(instance int) {
-	work := r.schedulers[instance].InFlight()
+	work, before := r.schedulers[instance].InFlight(), r.reported[instance]
+	r.reported[instance] = work
 	name := fmt.Sprintf("instance-%d", instance)
-	for i, s := range r.schedulers {
-		if i == instance {
-			continue
-		}
-		for endpoint := range r.engineByName {
-			s.ObservePeer(r.simulatedTime(), name, endpoint, work[endpoint])
+	r.schedule(r.ReportDelay, func() {
+		for i, s := range r.schedulers {
+			if i == instance {
+				continue
+			}
+			for e := range r.engines {
+				endpoint := engineName(e)
+				// Peers already know of the other engines that there is nothing.
+				if work[endpoint] != (marigoldcroft.InFlight{}) || before[endpoint] != (marigoldcroft.InFlight{}) {
+					s.ObservePeer(r.simulatedTime(), name, endpoint, work[endpoint])
+				}
+			}
 		}
-	}
+	})
 	if r.now < r.Length || len(r.requests) > 0 {
 		r.schedule(r.ReportInterval, func() { r.reportInFlight(instance) })
 	}
--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -190,6 +190,7 @@
 	e.recordMissing, e.firstRecords = make(chan struct{}, 1), make(chan struct{}, 1)
 	tuning := mcscheduler.Default()
 	tuning.Seed, tuning.QueueLength = seed, e.Settings.Limits.QueueLength
+	tuning.Yield = s.Yield
 	scheduler, err := mcscheduler.New(e.Settings.Scheduler, tuning)
 	if err != nil {
 		return err
--- a/mcforward/call.go
+++ b/mcforward/call.go
@@ -222,7 +222,7 @@
 	work := marigoldcroft.Work{
 		ID: marigoldcroft.NewStreamID(c.request.ID+"/"+c.start.Format("05.000000"), c.placements), Team: c.team.Name, Model: c.service,
 		Deadline: c.deadline, Exclude: c.excluded, Begun: c.mayHaveRun, IsolateSuspect: isolate, Objective: c.start.Add(c.route.Objective()),
-		PromptTokens: 1,
+		PromptTokens: 1, Rank: c.rank,
 	}
 	if c.engine.PrefillTokensPerSecond > 0 {
 		work.PromptTokens, work.OutputTokens = c.request.PromptTokens, c.request.OutputTokens
--- a/mcscheduler/passmodel.go
+++ b/mcscheduler/passmodel.go
@@ -117,7 +117,11 @@
 
 func (m *passModel) maxSkips() int { return maxSkipped }
 
-func (m *passModel) tick(time.Duration, *pool) {}
+func (m *passModel) tick(now time.Duration, p *pool) {
+	if m.s.settings.Yield {
+		m.updateReservation(now, p)
+	}
+}
 
 func (m *passModel) resolveBlocked(time.Duration, *item, placementResult) *item { return nil }
 
--- a/mcscheduler/passmodel_long.go
+++ b/mcscheduler/passmodel_long.go
@@ -126,10 +126,15 @@
 func (m *passModel) rankCandidates(now time.Duration, it *item) placementResult {
 	result, typicalPart, anyFits := noEndpoint, float64(it.prefill)/typicalParts, false
 	m.candidates = m.candidates[:0]
-	for _, e := range it.pool.live {
+	reserved, waits := it.pool.yield.reserved, m.waitsForReserved(now, it)
+	for i, e := range it.pool.live {
 		if it.excludes(e) {
 			continue
 		}
+		if waits && i >= reserved && e.requests(now) > 0 {
+			result = max(result, endpointsBusy)
+			continue
+		}
 		if e.isPaused(now) {
 			// The endpoint gets no part of the prompt either.
 			result = max(result, noMemory)
--- a/mcscheduler/passmodel_short.go
+++ b/mcscheduler/passmodel_short.go
@@ -42,7 +42,7 @@
 		slots = assumedSlots
 	}
 	n := int(float64(p.shortInFlight+p.peerShortInFlight)/(shortSlotShare*float64(slots))) + 1 + spareShortEngines
-	return min(n, len(p.live))
+	return min(n, len(p.live)-p.yield.reserved)
 }
 
 // placeShort chooses the engine with the earliest first token and prefers those in the
@@ -76,7 +76,12 @@
 		return placement{}, result
 	}
 	limit := max(least*(1+nearBestMargin)+nearBestTolerance, min(m.peerSpreadLimit(it), least+peerSpreadSeconds))
-	e := m.drawWithin(now, p, limit)
+	var e *endpoint
+	if m.s.settings.Yield && p.figures.Slots > 0 {
+		e = m.drawByFreeSlots(now, p, limit)
+	} else {
+		e = m.drawWithin(now, p, limit)
+	}
 	return placement{endpoint: e, wait: m.wait(now, e), prefill: it.prefill, firstTokenDelay: m.firstTokenDelay(now, it, e)}, placed
 }
 
--- a/mcscheduler/pool.go
+++ b/mcscheduler/pool.go
@@ -44,6 +44,7 @@
 	now             *time.Duration
 	shortLimit      time.Duration
 	longSet         longSet
+	yield           yieldState
 	firstTokenStats firstTokenStats
 	// meanShortPrefill is the mean predicted prefill time of dispatched short work, in
 	// seconds.
@@ -105,6 +106,7 @@
 	p.scores = slices.Grow(p.scores[:0], len(p.live))[:len(p.live)]
 	p.nearBest = slices.Grow(p.nearBest[:0], len(p.live))
 	p.longSet.setEndpointCount(len(p.live))
+	p.yield.reserved = min(p.yield.reserved, len(p.live))
 	p.dirty = true
 }
 
--- a/mcscheduler/settings.go
+++ b/mcscheduler/settings.go
@@ -82,6 +82,9 @@
 		PrefixHalfLife time.Duration
 		// RetryBase is the smallest upper bound of the random RetryAfter.
 		RetryBase time.Duration
+		// Yield lets work that is cheaper to delay give way when capacity is short
+		// (docs/design/yielding.md). Only PolicyPassModel supports it.
+		Yield bool
 	}
 )
 
