Reserve engines only once the demand is known, with tests of the loads

Trials without settling began a reservation while the estimate rose from zero, which held long work back in a peak that needed the engines.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -190,12 +190,13 @@
 	e.recordMissing, e.firstRecords = make(chan struct{}, 1), make(chan struct{}, 1)
 	tuning := mcscheduler.Default()
 	tuning.Seed, tuning.QueueLength = seed, e.Settings.Limits.QueueLength
-	tuning.Yield = s.Yield
+	tuning.Yield, tuning.ReservationChanged = s.Yield, e.logReservation
 	scheduler, err := mcscheduler.New(e.Settings.Scheduler, tuning)
 	if err != nil {
 		return err
 	}
 	e.scheduler = scheduler
+	e.exportReservations()
 	dispatcher := &mcgateway.Dispatcher{Scheduler: scheduler}
 	e.fleet = &mcfleet.Fleet{Logger: e.logger, OnChange: e.endpointsChanged}
 	e.router = &mcroute.Router{Lease: s.KeyLease, Logger: e.logger, Changed: e.routingChanged, VerifyFirst: true}
--- a/mcscheduler/endpoint.go
+++ b/mcscheduler/endpoint.go
@@ -123,7 +123,9 @@
 		peerPrefillLeft classTokens
 		// peerShortInFlight counts the peers' short requests in flight.
 		peerShortInFlight int
-		peerAt            time.Duration
+		// peerEngineShare is the sum of engineShare over the peers' long requests in flight.
+		peerEngineShare int64
+		peerAt          time.Duration
 	}
 )
 
@@ -521,12 +523,13 @@
 	// Whole tokens are summed, because a sum of floats would depend on the map order.
 	var short, long int64
 	e.pool.peerShortInFlight -= e.peerShortInFlight
-	e.peerShortInFlight = 0
+	e.peerShortInFlight, e.peerEngineShare = 0, 0
 	rate := e.rate() / float64(max(1, len(e.peers)))
 	for _, p := range e.peers {
 		e.peerSum.count += p.current.count
 		e.peerSum.kv += p.current.kv
 		e.peerShortInFlight += p.shortCount
+		e.peerEngineShare += e.pool.engineShare(p.longCount, p.current.kv)
 		left := max(0, p.current.prefill-int64(rate*(now-p.at).Seconds()))
 		if p.hasLong {
 			long += left
--- a/mcscheduler/settings.go
+++ b/mcscheduler/settings.go
@@ -85,6 +85,9 @@
 		// Yield lets work that is cheaper to delay give way when capacity is short
 		// (docs/design/yielding.md). Only PolicyPassModel supports it.
 		Yield bool
+		// ReservationChanged, if set, is called when the reservation of a model changes, at most once
+		// every demandInterval for each model. It must not block or call the scheduler.
+		ReservationChanged func(Reservation)
 	}
 )
 
--- a/mcsetting/setting.go
+++ b/mcsetting/setting.go
@@ -76,7 +76,7 @@
 		// EvacuationDelay is 0 where the operator does not ask for evacuations.
 		EvacuationDelay   time.Duration     `yaml:"evacuationDelay" validate:"min=0,max=10m" doc:"time within which an evacuation of a data centre is in force; 0: evacuations are not followed"`
 		DataCentreRegions map[string]string `yaml:"dataCentreRegions" validate:"max=256,dive,keys,required,max=128,endkeys,required,max=128" doc:"region of each data centre"`
-		Yield             bool              `yaml:"yield" doc:"refuse or delay first the work that is cheapest to delay when there is too little room"`
+		Yield             bool              `yaml:"yield" doc:"keep some engines for long work at a peak and let it wait within its objective (docs/design/yielding.md)"`
 	}
 
 	// Limits bounds the size and the number of requests from callers.
