--- a/mcemulate/yield_test.go
+++ b/mcemulate/yield_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"fmt"
+	"os"
+	"regexp"
+	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -94,6 +98,32 @@
 	return loads
 }
 
+// goldenArch is the architecture of the golden files. Others round floating-point sums differently, after
+// which the simulations take other courses.
+const goldenArch = "amd64"
+
+var number = regexp.MustCompile(`[0-9]+`)
+
+// requireSimilar requires equal texts except for numbers, which may differ by a twentieth of the requests
+// in their line and three.
+func requireSimilar(t *testing.T, expected, actual string) {
+	t.Helper()
+	require.Equal(t, number.ReplaceAllString(expected, "#"), number.ReplaceAllString(actual, "#"))
+	lines := strings.Split(actual, "\n")
+	for i, line := range strings.Split(expected, "\n") {
+		was, is := number.FindAllString(line, -1), number.FindAllString(lines[i], -1)
+		for k := range was {
+			a, err := strconv.Atoi(was[k])
+			require.NoError(t, err)
+			b, err := strconv.Atoi(is[k])
+			require.NoError(t, err)
+			asked, err := strconv.Atoi(was[1])
+			require.NoError(t, err)
+			require.InDelta(t, a, b, float64(asked)/20+3, line)
+		}
+	}
+}
+
 // Guards against a change of placement that serves one kind of request at the expense of another, or
 // that changes anything while yielding is off, without anyone seeing it: the golden files hold the
 // results of each load by kind of request, without yielding and with it.
@@ -115,7 +145,13 @@
 					}
 				}
 			}
-			golden.Assert(t, name, []byte(table.String()))
+			if runtime.GOARCH == goldenArch {
+				golden.Assert(t, name, []byte(table.String()))
+				return
+			}
+			expected, err := os.ReadFile("testdata/yield/" + name + ".golden")
+			require.NoError(t, err)
+			requireSimilar(t, string(expected), table.String())
 		})
 	}
 }
