Build the program once for all process tests

Each of the process tests built the program anew, and the crowds of misbehaving callers have twenty of them: the package took minutes of processor time in builds alone. It is built by the first test that needs it.

--- a/cmd/marigoldcroft/process_test.go
+++ b/cmd/marigoldcroft/process_test.go
@@ -11,11 +11,13 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"marigoldcroft"
@@ -102,10 +104,30 @@
 	return c
 }
 
-func buildBinary(t *testing.T) string {
-	binary := filepath.Join(t.TempDir(), "marigoldcroft")
+// binaryFolder holds the program that all tests start.
+var binaryFolder string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "marigoldcroft-test")
+	if err != nil {
+		panic(err)
+	}
+	binaryFolder = folder
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// buildOnce builds the program for the first test that needs it.
+var buildOnce = sync.OnceValues(func() (string, error) {
+	binary := filepath.Join(binaryFolder, "marigoldcroft")
 	output, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
-	require.NoError(t, err, string(output))
+	return binary, errors.Wrap(err, string(output))
+})
+
+func buildBinary(t *testing.T) string {
+	binary, err := buildOnce()
+	require.NoError(t, err)
 	return binary
 }
 
