Read the routing table from the store at each instance again

Endpoints and instances stay with three watches. The tests of following and restoring in ./mcentry pass.

--- a/mcentry/forwarding.go
+++ b/mcentry/forwarding.go
@@ -229,7 +229,6 @@
 	e.routing = &mcfollow.Follower[marigoldcroft.RoutingTable]{
 		Name: recordsRouting, Feed: platform.Routing(e.store), Apply: e.applyRouting, Logger: e.logger, Gate: gate,
 		WatchTimeout: e.watchTimeout(recordsRouting), StoreFallbackAge: e.storeFallbackAge(recordsRouting), Hash: hashTable, OnConfirmed: e.confirmRouting,
-		PeerFed: e.peerFed(recordsRouting),
 	}
 	e.endpoints = &mcfollow.Follower[marigoldcroft.EndpointRecord]{
 		Name: recordsEndpoints, Feed: platform.Endpoints(e.store), Apply: e.fleet.Apply, Logger: e.logger, Gate: gate,
--- a/mcentry/forwarding_copy.go
+++ b/mcentry/forwarding_copy.go
@@ -42,6 +42,10 @@
 
 // receiveCopyStates processes the digests and ages of a peer's copies. Their ages count
 // from requestedAt, the boot time at which the request was sent.
+//
+// Each instance reads the routing table from the store: it has hundreds of kilobytes with many routes,
+// and a copy for each instance from its peers took more of the links between data centres than the calls
+// are worth.
 func (e *Forwarding) receiveCopyStates(peer mcmember.Contact, requestedAt time.Duration, copies []*mcmessage.CopyState) {
 	for _, c := range copies {
 		if c.GetRecords() == recordsEvacuations && e.evacuations != nil {
@@ -51,7 +55,7 @@
 		held := e.copies[c.GetRecords()]
 		switch {
 		case held == nil:
-		case held.isBehind(mcfollow.Position{Era: int64(c.GetEra()), Revision: int64(c.GetRevision())}):
+		case c.GetRecords() != recordsRouting && held.isBehind(mcfollow.Position{Era: int64(c.GetEra()), Revision: int64(c.GetRevision())}):
 			e.takeCopy(peer, c.GetRecords())
 		default:
 			held.observe(c.GetDigest(), requestedAt-time.Duration(c.GetAgeMs())*time.Millisecond)
