--- a/mcscheduler/endpoint.go
+++ b/mcscheduler/endpoint.go
@@ -108,7 +108,9 @@
 		peerPrefillLeft classTokens
 		// peerShortInFlight counts the peers' short requests in flight.
 		peerShortInFlight int
-		peerAt            time.Duration
+		// peerEngineShare is the sum of engineShare over the peers' long requests in flight.
+		peerEngineShare int64
+		peerAt          time.Duration
 	}
 )
 
--- a/mcscheduler/passmodel_short.go
+++ b/mcscheduler/passmodel_short.go
@@ -42,14 +42,15 @@
 		slots = assumedSlots
 	}
 	n := int(float64(p.shortInFlight+p.peerShortInFlight)/(shortSlotShare*float64(slots))) + 1 + spareShortEngines
-	return min(n, len(p.live))
+	return min(n, len(p.live)-p.yield.reserved)
 }
 
 // placeShort chooses the engine with the earliest first token and prefers those in the
 // set.
 func (m *passModel) placeShort(now time.Duration, it *item) (placement, placementResult) {
 	p, result, least := it.pool, noEndpoint, math.Inf(1)
-	outside, peak := m.shortSetStart(now, p), m.isPeak(it)
+	// Subsets and yielding were measured apart only, so that yielding goes without subsets.
+	outside, peak := m.shortSetStart(now, p), m.isPeak(it) && !m.s.settings.Yield
 	for i, e := range p.live {
 		p.scores[i] = math.Inf(1)
 		if reason := m.eligibility(now, it, e); reason != placed {
@@ -81,11 +82,16 @@
 	if math.IsInf(least, 1) {
 		return placement{}, result
 	}
+	nearest := least*(1+nearBestMargin) + nearBestTolerance
+	limit := max(nearest, min(m.peerSpreadLimit(it), least+peerSpreadSeconds))
 	var e *endpoint
-	if peak {
-		e = m.drawByFreeSlots(now, it, least)
-	} else {
-		e = m.drawWithin(now, p, max(least*(1+nearBestMargin)+nearBestTolerance, min(m.peerSpreadLimit(it), least+peerSpreadSeconds)))
+	switch {
+	case peak:
+		e = m.drawByFreeSlots(now, p, nearest, max(nearest, least+m.s.spreadSeconds()))
+	case m.s.settings.Yield && p.figures.Slots > 0:
+		e = m.drawByFreeSlots(now, p, nearest, limit)
+	default:
+		e = m.drawWithin(now, p, limit)
 	}
 	return placement{endpoint: e, wait: m.wait(now, e), prefill: it.prefill, firstTokenDelay: m.firstTokenDelay(now, it, e)}, placed
 }
--- a/mcscheduler/settings.go
+++ b/mcscheduler/settings.go
@@ -82,6 +82,12 @@
 		PrefixHalfLife time.Duration
 		// RetryBase is the smallest upper bound of the random RetryAfter.
 		RetryBase time.Duration
+		// Yield lets work that is cheaper to delay give way when capacity is short
+		// (docs/design/yielding.md). Only PolicyPassModel supports it.
+		Yield bool
+		// ReservationChanged, if set, is called when the reservation of a model changes, at most once
+		// every demandInterval for each model. It must not block or call the scheduler.
+		ReservationChanged func(Reservation)
 	}
 )
 
--- a/mcscheduler/spread.go
+++ b/mcscheduler/spread.go
@@ -57,19 +57,16 @@
 	return it.pool.unreportedShort(it) >= peakArrivals*float64(len(it.pool.live))
 }
 
-// drawByFreeSlots draws one of the engines whose score is near the least one, with a probability in
-// proportion to its free slots. An even draw sends as much to an engine with one free slot as to an idle
-// one. A draw that evens out the numbers at once (Dahlin, "Interpreting stale load information", 1999) was
-// worse in the emulated peak: all instances correct the same difference before they see each other's
-// correction, and their prompts meet in the same passes of the engines that looked idle.
-func (m *passModel) drawByFreeSlots(now time.Duration, it *item, least float64) *endpoint {
-	p := it.pool
-	nearest := least*(1+nearBestMargin) + nearBestTolerance
-	limit := max(nearest, least+m.s.spreadSeconds())
+// drawByFreeSlots draws one of the engines whose score is within the limit, with a probability in
+// proportion to its free slots. Cold engines are drawn only if their score is within nearest, as they may
+// refuse the request. An even draw sends as much to an engine with one free slot as to an idle one. A draw
+// that evens out the numbers at once (Dahlin, "Interpreting stale load information", 1999) was worse in the
+// emulated peak: all instances correct the same difference before they see each other's correction, and
+// their prompts meet in the same passes of the engines that looked idle.
+func (m *passModel) drawByFreeSlots(now time.Duration, p *pool, nearest, limit float64) *endpoint {
 	p.nearBest = p.nearBest[:0]
 	total := 0.0
 	for i, e := range p.live {
-		// A cold endpoint is no substitute for a warm one, as it may refuse the request.
 		if p.scores[i] <= nearest || p.scores[i] <= limit && !e.isCold(now) {
 			p.nearBest = append(p.nearBest, int32(i))
 			total += e.freeSlots(now)
