--- a/mcservice/service.go
+++ b/mcservice/service.go
@@ -150,10 +150,6 @@
 		return marigoldcroft.ServiceAnswer{}, marigoldcroft.NewFailure(operation, KindAnswerLost, err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode < http.StatusOK {
-		// net/http has read interim responses; a status below 100 does not exist.
-		return marigoldcroft.ServiceAnswer{}, marigoldcroft.NewFailure(operation, KindAnswerLost, errors.Newf("the status is %03d", response.StatusCode))
-	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
 	if err != nil {
 		return marigoldcroft.ServiceAnswer{}, marigoldcroft.NewFailure(operation, KindAnswerLost, err)
