Sort scores only where the limit of the draw needs it

At a peak, when placements are most frequent, each placement of a short request sorted the scores of all engines for a limit that it did not use. The decisions are the same: go test ./mcscheduler and the golden tables of ./mcemulate pass.

--- a/mcscheduler/passmodel_short.go
+++ b/mcscheduler/passmodel_short.go
@@ -83,14 +83,14 @@
 		return placement{}, result
 	}
 	nearest := least*(1+nearBestMargin) + nearBestTolerance
-	limit := max(nearest, min(m.peerSpreadLimit(it), least+peerSpreadSeconds))
+	limit := max(nearest, least+m.s.spreadSeconds())
+	if !peak {
+		limit = max(nearest, min(m.peerSpreadLimit(it), least+peerSpreadSeconds))
+	}
 	var e *endpoint
-	switch {
-	case peak:
-		e = m.drawByFreeSlots(now, p, nearest, max(nearest, least+m.s.spreadSeconds()))
-	case m.s.settings.Yield && p.figures.Slots > 0:
+	if peak || m.s.settings.Yield && p.figures.Slots > 0 {
 		e = m.drawByFreeSlots(now, p, nearest, limit)
-	default:
+	} else {
 		e = m.drawWithin(now, p, limit)
 	}
 	return placement{endpoint: e, wait: m.wait(now, e), prefill: it.prefill, firstTokenDelay: m.firstTokenDelay(now, it, e)}, placed
