--- a/review/scenes/heads.go
+++ b/review/scenes/heads.go
@@ -39,18 +39,11 @@
 	defer crowd.Wait()
 	defer cancel()
 
-	sampling, stop := context.WithCancel(ctx)
-	peak := make(chan float64)
-	go func() {
-		most := 0.0
-		for ; sampling.Err() == nil && !e.hasEnded(); time.Sleep(sampleInterval) {
-			most = max(most, e.memoryOf("RssAnon"))
-		}
-		peak <- most
-	}()
+	peak := watchMemory(ctx, e)
 	var waiting, refused atomic.Int64
 	if trouble {
 		entries := strings.Repeat("a,", headBytes/2) + "b:1"
+		w.note("%d callers send POST /puxa403/2f with a Prefix-Hash of %d bytes and 9 of 10 bytes of the body", crowdCallers, len(entries))
 		for i := range crowdCallers {
 			crowd.Go(func() { stall(ctx, e.callers, i, entries, &waiting, &refused) })
 			time.Sleep(time.Millisecond)
@@ -66,13 +59,27 @@
 		w.note("ordinary request: %d. Of the crowd %d wait, %d were refused. %.0f MB anonymous, %.0f MB resident, %s",
 			status, waiting.Load(), refused.Load(), e.memoryOf("RssAnon"), e.memoryOf("VmRSS"), heldBytes(e))
 	}
-	stop()
+	cancel()
 	most := <-peak
 	w.say("at most %.0f MB of anonymous memory, the machine has %d MB; %d of %d ordinary requests were served; the process has ended: %t",
 		most, memoryMB, served, asked, e.hasEnded())
 	return most > memoryMB || e.hasEnded(), nil
 }
 
+// watchMemory samples the anonymous memory of the process until ctx or the process ends, and then sends the most
+// that it has seen.
+func watchMemory(ctx context.Context, e *entry) <-chan float64 {
+	peak := make(chan float64, 1)
+	go func() {
+		most := 0.0
+		for ; ctx.Err() == nil && !e.hasEnded(); time.Sleep(sampleInterval) {
+			most = max(most, e.memoryOf("RssAnon"))
+		}
+		peak <- most
+	}()
+	return peak
+}
+
 // startService starts one process before one server of a plain service.
 func startService(w *world) (*entry, error) {
 	address, err := w.listen(&mcstandin.PlatformServer{ID: "i-1", CallTime: 60 * time.Millisecond})
--- a/review/scenes/main.go
+++ b/review/scenes/main.go
@@ -13,7 +13,7 @@
 type scene func(w *world, trouble bool) (broken bool, err error)
 
 var scenes = map[string]scene{
-	"heads": playHeads,
+	"heads": playHeads, "door": playDoor,
 }
 
 func main() {
