--- a/review/scenes/main.go
+++ b/review/scenes/main.go
@@ -13,7 +13,9 @@
 type scene func(w *world, trouble bool) (broken bool, err error)
 
 var scenes = map[string]scene{
-	"heads": playHeads, "door": playDoor,
+	"trailers": playTrailers,
+	"heads":    playHeads,
+	"door":     playDoor,
 }
 
 func main() {
